--- /dev/null
+++ b/cmd/sassafrasturnbench/main.go
@@ -0,0 +1,24 @@
+// Command sassafrasturnbench is the project's load and experiment tool. It also
+// runs the stand-ins for what surrounds the system: the fabric and the endpoints.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&fabricCommand{}, "stand-ins")
+	subcommands.Register(&endpointCommand{}, "stand-ins")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(int(subcommands.Execute(ctx)))
+}
--- /dev/null
+++ b/cmd/sassafrasturnctl/connection.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	callTimeout  = 10 * time.Second
+	maxRedirects = 3
+)
+
+var errNoControl = errors.New("no control instance is named; pass -control ip:port")
+
+// connectionFlags say how to reach the control instances.
+type connectionFlags struct {
+	control      string
+	certificate  string
+	key          string
+	authority    string
+	totalTimeout time.Duration
+}
+
+func (f *connectionFlags) declare(flags *flag.FlagSet) {
+	flags.StringVar(&f.control, "control", "127.0.0.1:7400", "link addresses of control instances, separated by commas")
+	flags.StringVar(&f.certificate, "tls-certificate", "", "PEM file of the operator's certificate")
+	flags.StringVar(&f.key, "tls-key", "", "PEM file of the certificate's key")
+	flags.StringVar(&f.authority, "tls-authority", "", "PEM file of the cluster's authority")
+	flags.DurationVar(&f.totalTimeout, "timeout", callTimeout, "how long to try")
+}
+
+// call sends a request to the first control instance that can serve it.
+func (f *connectionFlags) call(ctx context.Context, request *wire.Request) (*wire.Response, error) {
+	client, _, err := link.LoadTLS(f.certificate, f.key, f.authority)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.totalTimeout)
+	defer cancel()
+	dialer := &link.Dialer{TLS: client}
+	lastErr := errNoControl
+	for _, address := range strings.Split(f.control, ",") {
+		response, err := callFollowing(ctx, dialer, strings.TrimSpace(address), request)
+		if err == nil {
+			return response, nil
+		}
+		lastErr = fmt.Errorf("%s: %w", address, err)
+	}
+	return nil, lastErr
+}
+
+// callFollowing follows redirects to the instance that leads.
+func callFollowing(ctx context.Context, dialer *link.Dialer, address string, request *wire.Request) (*wire.Response, error) {
+	for range maxRedirects {
+		response, err := dialer.Call(ctx, address, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.Redirect == "" {
+			if response.Error != "" {
+				return nil, errors.New(response.Error)
+			}
+			return response, nil
+		}
+		address = response.Redirect
+	}
+	return nil, fmt.Errorf("more than %d redirects", maxRedirects)
+}
+
+func (f *connectionFlags) list(ctx context.Context, kinds ...wire.Record_Kind) ([]*wire.Record, error) {
+	response, err := f.call(ctx, &wire.Request{Body: &wire.Request_List{List: &wire.ListRequest{Kinds: kinds}}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetList().GetRecords(), nil
+}
+
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "sassafrasturnctl:", err)
+	return subcommands.ExitFailure
+}
+
+func wrongUsage(text string) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "sassafrasturnctl:", text)
+	return subcommands.ExitUsageError
+}
--- /dev/null
+++ b/cmd/sassafrasturnctl/main.go
@@ -0,0 +1,32 @@
+// Command sassafrasturnctl is the operators' tool: it submits service documents
+// and takes availability zones out of service and back.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	connection := &connectionFlags{}
+	connection.declare(flag.CommandLine)
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&submitCommand{connection: connection}, "documents")
+	subcommands.Register(&listCommand{connection: connection}, "documents")
+	subcommands.Register(&showCommand{connection: connection}, "documents")
+	subcommands.Register(&checkCommand{}, "documents")
+	subcommands.Register(&zoneCommand{connection: connection}, "zones")
+	subcommands.Register(&endpointsCommand{connection: connection}, "looking")
+	subcommands.Register(&statusCommand{connection: connection}, "looking")
+	subcommands.Register(&fetchCommand{}, "looking")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	os.Exit(int(subcommands.Execute(ctx)))
+}
--- /dev/null
+++ b/cmd/sassafrasturnd/run.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/machine/agent"
+	"sassafrasturn.example/internal/machine/balancer"
+	"sassafrasturn.example/internal/machine/control"
+	"sassafrasturn.example/internal/machine/sample"
+	"sassafrasturn.example/internal/settings"
+)
+
+// runCommand runs an instance until it is told to stop.
+type runCommand struct {
+	settingsPath string
+}
+
+// Name returns the name of the command.
+func (*runCommand) Name() string { return "run" }
+
+// Synopsis describes the command in a line.
+func (*runCommand) Synopsis() string { return "run an instance from its settings file" }
+
+// Usage describes the command.
+func (*runCommand) Usage() string {
+	return `run --settings FILE
+  Runs an instance until SIGTERM or Ctrl-C; then it finishes what is in flight
+  and stops. Exit code 0 after a graceful stop, 1 after a failure, 2 for wrong
+  usage or settings.
+`
+}
+
+// SetFlags declares the flags.
+func (r *runCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&r.settingsPath, "settings", "", "path of the INI settings file")
+}
+
+// Execute runs the instance.
+func (r *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if r.settingsPath == "" {
+		fmt.Fprintln(os.Stderr, "sassafrasturnd run: --settings is missing; try --settings examples/local.ini")
+		return subcommands.ExitUsageError
+	}
+	s, err := settings.Load(r.settingsPath)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	if err := runInstance(ctx, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func runInstance(ctx context.Context, s *settings.Settings) error {
+	instance, err := machine.New(s)
+	if err != nil {
+		return err
+	}
+	if err := addRoles(instance, s.Role); err != nil {
+		return err
+	}
+	return instance.Run(ctx)
+}
+
+// addRoles adds the roles in the order in which they drain: an agent needs the
+// balancer until its last answer is out, and both need control.
+func addRoles(instance *machine.Instance, role settings.Role) error {
+	isAll := role == settings.RoleAll
+	if isAll || role == settings.RoleAgent {
+		a, err := agent.New(instance)
+		if err != nil {
+			return err
+		}
+		instance.AddRole(a)
+	}
+	if isAll || role == settings.RoleBalancer {
+		b, err := balancer.New(instance)
+		if err != nil {
+			return err
+		}
+		instance.AddRole(b)
+	}
+	if isAll || role == settings.RoleControl {
+		c, err := control.New(instance)
+		if err != nil {
+			return err
+		}
+		instance.AddRole(c)
+	}
+	if isAll {
+		instance.AddRole(sample.New(instance))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/contract/document.go
@@ -0,0 +1,174 @@
+// Package contract holds the service document: what a team states about one
+// of its services, read from INI into typed values and checked.
+package contract
+
+import (
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+
+	"sassafrasturn.example/internal/finding"
+	"sassafrasturn.example/internal/inifile"
+)
+
+// MaxDocumentBytes bounds the size of a service document.
+const MaxDocumentBytes = 64 << 10
+
+// Limits and defaults of a document's values.
+const (
+	DefaultSlots          = 5
+	DefaultConnections    = 2000
+	DefaultQueue          = 10
+	DefaultRequestTimeout = 30 * time.Second
+	DefaultRampStart      = 1
+
+	maxSlots          = 10_000
+	maxConnections    = 1_000_000
+	maxQueue          = 10_000
+	minRequestTimeout = 10 * time.Millisecond
+	maxRequestTimeout = time.Hour
+)
+
+const (
+	sectionService   = "service"
+	sectionEndpoints = "endpoints"
+	sectionRamp      = "ramp"
+	sectionRequests  = "requests"
+	sectionLimits    = "limits"
+)
+
+// Document is a service document.
+type Document struct {
+	// Service is the name of the service.
+	Service string
+	// Address is what callers dial.
+	Address netip.AddrPort
+	// EditedFrom is the version that the document was edited from; 0 for a new one.
+	EditedFrom uint64
+	// Allow lists the networks whose endpoints may serve the service.
+	Allow []netip.Prefix
+	// Slots is how many requests a warm endpoint works on at a time.
+	Slots int
+	// Connections is how many flows an endpoint holds at most.
+	Connections int
+	// RampStart is how many requests a cold endpoint is given at a time at first.
+	RampStart int
+	// NonIdempotent lists the requests that must run at most once.
+	NonIdempotent []Pattern
+	// Streaming lists the requests that hold no slot once their answer has begun.
+	Streaming []Pattern
+	// Queue is how many requests may wait for a slot of an endpoint.
+	Queue int
+	// RequestTimeout bounds the time until an answer begins, for requests without a deadline.
+	RequestTimeout time.Duration
+}
+
+var serviceName = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Parse reads a document; the error, if any, is a *finding.Error with all findings.
+func Parse(name string, data []byte) (*Document, error) {
+	var findings finding.List
+	if len(data) > MaxDocumentBytes {
+		findings.Add(finding.Finding{File: name, Found: "a longer file", Allowed: "at most 64 KiB"})
+		return nil, findings.Err()
+	}
+	file := inifile.Parse(name, data, &findings)
+	doc := read(file)
+	file.ReportUnknown()
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return doc, nil
+}
+
+func read(file *inifile.File) *Document {
+	doc := &Document{
+		Service:        readName(file),
+		Address:        file.RequiredAddrPort(sectionService, "address"),
+		EditedFrom:     uint64(file.Int(sectionService, "version", 0, 0, 1<<62)),
+		Allow:          readAllow(file),
+		Slots:          file.Int(sectionEndpoints, "slots", DefaultSlots, 1, maxSlots),
+		Connections:    file.Int(sectionEndpoints, "connections", DefaultConnections, 1, maxConnections),
+		RampStart:      file.Int(sectionRamp, "start", DefaultRampStart, 1, maxSlots),
+		NonIdempotent:  readPatterns(file, "non_idempotent"),
+		Streaming:      readPatterns(file, "streaming"),
+		Queue:          file.Int(sectionLimits, "queue", DefaultQueue, 0, maxQueue),
+		RequestTimeout: file.Duration(sectionLimits, "request_timeout", DefaultRequestTimeout, minRequestTimeout, maxRequestTimeout),
+	}
+	if doc.Address.IsValid() && !doc.Address.Addr().Is4() {
+		file.Reject(sectionService, "address", doc.Address.String(), "an IPv4 address and a port")
+	}
+	return doc
+}
+
+func readName(file *inifile.File) string {
+	const allowed = "1 to 63 of a-z, 0-9 and -, beginning and ending with a letter or digit"
+	name := file.String(sectionService, "name", "")
+	if !serviceName.MatchString(name) {
+		file.Reject(sectionService, "name", name, allowed)
+	}
+	return name
+}
+
+func readAllow(file *inifile.File) []netip.Prefix {
+	const allowed = "networks such as 10.0.0.0/8 or addresses, separated by commas"
+	items := file.List(sectionEndpoints, "allow")
+	if len(items) == 0 {
+		file.Reject(sectionEndpoints, "allow", "", allowed)
+	}
+	var prefixes []netip.Prefix
+	for _, item := range items {
+		prefix, err := parsePrefix(item)
+		if err != nil {
+			file.Reject(sectionEndpoints, "allow", item, allowed)
+			continue
+		}
+		prefixes = append(prefixes, prefix)
+	}
+	return prefixes
+}
+
+func parsePrefix(text string) (netip.Prefix, error) {
+	if strings.Contains(text, "/") {
+		return netip.ParsePrefix(text)
+	}
+	address, err := netip.ParseAddr(text)
+	if err != nil {
+		return netip.Prefix{}, err
+	}
+	return netip.PrefixFrom(address, address.BitLen()), nil
+}
+
+func readPatterns(file *inifile.File, key string) []Pattern {
+	var patterns []Pattern
+	for _, item := range file.List(sectionRequests, key) {
+		pattern, ok := ParsePattern(item)
+		if !ok {
+			file.Reject(sectionRequests, key, item, "method and path, such as POST /orders or GET /drawings/*, separated by commas")
+			continue
+		}
+		patterns = append(patterns, pattern)
+	}
+	return patterns
+}
+
+// Allows reports whether an endpoint at the address may serve the service.
+func (d *Document) Allows(address netip.Addr) bool {
+	for _, prefix := range d.Allow {
+		if prefix.Contains(address) {
+			return true
+		}
+	}
+	return false
+}
+
+// IsNonIdempotent reports whether the request must run at most once.
+func (d *Document) IsNonIdempotent(method, path string) bool {
+	return matchAny(d.NonIdempotent, method, path)
+}
+
+// IsStreaming reports whether the request holds no slot once its answer has begun.
+func (d *Document) IsStreaming(method, path string) bool {
+	return matchAny(d.Streaming, method, path)
+}
--- /dev/null
+++ b/internal/keyring/keyring.go
@@ -0,0 +1,114 @@
+// Package keyring derives the cluster's working keys from the key file.
+//
+// Every key belongs to an epoch. During a rotation two epochs are valid: new
+// tokens are issued under the current one, tokens of both are accepted.
+package keyring
+
+import (
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/finding"
+	"sassafrasturn.example/internal/inifile"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("keyring")
+
+// SecretBytes is the length of each secret of the key file.
+const SecretBytes = 32
+
+const section = "keys"
+
+// Epoch numbers a secret of the key file.
+type Epoch uint8
+
+// Keyring holds the secrets of all valid epochs.
+type Keyring struct {
+	current Epoch
+	secrets map[Epoch][]byte
+}
+
+// New makes a keyring of the given secrets.
+func New(current Epoch, secrets map[Epoch][]byte) (*Keyring, error) {
+	if len(secrets[current]) != SecretBytes {
+		return nil, Error.New("no secret of %d bytes for the current epoch %d", SecretBytes, current)
+	}
+	return &Keyring{current: current, secrets: secrets}, nil
+}
+
+// Load reads a key file.
+func Load(path string) (*Keyring, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the text of a key file called name.
+func Parse(name string, data []byte) (*Keyring, error) {
+	var findings finding.List
+	file := inifile.Parse(name, data, &findings)
+	current := Epoch(file.Int(section, "current", -1, 0, 255))
+	secrets := make(map[Epoch][]byte)
+	for _, key := range file.Keys(section) {
+		if key == "current" {
+			continue
+		}
+		readSecret(file, key, secrets)
+	}
+	if _, ok := secrets[current]; !ok {
+		file.Reject(section, "current", fmt.Sprint(current), "the number of a key in this file")
+	}
+	file.ReportUnknown()
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return New(current, secrets)
+}
+
+func readSecret(file *inifile.File, key string, secrets map[Epoch][]byte) {
+	number, err := strconv.ParseUint(key, 10, 8)
+	if err != nil {
+		file.Reject(section, key, key, "current, or a key number from 0 to 255")
+		return
+	}
+	secret, err := hex.DecodeString(file.String(section, key, ""))
+	if err != nil || len(secret) != SecretBytes {
+		// The secret itself must not reach a log.
+		file.Reject(section, key, "(hidden)", "64 hexadecimal digits")
+		return
+	}
+	secrets[Epoch(number)] = secret
+}
+
+// Current returns the epoch under which new tokens are issued.
+func (k *Keyring) Current() Epoch {
+	return k.current
+}
+
+// Epochs returns all valid epochs.
+func (k *Keyring) Epochs() []Epoch {
+	epochs := make([]Epoch, 0, len(k.secrets))
+	for epoch := range k.secrets {
+		epochs = append(epochs, epoch)
+	}
+	return epochs
+}
+
+// Derive returns a key of the given length for one purpose in one epoch.
+func (k *Keyring) Derive(epoch Epoch, purpose string, length int) ([]byte, error) {
+	secret, ok := k.secrets[epoch]
+	if !ok {
+		return nil, Error.New("no key for epoch %d", epoch)
+	}
+	key, err := hkdf.Key(sha256.New, secret, nil, purpose, length)
+	return key, Error.Wrap(err)
+}
--- /dev/null
+++ b/internal/machine/agent/metrics.go
@@ -0,0 +1,54 @@
+package agent
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// dropReason labels datagrams that the agent did not take.
+type dropReason string
+
+const (
+	dropForged           dropReason = "forged"
+	dropUnexpected       dropReason = "unexpected"
+	dropMalformed        dropReason = "malformed"
+	dropOtherService     dropReason = "other-service"
+	dropOtherAgent       dropReason = "other-agent"
+	dropOtherIncarnation dropReason = "other-incarnation"
+	dropQueueFull        dropReason = "queue-full"
+	dropNoBalancer       dropReason = "no-balancer"
+	dropRefused          dropReason = "refused"
+	dropSendFailed       dropReason = "send-failed"
+)
+
+type metrics struct {
+	taken    prometheus.Counter
+	accepted prometheus.Counter
+	handedOn prometheus.Counter
+	dropped  *prometheus.CounterVec
+	requests *prometheus.CounterVec
+}
+
+func newMetrics(registry *prometheus.Registry) *metrics {
+	m := &metrics{
+		taken: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafrasturn_agent_taken_datagrams_total",
+			Help: "Callers' datagrams given to the QUIC transport.",
+		}),
+		accepted: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafrasturn_agent_accepted_flows_total",
+			Help: "New flows accepted.",
+		}),
+		handedOn: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafrasturn_agent_handed_on_flows_total",
+			Help: "New flows handed on to the next candidate.",
+		}),
+		dropped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_agent_dropped_datagrams_total",
+			Help: "Datagrams dropped, by reason.",
+		}, []string{"reason"}),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_agent_requests_total",
+			Help: "Requests, by outcome.",
+		}, []string{"outcome"}),
+	}
+	registry.MustRegister(m.taken, m.accepted, m.handedOn, m.dropped, m.requests)
+	return m
+}
--- /dev/null
+++ b/internal/machine/agent/packetconn.go
@@ -0,0 +1,140 @@
+package agent
+
+import (
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"sassafrasturn.example/internal/envelope"
+	"sassafrasturn.example/internal/wire"
+)
+
+// queueLength is how many datagrams may wait for the QUIC transport; more are
+// dropped, as by a full socket buffer.
+const queueLength = 4096
+
+type datagram struct {
+	payload []byte
+	caller  *net.UDPAddr
+}
+
+// packetConn is the net.PacketConn of the QUIC transport: datagrams come out of
+// envelopes and leave in envelopes.
+type packetConn struct {
+	agent   *Agent
+	service uint32
+	queue   chan datagram
+
+	mu       sync.Mutex
+	deadline chan struct{}
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func newPacketConn(a *Agent, service uint32) *packetConn {
+	return &packetConn{
+		agent:    a,
+		service:  service,
+		queue:    make(chan datagram, queueLength),
+		deadline: make(chan struct{}),
+		closed:   make(chan struct{}),
+	}
+}
+
+// deliver queues a datagram; it reports false when the queue is full.
+func (c *packetConn) deliver(d datagram) bool {
+	select {
+	case c.queue <- d:
+		return true
+	default:
+		return false
+	}
+}
+
+// ReadFrom returns the next datagram and its caller.
+func (c *packetConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	c.mu.Lock()
+	deadline := c.deadline
+	c.mu.Unlock()
+	select {
+	case d := <-c.queue:
+		return copy(p, d.payload), d.caller, nil
+	case <-deadline:
+		return 0, nil, os.ErrDeadlineExceeded
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo sends a datagram to the caller through a balancer.
+func (c *packetConn) WriteTo(p []byte, address net.Addr) (int, error) {
+	caller, ok := address.(*net.UDPAddr)
+	if !ok {
+		return 0, Error.New("caller address %v is not a UDP address", address)
+	}
+	balancer, ok := c.agent.paths.pick(time.Now())
+	if !ok {
+		// Like a lost datagram: QUIC sends again.
+		c.agent.metrics.dropped.WithLabelValues(string(dropNoBalancer)).Inc()
+		return len(p), nil
+	}
+	message := &wire.Envelope{
+		Kind:    wire.Envelope_KIND_REPLY,
+		Service: c.service,
+		Caller:  envelope.PackAddress(caller.AddrPort()),
+		Payload: p,
+	}
+	c.agent.send(message, balancer)
+	return len(p), nil
+}
+
+// Close ends ReadFrom.
+func (c *packetConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr returns the envelope address of the agent.
+func (c *packetConn) LocalAddr() net.Addr {
+	return c.agent.conn.LocalAddr()
+}
+
+// SetReadDeadline ends a waiting ReadFrom when the deadline is in the past;
+// the QUIC transport sets no others.
+func (c *packetConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isPast := !t.IsZero() && !t.After(time.Now())
+	select {
+	case <-c.deadline:
+		if !isPast {
+			c.deadline = make(chan struct{})
+		}
+	default:
+		if isPast {
+			close(c.deadline)
+		}
+	}
+	return nil
+}
+
+// SetReadBuffer does nothing: the agent sizes the envelope socket's buffers.
+func (c *packetConn) SetReadBuffer(int) error {
+	return nil
+}
+
+// SetWriteBuffer does nothing: the agent sizes the envelope socket's buffers.
+func (c *packetConn) SetWriteBuffer(int) error {
+	return nil
+}
+
+// SetDeadline sets the read deadline; writes never wait.
+func (c *packetConn) SetDeadline(t time.Time) error {
+	return c.SetReadDeadline(t)
+}
+
+// SetWriteDeadline does nothing: writes never wait.
+func (c *packetConn) SetWriteDeadline(time.Time) error {
+	return nil
+}
--- /dev/null
+++ b/internal/machine/instance.go
@@ -0,0 +1,206 @@
+// Package machine runs one instance of the system: what all roles share, which
+// is its links, its records, its log, its metrics and its health answer.
+package machine
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/decisionlog"
+	"sassafrasturn.example/internal/exchange"
+	"sassafrasturn.example/internal/keyring"
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/settings"
+	"sassafrasturn.example/internal/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("instance")
+
+// Role is a role that an instance plays.
+type Role interface {
+	// Run works until ctx ends.
+	Run(ctx context.Context) error
+	// Drain takes no new work and returns when nothing is in flight or ctx
+	// ends. Run goes on meanwhile.
+	Drain(ctx context.Context)
+	// ServeStream answers a request from a link; it reports false for
+	// requests that are not the role's own.
+	ServeStream(ctx context.Context, request *wire.Request, stream net.Conn) bool
+	// Health returns why the role cannot serve, or nil.
+	Health() error
+	// Details returns "name: value" lines about the role for people.
+	Details() []string
+}
+
+// Instance is what the roles of one process share.
+type Instance struct {
+	Settings  *settings.Settings
+	Log       *log.Logger
+	Decisions *decisionlog.Logger
+	Keys      *keyring.Keyring
+	Store     *exchange.Store
+	Dialer    *link.Dialer
+	Metrics   *prometheus.Registry
+	// Incarnation grows with every start of the instance: Unix milliseconds.
+	Incarnation uint64
+
+	serverTLS *tls.Config
+	roles     []Role
+}
+
+// New prepares an instance from its settings.
+func New(s *settings.Settings) (*Instance, error) {
+	keys, err := keyring.Load(s.Cluster.KeyFile)
+	if err != nil {
+		return nil, err
+	}
+	clientTLS, serverTLS, err := link.LoadTLS(s.Cluster.TLSCertificate, s.Cluster.TLSKey, s.Cluster.TLSAuthority)
+	if err != nil {
+		return nil, err
+	}
+	logger := newLogger(s)
+	return &Instance{
+		Settings:    s,
+		Log:         logger,
+		Decisions:   decisionlog.New(logger, s.Log.DecisionsPerSecond),
+		Keys:        keys,
+		Store:       exchange.NewStore(),
+		Dialer:      &link.Dialer{TLS: clientTLS},
+		Metrics:     newRegistry(),
+		Incarnation: uint64(time.Now().UnixMilli()),
+		serverTLS:   serverTLS,
+	}, nil
+}
+
+func newLogger(s *settings.Settings) *log.Logger {
+	return &log.Logger{
+		Level:   log.ParseLevel(s.Log.Level),
+		Writer:  &log.IOWriter{Writer: os.Stderr},
+		Context: log.NewContext(nil).Str("instance", s.Instance).Value(),
+	}
+}
+
+// AddRole adds a role. Roles drain in the order in which they were added.
+func (i *Instance) AddRole(role Role) {
+	i.roles = append(i.roles, role)
+}
+
+// Run works until ctx ends, then drains the roles one after the other and
+// stops. It returns the first error that stopped a role.
+func (i *Instance) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", i.Settings.Link.Listen.String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	// The links outlive the roles, so that draining can still be published.
+	linkCtx, stopLinks := context.WithCancel(context.Background())
+	defer stopLinks()
+	server := &link.Server{TLS: i.serverTLS, Handler: i}
+	go server.Serve(linkCtx, listener)
+	i.joinPeers(linkCtx)
+	if err := i.serveMetrics(linkCtx); err != nil {
+		return err
+	}
+	return i.runRoles(ctx)
+}
+
+func (i *Instance) joinPeers(ctx context.Context) {
+	for _, peer := range i.Settings.Cluster.Peers {
+		if peer == i.Settings.Link.Listen {
+			continue
+		}
+		go exchange.Keep(ctx, i.Store, i.Dialer, i.Settings.Instance, peer.String())
+	}
+}
+
+func (i *Instance) runRoles(ctx context.Context) error {
+	roleCtx, stopRoles := context.WithCancel(context.Background())
+	defer stopRoles()
+	failed := make(chan error, len(i.roles))
+	for _, role := range i.roles {
+		go func() { failed <- role.Run(roleCtx) }()
+	}
+	i.Log.Info().Str("role", string(i.Settings.Role)).Str("zone", i.Settings.Zone).Msg("instance started")
+	select {
+	case err := <-failed:
+		if err != nil {
+			return err
+		}
+		return Error.New("a role ended by itself")
+	case <-ctx.Done():
+	}
+	i.drain()
+	stopRoles()
+	i.Log.Info().Msg("instance stopped")
+	return nil
+}
+
+func (i *Instance) drain() {
+	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.ShutdownTimeout)
+	defer cancel()
+	for _, role := range i.roles {
+		role.Drain(ctx)
+	}
+}
+
+// ServeStream hands a stream to the role that knows its request.
+func (i *Instance) ServeStream(ctx context.Context, request *wire.Request, stream net.Conn) {
+	switch request.Body.(type) {
+	case *wire.Request_Exchange:
+		// The error says only how the stream ended.
+		_ = exchange.Run(ctx, i.Store, stream)
+		return
+	case *wire.Request_Status:
+		i.respond(stream, &wire.Response{Body: &wire.Response_Status{Status: i.status()}})
+		return
+	case *wire.Request_List:
+		list := &wire.ListResponse{Records: i.Store.List(request.GetList().Kinds...)}
+		i.respond(stream, &wire.Response{Body: &wire.Response_List{List: list}})
+		return
+	}
+	for _, role := range i.roles {
+		if role.ServeStream(ctx, request, stream) {
+			return
+		}
+	}
+	i.respond(stream, &wire.Response{Error: "this instance does not serve such requests; ask a control instance"})
+}
+
+func (i *Instance) respond(stream net.Conn, response *wire.Response) {
+	if err := link.WriteMessage(stream, response); err != nil {
+		i.Log.Debug().Err(err).Msg("response not sent")
+	}
+}
+
+func (i *Instance) status() *wire.StatusResponse {
+	status := &wire.StatusResponse{
+		Instance: i.Settings.Instance,
+		Role:     string(i.Settings.Role),
+		Zone:     i.Settings.Zone,
+	}
+	for _, record := range i.Store.List(wire.Record_KIND_SERVICE, wire.Record_KIND_ZONE) {
+		status.AppliedIndex = max(status.AppliedIndex, record.Major)
+	}
+	for _, role := range i.roles {
+		status.Details = append(status.Details, role.Details()...)
+	}
+	return status
+}
+
+// Health returns why the instance cannot serve, or nil.
+func (i *Instance) Health() error {
+	for _, role := range i.roles {
+		if err := role.Health(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/machine/sample/sample.go
@@ -0,0 +1,158 @@
+// Package sample is the endpoint and the service document that role all brings
+// along, so that a newcomer sees a request served at once.
+package sample
+
+import (
+	"bytes"
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/machine/agent"
+	"sassafrasturn.example/internal/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("sample")
+
+// Service and Address are those of the sample document.
+const (
+	Service = "sample"
+	Address = "127.0.0.1:8443"
+
+	slots         = 5
+	retryInterval = 200 * time.Millisecond
+)
+
+//go:embed sample.ini
+var document []byte
+
+// Endpoint is the sample endpoint as a role of an instance.
+type Endpoint struct {
+	instance *machine.Instance
+}
+
+// New prepares the sample endpoint.
+func New(instance *machine.Instance) *Endpoint {
+	return &Endpoint{instance: instance}
+}
+
+// Run serves the sample endpoint until ctx ends.
+func (e *Endpoint) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/hello", hello)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { server.Close() })
+	go e.introduce(ctx, listener.Addr().String())
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return Error.Wrap(err)
+	}
+	return nil
+}
+
+func hello(w http.ResponseWriter, r *http.Request) {
+	fmt.Fprintf(w, "hello from the sample endpoint, over %s\n", r.Proto)
+}
+
+// introduce submits the sample document and announces the endpoint, trying
+// again until both are taken.
+func (e *Endpoint) introduce(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		err := e.submit(ctx)
+		if err == nil {
+			err = e.announce(ctx, address)
+		}
+		if err == nil {
+			break
+		}
+		e.instance.Log.Info().Err(err).Msg("sample endpoint not announced yet")
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryInterval):
+		}
+	}
+	e.explain()
+}
+
+func (e *Endpoint) explain() {
+	link := e.instance.Settings.Link.Listen
+	fmt.Printf("sample service: https://%s/hello (HTTP/3)\n", Address)
+	fmt.Printf("try: go run ./cmd/sassafrasturnctl -control %s fetch -insecure https://%s/hello\n", link, Address)
+}
+
+func (e *Endpoint) submit(ctx context.Context) error {
+	if e.instance.Store.Get(wire.Record_KIND_SERVICE, Service) != nil {
+		return nil
+	}
+	command := &wire.Command{
+		SubmissionId: "sample-document",
+		Body:         &wire.Command_Submit{Submit: &wire.SubmitDocument{Document: document}},
+	}
+	request := &wire.Request{Body: &wire.Request_Command{Command: command}}
+	response, err := e.instance.Dialer.Call(ctx, e.instance.Settings.Link.Listen.String(), request)
+	if err != nil {
+		return err
+	}
+	if response.Error != "" {
+		return Error.New("%s", response.Error)
+	}
+	if result := response.GetCommand(); result.Outcome == wire.CommandResult_OUTCOME_INVALID {
+		return Error.New("%s", result.Findings)
+	}
+	return nil
+}
+
+func (e *Endpoint) announce(ctx context.Context, address string) error {
+	announce := e.instance.Settings.Agent.Announce.String()
+	return Announce(ctx, announce, &agent.Announcement{Service: Service, Address: address, Slots: slots})
+}
+
+// Announce tells the agent at the announce address about an endpoint.
+func Announce(ctx context.Context, announce string, announcement *agent.Announcement) error {
+	body, err := json.Marshal(announcement)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+announce+"/v1/endpoint", bytes.NewReader(body))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		return Error.New("the agent answered %s", response.Status)
+	}
+	return nil
+}
+
+// Drain has nothing to wait for: the agent drains the endpoint.
+func (e *Endpoint) Drain(context.Context) {}
+
+// ServeStream knows no requests.
+func (e *Endpoint) ServeStream(context.Context, *wire.Request, net.Conn) bool {
+	return false
+}
+
+// Health returns nil.
+func (e *Endpoint) Health() error {
+	return nil
+}
+
+// Details returns nothing.
+func (e *Endpoint) Details() []string {
+	return nil
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,294 @@
+// Package settings reads the INI settings file of an instance.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/finding"
+	"sassafrasturn.example/internal/inifile"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("settings")
+
+// Role is what an instance does.
+type Role string
+
+// Roles of an instance.
+const (
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+	RoleControl  Role = "control"
+	// RoleAll runs the three roles and a sample endpoint in one process.
+	RoleAll Role = "all"
+)
+
+// Delivery says how the fabric hands callers' datagrams to a balancer.
+type Delivery string
+
+// Ways of delivery.
+const (
+	// DeliveryServiceAddress: datagrams arrive at the address that the document names.
+	DeliveryServiceAddress Delivery = "service-address"
+	// DeliveryDocumentPort: datagrams arrive at the balancer's IP with the document's port.
+	DeliveryDocumentPort Delivery = "document-port"
+)
+
+// Defaults of optional values.
+const (
+	DefaultDecisionsPerSecond = 20
+	DefaultShutdownTimeout    = 10 * time.Minute
+
+	maxDecisionsPerSecond = 1_000_000
+	maxControlID          = 1_000_000
+)
+
+// Settings are the checked settings of an instance.
+type Settings struct {
+	Role Role
+	// Instance is the unique name of the instance.
+	Instance string
+	// Zone is the name of the availability zone that the instance stands in.
+	Zone string
+	// DataFolder holds the durable state; only control instances need it.
+	DataFolder string
+	// ShutdownTimeout bounds how long a graceful stop waits for requests in flight.
+	ShutdownTimeout time.Duration
+
+	Cluster  Cluster
+	Link     Link
+	Metrics  Metrics
+	Log      Log
+	Balancer Balancer
+	Agent    Agent
+	Control  Control
+}
+
+// Cluster names the other instances and the shared keys.
+type Cluster struct {
+	// KeyFile is the path of the key file.
+	KeyFile string
+	// Peers are link addresses of instances to join.
+	Peers []netip.AddrPort
+	// TLSCertificate, TLSKey and TLSAuthority are paths of PEM files; all or none are set.
+	TLSCertificate string
+	TLSKey         string
+	TLSAuthority   string
+}
+
+// Link is where other instances and operators reach this one.
+type Link struct {
+	Listen netip.AddrPort
+}
+
+// Metrics is where metrics and the health answer are served.
+type Metrics struct {
+	Listen netip.AddrPort
+}
+
+// Log controls what is logged.
+type Log struct {
+	// Level is one of debug, info, warn, error.
+	Level string
+	// DecisionsPerSecond bounds the decision lines a second; -1 writes all.
+	DecisionsPerSecond int
+}
+
+// Balancer holds the settings of the balancer role.
+type Balancer struct {
+	Delivery Delivery
+	// Address is the IP at which callers' datagrams arrive with DeliveryDocumentPort.
+	Address netip.Addr
+	// Envelope is the UDP address for envelopes.
+	Envelope netip.AddrPort
+}
+
+// Agent holds the settings of the agent role.
+type Agent struct {
+	// Envelope is the UDP address for envelopes; IPv4.
+	Envelope netip.AddrPort
+	// Announce is the loopback HTTP address for the endpoint's announcements.
+	Announce netip.AddrPort
+	// Certificate and CertificateKey are PEM files of the service's certificate.
+	Certificate    string
+	CertificateKey string
+}
+
+// Control holds the settings of the control role.
+type Control struct {
+	// ID is the number of this control instance; never used again after its disk is lost.
+	ID int
+	// Members lists the first voters, as id@ip:port of their links.
+	Members []Member
+}
+
+// Member is one voter of the control group.
+type Member struct {
+	ID   uint64
+	Link netip.AddrPort
+}
+
+const (
+	sectionInstance = "instance"
+	sectionCluster  = "cluster"
+	sectionLink     = "link"
+	sectionMetrics  = "metrics"
+	sectionLog      = "log"
+	sectionBalancer = "balancer"
+	sectionAgent    = "agent"
+	sectionControl  = "control"
+)
+
+// Load reads and checks a settings file; findings come as a *finding.Error.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	s, err := Parse(path, data)
+	if err != nil {
+		return nil, err
+	}
+	s.resolvePaths(filepath.Dir(path))
+	return s, nil
+}
+
+// resolvePaths makes relative paths relative to the folder of the settings file.
+func (s *Settings) resolvePaths(folder string) {
+	paths := []*string{
+		&s.DataFolder, &s.Cluster.KeyFile,
+		&s.Cluster.TLSCertificate, &s.Cluster.TLSKey, &s.Cluster.TLSAuthority,
+		&s.Agent.Certificate, &s.Agent.CertificateKey,
+	}
+	for _, path := range paths {
+		if *path != "" && !filepath.IsAbs(*path) {
+			*path = filepath.Join(folder, *path)
+		}
+	}
+}
+
+// Parse reads the text of a settings file called name.
+func Parse(name string, data []byte) (*Settings, error) {
+	var findings finding.List
+	file := inifile.Parse(name, data, &findings)
+	s := read(file)
+	file.ReportUnknown()
+	if err := findings.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func read(file *inifile.File) *Settings {
+	s := &Settings{
+		Role:            Role(file.Choice(sectionInstance, "role", "", string(RoleBalancer), string(RoleAgent), string(RoleControl), string(RoleAll))),
+		Instance:        file.Required(sectionInstance, "name", "a name that no other instance has"),
+		Zone:            file.Required(sectionInstance, "zone", "the name of an availability zone"),
+		DataFolder:      file.String(sectionInstance, "data", ""),
+		ShutdownTimeout: file.Duration(sectionInstance, "shutdown_timeout", DefaultShutdownTimeout, time.Second, 24*time.Hour),
+		Cluster:         readCluster(file),
+		Link:            Link{Listen: file.RequiredAddrPort(sectionLink, "listen")},
+		Metrics:         Metrics{Listen: file.AddrPort(sectionMetrics, "listen")},
+		Log:             readLog(file),
+	}
+	readRoles(file, s)
+	return s
+}
+
+func readCluster(file *inifile.File) Cluster {
+	cluster := Cluster{
+		KeyFile:        file.Required(sectionCluster, "keys", "the path of the cluster's key file"),
+		Peers:          file.AddrPorts(sectionCluster, "peers"),
+		TLSCertificate: file.String(sectionCluster, "tls_certificate", ""),
+		TLSKey:         file.String(sectionCluster, "tls_key", ""),
+		TLSAuthority:   file.String(sectionCluster, "tls_authority", ""),
+	}
+	set := 0
+	for _, path := range []string{cluster.TLSCertificate, cluster.TLSKey, cluster.TLSAuthority} {
+		if path != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		file.Reject(sectionCluster, "tls_certificate", cluster.TLSCertificate, "tls_certificate, tls_key and tls_authority together, or none of them")
+	}
+	return cluster
+}
+
+func readLog(file *inifile.File) Log {
+	return Log{
+		Level:              file.Choice(sectionLog, "level", "info", "debug", "info", "warn", "error"),
+		DecisionsPerSecond: file.Int(sectionLog, "decisions_per_second", DefaultDecisionsPerSecond, -1, maxDecisionsPerSecond),
+	}
+}
+
+func readRoles(file *inifile.File, s *Settings) {
+	if s.Role == RoleBalancer || s.Role == RoleAll {
+		s.Balancer = readBalancer(file)
+	}
+	if s.Role == RoleAgent || s.Role == RoleAll {
+		s.Agent = readAgent(file)
+	}
+	if s.Role == RoleControl || s.Role == RoleAll {
+		s.Control = readControl(file)
+		if s.DataFolder == "" {
+			file.Reject(sectionInstance, "data", "", "the path of a folder on a disk; control keeps its state there")
+		}
+	}
+}
+
+func readBalancer(file *inifile.File) Balancer {
+	balancer := Balancer{
+		Delivery: Delivery(file.Choice(sectionBalancer, "delivery", string(DeliveryServiceAddress), string(DeliveryServiceAddress), string(DeliveryDocumentPort))),
+		Envelope: file.RequiredAddrPort(sectionBalancer, "envelope"),
+	}
+	text := file.String(sectionBalancer, "address", "")
+	if balancer.Delivery == DeliveryDocumentPort {
+		address, err := netip.ParseAddr(text)
+		if err != nil {
+			file.Reject(sectionBalancer, "address", text, "the IP address at which datagrams arrive")
+		}
+		balancer.Address = address
+	}
+	return balancer
+}
+
+func readAgent(file *inifile.File) Agent {
+	agent := Agent{
+		Envelope:       file.RequiredAddrPort(sectionAgent, "envelope"),
+		Announce:       file.RequiredAddrPort(sectionAgent, "announce"),
+		Certificate:    file.String(sectionAgent, "certificate", ""),
+		CertificateKey: file.String(sectionAgent, "certificate_key", ""),
+	}
+	if agent.Envelope.IsValid() && !agent.Envelope.Addr().Is4() {
+		file.Reject(sectionAgent, "envelope", agent.Envelope.String(), "an IPv4 address and a port")
+	}
+	if agent.Announce.IsValid() && !agent.Announce.Addr().IsLoopback() {
+		file.Reject(sectionAgent, "announce", agent.Announce.String(), "a loopback address and a port")
+	}
+	if (agent.Certificate == "") != (agent.CertificateKey == "") {
+		file.Reject(sectionAgent, "certificate", agent.Certificate, "certificate and certificate_key together, or neither for a self-signed one")
+	}
+	return agent
+}
+
+func readControl(file *inifile.File) Control {
+	control := Control{ID: file.Int(sectionControl, "id", 0, 1, maxControlID)}
+	if control.ID == 0 {
+		file.Reject(sectionControl, "id", "", "a whole number from 1 that no control instance had before")
+	}
+	for _, item := range file.List(sectionControl, "members") {
+		member, ok := parseMember(item)
+		if !ok {
+			file.Reject(sectionControl, "members", item, "id@ip:port entries, separated by commas")
+			continue
+		}
+		control.Members = append(control.Members, member)
+	}
+	return control
+}
--- /dev/null
+++ b/internal/standin/endpoint/endpoint.go
@@ -0,0 +1,120 @@
+// Package endpoint is a stand-in for a users' endpoint: an HTTP server with
+// long downloads, event streams and orders that it counts.
+package endpoint
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// chunkBytes is how much of a download is written at a time.
+const chunkBytes = 16 << 10
+
+// Endpoint answers requests. The zero value is not usable; call New.
+type Endpoint struct {
+	name string
+	mux  *http.ServeMux
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// New returns an endpoint with the given name.
+func New(name string) *Endpoint {
+	e := &Endpoint{name: name, mux: http.NewServeMux(), runs: make(map[string]int)}
+	e.mux.HandleFunc("GET /name", e.answerName)
+	e.mux.HandleFunc("GET /drawings/{bytes}", e.answerDrawing)
+	e.mux.HandleFunc("GET /board", e.answerBoard)
+	e.mux.HandleFunc("POST /orders", e.answerOrder)
+	e.mux.HandleFunc("GET /runs", e.answerRuns)
+	return e
+}
+
+// ServeHTTP answers a request.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Endpoint", e.name)
+	e.mux.ServeHTTP(w, r)
+}
+
+func (e *Endpoint) answerName(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(w, e.name)
+}
+
+// answerDrawing sends the asked number of bytes; ?pace= waits between chunks.
+func (e *Endpoint) answerDrawing(w http.ResponseWriter, r *http.Request) {
+	total, err := strconv.Atoi(r.PathValue("bytes"))
+	if err != nil || total < 0 {
+		http.Error(w, "the path names no number of bytes", http.StatusBadRequest)
+		return
+	}
+	pace, _ := time.ParseDuration(r.URL.Query().Get("pace"))
+	w.Header().Set("Content-Length", strconv.Itoa(total))
+	for sent := 0; sent < total; {
+		n := min(chunkBytes, total-sent)
+		if _, err := w.Write(Drawing(sent, n)); err != nil {
+			return
+		}
+		sent += n
+		if pace > 0 {
+			w.(http.Flusher).Flush()
+			time.Sleep(pace)
+		}
+	}
+}
+
+// Drawing returns the bytes of every drawing from an offset on.
+func Drawing(offset, length int) []byte {
+	data := make([]byte, length)
+	for i := range data {
+		at := offset + i
+		data[i] = byte(at*31 ^ at>>8*17 ^ at>>16)
+	}
+	return data
+}
+
+// answerBoard streams ?count= numbered events, one every ?every=.
+func (e *Endpoint) answerBoard(w http.ResponseWriter, r *http.Request) {
+	every, err := time.ParseDuration(r.URL.Query().Get("every"))
+	if err != nil || every <= 0 {
+		http.Error(w, "every: a duration is needed", http.StatusBadRequest)
+		return
+	}
+	count, _ := strconv.Atoi(r.URL.Query().Get("count"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for i := 0; count == 0 || i < count; i++ {
+		if _, err := fmt.Fprintf(w, "data: %d\n\n", i); err != nil {
+			return
+		}
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// answerOrder runs an order, ?id=, which takes ?work= of time.
+func (e *Endpoint) answerOrder(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get("id")
+	e.mu.Lock()
+	e.runs[id]++
+	e.mu.Unlock()
+	work, _ := time.ParseDuration(r.URL.Query().Get("work"))
+	time.Sleep(work)
+	fmt.Fprintf(w, "order %s by %s\n", id, e.name)
+}
+
+// answerRuns lists how often each order ran, "id count" a line.
+func (e *Endpoint) answerRuns(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, count := range e.runs {
+		fmt.Fprintf(w, "%s %d\n", id, count)
+	}
+}
--- /dev/null
+++ b/internal/token/connectionid.go
@@ -0,0 +1,144 @@
+// Package token issues and checks the tokens that carry routing state at the
+// caller: QUIC connection IDs.
+//
+// A server-chosen connection ID names the agent that holds the flow, so that a
+// balancer routes established flows without a table. The idea is that of the
+// IETF draft "QUIC-LB: Generating Routable QUIC Connection IDs".
+package token
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/subtle"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/keyring"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("token")
+
+// ConnectionIDBytes is the length of a server-chosen connection ID:
+// key epoch, one AES block, and a check over the block.
+const ConnectionIDBytes = epochBytes + aes.BlockSize + checkBytes
+
+const (
+	epochBytes = 1
+	checkBytes = 3
+
+	aesKeyBytes = 16
+
+	purposeRoute = "connection-id route"
+	purposeCheck = "connection-id check"
+)
+
+// Route is what a connection ID says about its flow.
+type Route struct {
+	// Agent is the envelope address of the agent that holds the flow; IPv4.
+	Agent netip.AddrPort
+	// Zone is the number of the agent's availability zone.
+	Zone uint8
+	// Service is the number of the service; the lower 24 bits count.
+	Service uint32
+	// Incarnation holds the lower 16 bits of the agent's incarnation.
+	Incarnation uint16
+	// Counter makes the connection IDs of one incarnation distinct.
+	Counter uint32
+}
+
+// MaxService is the highest service number that a connection ID can carry.
+const MaxService = 1<<24 - 1
+
+type epochCiphers struct {
+	route cipher.Block
+	check cipher.Block
+}
+
+// Codec encodes and decodes connection IDs. It is safe for concurrent use.
+type Codec struct {
+	current keyring.Epoch
+	ciphers map[keyring.Epoch]epochCiphers
+}
+
+// NewCodec makes a codec for all epochs of the keyring.
+func NewCodec(keys *keyring.Keyring) (*Codec, error) {
+	codec := &Codec{current: keys.Current(), ciphers: make(map[keyring.Epoch]epochCiphers)}
+	for _, epoch := range keys.Epochs() {
+		route, err := newBlock(keys, epoch, purposeRoute)
+		if err != nil {
+			return nil, err
+		}
+		check, err := newBlock(keys, epoch, purposeCheck)
+		if err != nil {
+			return nil, err
+		}
+		codec.ciphers[epoch] = epochCiphers{route: route, check: check}
+	}
+	return codec, nil
+}
+
+func newBlock(keys *keyring.Keyring, epoch keyring.Epoch, purpose string) (cipher.Block, error) {
+	key, err := keys.Derive(epoch, purpose, aesKeyBytes)
+	if err != nil {
+		return nil, err
+	}
+	block, err := aes.NewCipher(key)
+	return block, Error.Wrap(err)
+}
+
+// Encode returns the connection ID for a route under the current epoch.
+func (c *Codec) Encode(r Route) [ConnectionIDBytes]byte {
+	var plain [aes.BlockSize]byte
+	address := r.Agent.Addr().As4()
+	copy(plain[0:4], address[:])
+	binary.BigEndian.PutUint16(plain[4:6], r.Agent.Port())
+	// The service number takes the lower three bytes; the zone overwrites the highest.
+	binary.BigEndian.PutUint32(plain[6:10], r.Service)
+	plain[6] = r.Zone
+	binary.BigEndian.PutUint16(plain[10:12], r.Incarnation)
+	binary.BigEndian.PutUint32(plain[12:16], r.Counter)
+
+	var id [ConnectionIDBytes]byte
+	id[0] = byte(c.current)
+	ciphers := c.ciphers[c.current]
+	block := id[epochBytes : epochBytes+aes.BlockSize]
+	ciphers.route.Encrypt(block, plain[:])
+	check := checkOf(ciphers.check, block)
+	copy(id[epochBytes+aes.BlockSize:], check[:])
+	return id
+}
+
+// Decode returns the route of a connection ID. It reports false for an ID that
+// no key of the keyring issued.
+func (c *Codec) Decode(id []byte) (Route, bool) {
+	if len(id) != ConnectionIDBytes {
+		return Route{}, false
+	}
+	ciphers, ok := c.ciphers[keyring.Epoch(id[0])]
+	if !ok {
+		return Route{}, false
+	}
+	block := id[epochBytes : epochBytes+aes.BlockSize]
+	check := checkOf(ciphers.check, block)
+	if subtle.ConstantTimeCompare(check[:], id[epochBytes+aes.BlockSize:]) != 1 {
+		return Route{}, false
+	}
+	var plain [aes.BlockSize]byte
+	ciphers.route.Decrypt(plain[:], block)
+	return Route{
+		Agent:       netip.AddrPortFrom(netip.AddrFrom4([4]byte(plain[0:4])), binary.BigEndian.Uint16(plain[4:6])),
+		Zone:        plain[6],
+		Service:     binary.BigEndian.Uint32(plain[6:10]) & MaxService,
+		Incarnation: binary.BigEndian.Uint16(plain[10:12]),
+		Counter:     binary.BigEndian.Uint32(plain[12:16]),
+	}, true
+}
+
+func checkOf(block cipher.Block, data []byte) [checkBytes]byte {
+	var sum [aes.BlockSize]byte
+	block.Encrypt(sum[:], data)
+	return [checkBytes]byte(sum[:checkBytes])
+}
