--- a/cmd/sassafrasturnctl/main.go
+++ b/cmd/sassafrasturnctl/main.go
@@ -25,6 +25,7 @@
 	subcommands.Register(&endpointsCommand{connection: connection}, "looking")
 	subcommands.Register(&statusCommand{connection: connection}, "looking")
 	subcommands.Register(&fetchCommand{}, "looking")
+	subcommands.Register(&keysCommand{}, "keys")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
