Measure broken flows, balance and zone moves from real processes

One command a measure (sassafrasturnbench broken-flows, imbalance, zone-move), against a naive baseline: hash of the caller modulo the list at the balancers, QUIC ended by the endpoints.

The measure of zone moves runs with one control instance until control has a replicated log.

--- /dev/null
+++ b/cmd/sassafrasturnbench/measure.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"flag"
+	"os"
+
+	"sassafrasturn.example/internal/harness"
+	"sassafrasturn.example/internal/measure"
+)
+
+// measureFlags are shared by the measures.
+type measureFlags struct {
+	isNaive bool
+	seconds int
+	csvPath string
+}
+
+func (f *measureFlags) declare(flags *flag.FlagSet, seconds int) {
+	flags.BoolVar(&f.isNaive, "naive", false, "measure the naive baseline")
+	flags.IntVar(&f.seconds, "seconds", seconds, "how long to measure")
+	flags.StringVar(&f.csvPath, "csv", "", "also write the report to this CSV file")
+}
+
+func (f *measureFlags) title(text string) string {
+	if f.isNaive {
+		return text + ", naive baseline"
+	}
+	return text + ", sassafrasturn"
+}
+
+// Services of the plan; both carry the users' sizes.
+const (
+	largeService = "order-desk"
+	smallService = "drawings"
+)
+
+// userPlan is a user's frame: three zones, 7 and 3 endpoints, three balancers.
+func userPlan() harness.Plan {
+	const extra = "\n[requests]\nnon_idempotent = POST /orders\nstreaming = GET /board, GET /drawings/*\n\n[limits]\nqueue = 1000\n"
+	return harness.Plan{
+		Controls:  1,
+		Balancers: 3,
+		Zones:     []string{"a", "b", "c"},
+		Services: []harness.ServicePlan{
+			{Name: largeService, Port: 8443, Endpoints: 7, Extra: extra},
+			{Name: smallService, Port: 8444, Endpoints: 3, Extra: extra},
+		},
+	}
+}
+
+// startSystem builds the programs and starts the system that the flags name.
+// The returned function ends it.
+func (f *measureFlags) startSystem() (harness.System, func(), error) {
+	folder, err := os.MkdirTemp("", "sassafrasturn-measure-")
+	if err != nil {
+		return nil, nil, err
+	}
+	binaries, err := harness.Build(".", folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	system, err := f.start(binaries, folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	end := func() {
+		system.Close()
+		os.RemoveAll(folder)
+	}
+	return system, end, nil
+}
+
+func (f *measureFlags) start(binaries harness.Binaries, folder string) (harness.System, error) {
+	if f.isNaive {
+		return harness.StartNaive(binaries, folder, userPlan())
+	}
+	return harness.Start(binaries, folder, userPlan())
+}
+
+func (f *measureFlags) write(report *measure.Report) error {
+	if err := report.WriteText(os.Stdout); err != nil {
+		return err
+	}
+	if f.csvPath == "" {
+		return nil
+	}
+	file, err := os.Create(f.csvPath)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteCSV(file); err != nil {
+		file.Close()
+		return err
+	}
+	return file.Close()
+}
--- /dev/null
+++ b/cmd/sassafrasturnbench/zonemove.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"sassafrasturn.example/internal/harness"
+	"sassafrasturn.example/internal/measure"
+)
+
+// Load of the measure of a zone move.
+const (
+	zoneCallers       = 60
+	zoneCallInterval  = 50 * time.Millisecond
+	zoneCallTimeout   = 2 * time.Second
+	movedZone         = "b"
+	zoneOutShare      = 5
+	zoneInShare       = 15
+	zoneMeasureLength = 25
+)
+
+// zoneMoveCommand measures service while an availability zone leaves and returns.
+type zoneMoveCommand struct {
+	measureFlags
+}
+
+// Name returns the name of the command.
+func (*zoneMoveCommand) Name() string { return "zone-move" }
+
+// Synopsis describes the command in a line.
+func (*zoneMoveCommand) Synopsis() string {
+	return "measure service while an availability zone leaves and returns"
+}
+
+// Usage describes the command.
+func (*zoneMoveCommand) Usage() string {
+	return `zone-move [-naive] [-seconds N] [-csv FILE]
+  60 callers send a request every 50 ms each with a timeout of 2 s; one of three
+  zones leaves after a fifth of the time and returns after three fifths. Reports
+  success rate and p99 by second. Run it in the project's folder.
+`
+}
+
+// SetFlags declares the flags.
+func (c *zoneMoveCommand) SetFlags(flags *flag.FlagSet) {
+	c.declare(flags, zoneMeasureLength)
+}
+
+// Execute measures.
+func (c *zoneMoveCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	system, end, err := c.startSystem()
+	if err != nil {
+		return failure(err)
+	}
+	defer end()
+	report, err := c.measure(ctx, system)
+	if err != nil {
+		return failure(err)
+	}
+	if err := c.write(report); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *zoneMoveCommand) measure(ctx context.Context, system harness.System) (*measure.Report, error) {
+	length := time.Duration(c.seconds) * time.Second
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	series := measure.NewSeries(time.Now())
+	var callers sync.WaitGroup
+	for range zoneCallers {
+		callers.Go(func() { callRepeatedly(ctx, system.URL(largeService, "/name"), series) })
+	}
+	outAt := length * zoneOutShare / zoneMeasureLength
+	inAt := length * zoneInShare / zoneMeasureLength
+	time.Sleep(outAt)
+	if err := system.ZoneOut(movedZone); err != nil {
+		return nil, err
+	}
+	time.Sleep(inAt - outAt)
+	if err := system.ZoneIn(movedZone); err != nil {
+		return nil, err
+	}
+	callers.Wait()
+	return c.report(series, outAt, inAt), nil
+}
+
+func (c *zoneMoveCommand) report(series *measure.Series, outAt, inAt time.Duration) *measure.Report {
+	report := &measure.Report{Title: c.title("service during a zone move"), Header: []string{"second", "succeeded", "failed", "success rate", "p99 ms"}}
+	succeeded, failed := 0, 0
+	for _, step := range series.Steps() {
+		report.AddRow(step.Second, step.Succeeded, step.Failed, fmt.Sprintf("%.4f", step.SuccessRate()), step.P99.Milliseconds())
+		succeeded += step.Succeeded
+		failed += step.Failed
+	}
+	report.Notes = append(report.Notes,
+		fmt.Sprintf("zone %s out after %s, in after %s", movedZone, outAt, inAt),
+		fmt.Sprintf("in all: %d succeeded, %d failed", succeeded, failed))
+	return report
+}
+
+// callRepeatedly sends requests at a fixed rate until ctx ends. A request that
+// waits holds up the next, as at a person who waits.
+func callRepeatedly(ctx context.Context, url string, series *measure.Series) {
+	client, connections := measure.NewClient(zoneCallTimeout)
+	defer connections.Close()
+	ticker := time.NewTicker(zoneCallInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		began := time.Now()
+		_, err := measure.Name(context.WithoutCancel(ctx), client, url)
+		series.Add(began, time.Since(began), err)
+	}
+}
--- a/internal/harness/churn_test.go
+++ b/internal/harness/churn_test.go
@@ -1,12 +1,9 @@
 package harness_test
 
 import (
-	"bufio"
-	"bytes"
+	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,7 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"sassafrasturn.example/internal/harness"
-	"sassafrasturn.example/internal/standin/endpoint"
+	"sassafrasturn.example/internal/measure"
 )
 
 var _ = Describe("the whole path", func() {
@@ -31,20 +28,22 @@
 
 	It("breaks no flow while balancers are killed and replaced", func() {
 		const (
-			flows         = 40
-			drawingBytes  = 2 << 20
-			killInterval  = 300 * time.Millisecond
-			events        = 60
-			eventInterval = "100ms"
+			flows        = 40
+			drawingBytes = 2 << 20
+			killInterval = 300 * time.Millisecond
+			count        = 60
 		)
 		cluster := startCluster(twoServices())
+		drawing := cluster.URL("drawings", fmt.Sprintf("/drawings/%d?pace=40ms", drawingBytes))
+		events := cluster.URL("order-desk", fmt.Sprintf("/board?every=100ms&count=%d", count))
+		ctx := context.Background()
 		var broken sync.Map
 		var wait sync.WaitGroup
 		for i := range flows {
 			client := newClient()
-			wait.Go(func() { note(&broken, "download", i, download(client, cluster, drawingBytes)) })
+			wait.Go(func() { note(&broken, "download", i, measure.Download(ctx, client, drawing, drawingBytes)) })
 			board := newClient()
-			wait.Go(func() { note(&broken, "board", i, followBoard(board, cluster, events, eventInterval)) })
+			wait.Go(func() { note(&broken, "board", i, measure.FollowBoard(ctx, board, events, count)) })
 		}
 		done := make(chan struct{})
 		go func() { wait.Wait(); close(done) }()
@@ -76,46 +75,3 @@
 		Expect(process.Start()).To(Succeed())
 	}
 }
-
-func download(client *http.Client, cluster *harness.Cluster, size int) error {
-	answer, err := client.Get(cluster.URL("drawings", fmt.Sprintf("/drawings/%d?pace=40ms", size)))
-	if err != nil {
-		return err
-	}
-	defer answer.Body.Close()
-	body, err := io.ReadAll(answer.Body)
-	if err != nil {
-		return fmt.Errorf("after %d bytes: %w", len(body), err)
-	}
-	if !bytes.Equal(body, endpoint.Drawing(0, size)) {
-		return fmt.Errorf("%d bytes differ from the drawing", len(body))
-	}
-	return nil
-}
-
-func followBoard(client *http.Client, cluster *harness.Cluster, count int, every string) error {
-	answer, err := client.Get(cluster.URL("order-desk", fmt.Sprintf("/board?every=%s&count=%d", every, count)))
-	if err != nil {
-		return err
-	}
-	defer answer.Body.Close()
-	lines := bufio.NewScanner(answer.Body)
-	next := 0
-	for lines.Scan() {
-		text, isEvent := strings.CutPrefix(lines.Text(), "data: ")
-		if !isEvent {
-			continue
-		}
-		if text != fmt.Sprint(next) {
-			return fmt.Errorf("event %s came where %d was due", text, next)
-		}
-		next++
-	}
-	if err := lines.Err(); err != nil {
-		return fmt.Errorf("after %d events: %w", next, err)
-	}
-	if next != count {
-		return fmt.Errorf("the stream ended after %d of %d events", next, count)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/harness/naive.go
@@ -0,0 +1,155 @@
+package harness
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+)
+
+// naiveNotice is how long the naive system waits between taking an endpoint
+// off the list and ending it.
+const naiveNotice = 2 * time.Second
+
+// NaiveCluster is the naive baseline with the same fabric, endpoints and zones.
+type NaiveCluster struct {
+	*Cluster
+
+	mu sync.Mutex
+	// isOut tells which endpoints are off the lists, by name.
+	isOut map[string]bool
+}
+
+// StartNaive starts the naive baseline of a plan.
+func StartNaive(binaries Binaries, folder string, plan Plan) (*NaiveCluster, error) {
+	n := &NaiveCluster{
+		Cluster: &Cluster{plan: plan, folder: folder, binaries: binaries, subnet: subnet(), processes: make(map[string]*Process)},
+		isOut:   make(map[string]bool),
+	}
+	if err := n.startAll(); err != nil {
+		n.Close()
+		return nil, err
+	}
+	time.Sleep(naiveNotice)
+	return n, nil
+}
+
+func (n *NaiveCluster) startAll() error {
+	for _, service := range n.plan.Services {
+		if err := n.writeList(service); err != nil {
+			return err
+		}
+		for i := range service.Endpoints {
+			listen := n.endpointAddress(service.Name, i)
+			name := EndpointName(service.Name, i)
+			if err := n.start(newProcess(n.folder, name, n.binaries.Bench, "naive-endpoint", "-listen", listen, "-name", name)); err != nil {
+				return err
+			}
+		}
+		if err := n.startBalancers(service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *NaiveCluster) startBalancers(service ServicePlan) error {
+	var targets []string
+	for i := range n.plan.Balancers {
+		listen := n.address(firstBalancerHost+i, service.Port)
+		targets = append(targets, listen)
+		process := newProcess(n.folder, naiveBalancerName(service.Name, i), n.binaries.Bench, "naive-balancer", "-listen", listen, "-list", n.listPath(service.Name))
+		if err := n.start(process); err != nil {
+			return err
+		}
+	}
+	return n.start(newProcess(n.folder, fabricName(service.Name), n.binaries.Bench, "fabric",
+		"-listen", n.address(fabricHost, service.Port), "-targets", strings.Join(targets, ",")))
+}
+
+func naiveBalancerName(service string, i int) string {
+	return fmt.Sprintf("%s-%s", BalancerName(i), service)
+}
+
+func (n *NaiveCluster) listPath(service string) string {
+	return filepath.Join(n.folder, service+".list")
+}
+
+func (n *NaiveCluster) endpointAddress(service string, i int) string {
+	return strings.TrimPrefix(n.EndpointURL(service, i, ""), "http://")
+}
+
+func (n *NaiveCluster) writeList(service ServicePlan) error {
+	var lines []string
+	for i := range service.Endpoints {
+		if !n.isOut[EndpointName(service.Name, i)] {
+			lines = append(lines, n.endpointAddress(service.Name, i))
+		}
+	}
+	path := n.listPath(service.Name)
+	if err := os.WriteFile(path+".new", []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.Rename(path+".new", path))
+}
+
+// ReplaceBalancer kills the balancer of every service and starts it again.
+func (n *NaiveCluster) ReplaceBalancer(i int) error {
+	for _, service := range n.plan.Services {
+		if err := replace(n.Process(naiveBalancerName(service.Name, i))); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RestartEndpoint takes an endpoint off the list, waits, restarts it and puts it back.
+func (n *NaiveCluster) RestartEndpoint(service string, i int) error {
+	name := EndpointName(service, i)
+	if err := n.setOut([]string{name}, true); err != nil {
+		return err
+	}
+	time.Sleep(naiveNotice)
+	if err := replace(n.Process(name)); err != nil {
+		return err
+	}
+	return n.setOut([]string{name}, false)
+}
+
+func (n *NaiveCluster) setOut(names []string, isOut bool) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, name := range names {
+		n.isOut[name] = isOut
+	}
+	for _, service := range n.plan.Services {
+		if err := n.writeList(service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *NaiveCluster) endpointsIn(zone string) []string {
+	var names []string
+	for _, service := range n.plan.Services {
+		for i := range service.Endpoints {
+			if n.zone(i) == zone {
+				names = append(names, EndpointName(service.Name, i))
+			}
+		}
+	}
+	return names
+}
+
+// ZoneOut takes the zone's endpoints off the lists.
+func (n *NaiveCluster) ZoneOut(zone string) error {
+	return n.setOut(n.endpointsIn(zone), true)
+}
+
+// ZoneIn puts the zone's endpoints back on the lists.
+func (n *NaiveCluster) ZoneIn(zone string) error {
+	return n.setOut(n.endpointsIn(zone), false)
+}
--- a/internal/harness/suite_test.go
+++ b/internal/harness/suite_test.go
@@ -1,7 +1,6 @@
 package harness_test
 
 import (
-	"crypto/tls"
 	"net/http"
 	"os"
 	"testing"
@@ -10,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"sassafrasturn.example/caller"
 	"sassafrasturn.example/internal/harness"
+	"sassafrasturn.example/internal/measure"
 )
 
 var binaries harness.Binaries
@@ -52,7 +51,7 @@
 const requestTimeout = 60 * time.Second
 
 func newClient() *http.Client {
-	transport := caller.New(&tls.Config{InsecureSkipVerify: true})
-	DeferCleanup(transport.Close)
-	return &http.Client{Transport: transport, Timeout: requestTimeout}
+	client, connections := measure.NewClient(requestTimeout)
+	DeferCleanup(connections.Close)
+	return client
 }
--- /dev/null
+++ b/internal/harness/system.go
@@ -0,0 +1,62 @@
+package harness
+
+import "syscall"
+
+// System is what a measurement drives: the product or the naive baseline.
+type System interface {
+	// URL returns the address at which callers reach a path of a service.
+	URL(service, path string) string
+	// ReplaceBalancer kills a balancer and starts it again.
+	ReplaceBalancer(i int) error
+	// RestartEndpoint takes an endpoint out as the operators' platform does
+	// for planned work, and brings it back.
+	RestartEndpoint(service string, i int) error
+	// ZoneOut and ZoneIn take an availability zone out of service and back.
+	ZoneOut(zone string) error
+	ZoneIn(zone string) error
+	// Close ends every process.
+	Close()
+}
+
+// ReplaceBalancer kills a balancer and starts it again.
+func (c *Cluster) ReplaceBalancer(i int) error {
+	return replace(c.Process(BalancerName(i)))
+}
+
+func replace(p *Process) error {
+	if err := p.Kill(); err != nil {
+		return err
+	}
+	return p.Start()
+}
+
+// RestartEndpoint stops the agent beside an endpoint gracefully and starts both again.
+func (c *Cluster) RestartEndpoint(service string, i int) error {
+	agent := c.Process(AgentName(service, i))
+	if err := agent.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	<-agent.Done()
+	if err := replace(c.Process(EndpointName(service, i))); err != nil {
+		return err
+	}
+	return agent.Start()
+}
+
+// ZoneOut takes an availability zone out of service.
+func (c *Cluster) ZoneOut(zone string) error {
+	return c.setZone("out", zone)
+}
+
+// ZoneIn brings an availability zone back.
+func (c *Cluster) ZoneIn(zone string) error {
+	return c.setZone("in", zone)
+}
+
+func (c *Cluster) setZone(state, zone string) error {
+	output, err := c.Ctl("zone", state, zone)
+	if err != nil {
+		return Error.New("zone %s %s: %s", state, zone, output)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/load.go
@@ -0,0 +1,96 @@
+package measure
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"sassafrasturn.example/caller"
+	"sassafrasturn.example/internal/standin/endpoint"
+)
+
+// NewClient returns a client with connections of its own, as each caller has.
+// It accepts the self-signed certificates of trials.
+func NewClient(timeout time.Duration) (*http.Client, io.Closer) {
+	transport := caller.New(&tls.Config{InsecureSkipVerify: true})
+	return &http.Client{Transport: transport, Timeout: timeout}, transport
+}
+
+// Download fetches a drawing and checks every byte.
+func Download(ctx context.Context, client *http.Client, url string, size int) error {
+	answer, err := get(ctx, client, url)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return fmt.Errorf("after %d bytes: %w", len(body), err)
+	}
+	if !bytes.Equal(body, endpoint.Drawing(0, size)) {
+		return fmt.Errorf("%d bytes differ from the drawing", len(body))
+	}
+	return nil
+}
+
+// FollowBoard reads an event stream and checks that every event comes in order.
+func FollowBoard(ctx context.Context, client *http.Client, url string, count int) error {
+	answer, err := get(ctx, client, url)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	lines := bufio.NewScanner(answer.Body)
+	next := 0
+	for lines.Scan() {
+		text, isEvent := strings.CutPrefix(lines.Text(), "data: ")
+		if !isEvent {
+			continue
+		}
+		if text != fmt.Sprint(next) {
+			return fmt.Errorf("event %s came where %d was due", text, next)
+		}
+		next++
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("after %d events: %w", next, err)
+	}
+	if next != count {
+		return fmt.Errorf("the stream ended after %d of %d events", next, count)
+	}
+	return nil
+}
+
+// Name asks which endpoint answers.
+func Name(ctx context.Context, client *http.Client, url string) (string, error) {
+	answer, err := get(ctx, client, url)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return strings.TrimSpace(string(body)), err
+}
+
+func get(ctx context.Context, client *http.Client, url string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if answer.StatusCode != http.StatusOK {
+		answer.Body.Close()
+		return nil, errors.New(answer.Status)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/measure/series.go
@@ -0,0 +1,83 @@
+// Package measure records what callers see and reports it as text and CSV.
+package measure
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Series records the outcome and latency of requests by second.
+type Series struct {
+	start time.Time
+
+	mu      sync.Mutex
+	seconds []second
+}
+
+type second struct {
+	succeeded int
+	failed    int
+	latencies []time.Duration
+}
+
+// NewSeries starts a series at the given moment.
+func NewSeries(start time.Time) *Series {
+	return &Series{start: start}
+}
+
+// Add records a request that began at the given moment. It counts for the
+// second in which it began.
+func (s *Series) Add(began time.Time, latency time.Duration, err error) {
+	at := int(began.Sub(s.start) / time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.seconds) <= at {
+		s.seconds = append(s.seconds, second{})
+	}
+	if err != nil {
+		s.seconds[at].failed++
+		return
+	}
+	s.seconds[at].succeeded++
+	s.seconds[at].latencies = append(s.seconds[at].latencies, latency)
+}
+
+// Step is what callers saw in one second.
+type Step struct {
+	Second    int
+	Succeeded int
+	Failed    int
+	P99       time.Duration
+}
+
+// SuccessRate returns the share of requests that succeeded; 1 without requests.
+func (s Step) SuccessRate() float64 {
+	total := s.Succeeded + s.Failed
+	if total == 0 {
+		return 1
+	}
+	return float64(s.Succeeded) / float64(total)
+}
+
+// Steps returns the series, a step a second.
+func (s *Series) Steps() []Step {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	steps := make([]Step, len(s.seconds))
+	for i, second := range s.seconds {
+		steps[i] = Step{Second: i, Succeeded: second.succeeded, Failed: second.failed, P99: Percentile(second.latencies, 0.99)}
+	}
+	return steps
+}
+
+// Percentile returns the given share of the sorted durations; 0 without any.
+func Percentile(durations []time.Duration, share float64) time.Duration {
+	if len(durations) == 0 {
+		return 0
+	}
+	sorted := append([]time.Duration(nil), durations...)
+	sort.Slice(sorted, func(a, b int) bool { return sorted[a] < sorted[b] })
+	at := int(share * float64(len(sorted)))
+	return sorted[min(at, len(sorted)-1)]
+}
--- /dev/null
+++ b/internal/measure/tally.go
@@ -0,0 +1,58 @@
+package measure
+
+import (
+	"fmt"
+	"sort"
+	"sync"
+)
+
+// Tally counts flows by kind and how many of them broke.
+type Tally struct {
+	mu    sync.Mutex
+	kinds map[string]*KindCount
+}
+
+// KindCount is the tally of one kind of flow.
+type KindCount struct {
+	Kind   string
+	Flows  int
+	Broken int
+	// FirstError is what the first broken flow reported.
+	FirstError string
+}
+
+// NewTally returns an empty tally.
+func NewTally() *Tally {
+	return &Tally{kinds: make(map[string]*KindCount)}
+}
+
+// Add counts a flow that has ended; err tells how it broke.
+func (t *Tally) Add(kind string, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := t.kinds[kind]
+	if count == nil {
+		count = &KindCount{Kind: kind}
+		t.kinds[kind] = count
+	}
+	count.Flows++
+	if err == nil {
+		return
+	}
+	count.Broken++
+	if count.FirstError == "" {
+		count.FirstError = fmt.Sprint(err)
+	}
+}
+
+// Counts returns the counts sorted by kind.
+func (t *Tally) Counts() []KindCount {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make([]KindCount, 0, len(t.kinds))
+	for _, count := range t.kinds {
+		counts = append(counts, *count)
+	}
+	sort.Slice(counts, func(a, b int) bool { return counts[a].Kind < counts[b].Kind })
+	return counts
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -15,8 +15,9 @@
 
 // Endpoint answers requests. The zero value is not usable; call New.
 type Endpoint struct {
-	name string
-	mux  *http.ServeMux
+	name  string
+	mux   *http.ServeMux
+	slots chan struct{}
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -24,8 +25,9 @@
 
 // New returns an endpoint with the given name.
 func New(name string) *Endpoint {
-	e := &Endpoint{name: name, mux: http.NewServeMux(), runs: make(map[string]int)}
+	e := &Endpoint{name: name, mux: http.NewServeMux(), slots: make(chan struct{}, slots), runs: make(map[string]int)}
 	e.mux.HandleFunc("GET /name", e.answerName)
+	e.mux.HandleFunc("GET /work", e.answerWork)
 	e.mux.HandleFunc("GET /drawings/{bytes}", e.answerDrawing)
 	e.mux.HandleFunc("GET /board", e.answerBoard)
 	e.mux.HandleFunc("POST /orders", e.answerOrder)
