--- a/cmd/sassafrasturnbench/main.go
+++ b/cmd/sassafrasturnbench/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(&brokenFlowsCommand{}, "measures")
 	subcommands.Register(&imbalanceCommand{}, "measures")
 	subcommands.Register(&zoneMoveCommand{}, "measures")
+	subcommands.Register(&slopesCommand{}, "measures")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/cmd/sassafrasturnbench/measure.go
+++ b/cmd/sassafrasturnbench/measure.go
@@ -48,33 +48,43 @@
 	}
 }
 
-// startSystem builds the programs and starts the system that the flags name.
-// The returned function ends it.
-func (f *measureFlags) startSystem() (harness.System, func(), error) {
+// prepare builds the programs into a new folder.
+func prepare() (harness.Binaries, string, error) {
 	folder, err := os.MkdirTemp("", "sassafrasturn-measure-")
 	if err != nil {
-		return nil, nil, err
+		return harness.Binaries{}, "", err
 	}
 	binaries, err := harness.Build(".", folder)
+	return binaries, folder, err
+}
+
+// startSystem starts the system that the flags name; the returned function ends it.
+func (f *measureFlags) startSystem() (harness.System, func(), error) {
+	if !f.isNaive {
+		return startCluster(userPlan())
+	}
+	binaries, folder, err := prepare()
 	if err != nil {
 		return nil, nil, err
 	}
-	system, err := f.start(binaries, folder)
+	system, err := harness.StartNaive(binaries, folder, userPlan())
+	return system, ending(system, folder), err
+}
+
+func startCluster(plan harness.Plan) (*harness.Cluster, func(), error) {
+	binaries, folder, err := prepare()
 	if err != nil {
 		return nil, nil, err
 	}
-	end := func() {
-		system.Close()
-		os.RemoveAll(folder)
-	}
-	return system, end, nil
+	cluster, err := harness.Start(binaries, folder, plan)
+	return cluster, ending(cluster, folder), err
 }
 
-func (f *measureFlags) start(binaries harness.Binaries, folder string) (harness.System, error) {
-	if f.isNaive {
-		return harness.StartNaive(binaries, folder, userPlan())
+func ending(system harness.System, folder string) func() {
+	return func() {
+		system.Close()
+		os.RemoveAll(folder)
 	}
-	return harness.Start(binaries, folder, userPlan())
 }
 
 func (f *measureFlags) write(report *measure.Report) error {
--- /dev/null
+++ b/cmd/sassafrasturnbench/slopes.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"sassafrasturn.example/internal/harness"
+	"sassafrasturn.example/internal/measure"
+)
+
+const (
+	slopeOpeners   = 16
+	slopeSettle    = 3 * time.Second
+	slopeTimeout   = 10 * time.Second
+	metricCPU      = "process_cpu_seconds_total"
+	metricResident = "process_resident_memory_bytes"
+	bytesPerKiB    = 1024
+)
+
+// slopesCommand measures what open flows cost an agent and a balancer.
+type slopesCommand struct {
+	sizes   string
+	csvPath string
+}
+
+// Name returns the name of the command.
+func (*slopesCommand) Name() string { return "slopes" }
+
+// Synopsis describes the command in a line.
+func (*slopesCommand) Synopsis() string {
+	return "measure memory and processor time of an agent and a balancer by number of open flows"
+}
+
+// Usage describes the command.
+func (*slopesCommand) Usage() string {
+	return `slopes [-sizes N,N,...] [-csv FILE]
+  Opens flows to one agent through one balancer, a request each, and leaves them
+  open. Reports at each size the resident memory, the processor time of each new
+  flow and that of a second of quiet flows. Run it in the project's folder.
+`
+}
+
+// SetFlags declares the flags.
+func (c *slopesCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.sizes, "sizes", "250,500,1000,1900", "numbers of open flows, growing")
+	flags.StringVar(&c.csvPath, "csv", "", "also write the report to this CSV file")
+}
+
+// Execute measures.
+func (c *slopesCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	sizes, err := parseSizes(c.sizes)
+	if err != nil {
+		return usage(err)
+	}
+	flags := &measureFlags{csvPath: c.csvPath}
+	cluster, end, err := startCluster(onePairPlan())
+	if err != nil {
+		return failure(err)
+	}
+	defer end()
+	report, err := measureSlopes(ctx, cluster, sizes)
+	if err != nil {
+		return failure(err)
+	}
+	if err := flags.write(report); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func parseSizes(text string) ([]int, error) {
+	var sizes []int
+	for _, item := range strings.Split(text, ",") {
+		size, err := strconv.Atoi(item)
+		if err != nil || size < 1 {
+			return nil, fmt.Errorf("-sizes: found %q, allowed: growing whole numbers from 1", item)
+		}
+		sizes = append(sizes, size)
+	}
+	return sizes, nil
+}
+
+func onePairPlan() harness.Plan {
+	return harness.Plan{
+		Controls:  1,
+		Balancers: 1,
+		Zones:     []string{"a"},
+		Services:  []harness.ServicePlan{{Name: largeService, Port: 8443, Endpoints: 1}},
+	}
+}
+
+// usageSample is what an agent and a balancer have used at one moment.
+type usageSample struct {
+	at                          time.Time
+	agentCPU, balancerCPU       float64
+	agentMemory, balancerMemory float64
+}
+
+func sampleUsage(cluster *harness.Cluster) (usageSample, error) {
+	s := usageSample{at: time.Now()}
+	reads := []struct {
+		into *float64
+		read func() (float64, error)
+	}{
+		{&s.agentCPU, func() (float64, error) { return cluster.AgentMetric(largeService, 0, metricCPU) }},
+		{&s.agentMemory, func() (float64, error) { return cluster.AgentMetric(largeService, 0, metricResident) }},
+		{&s.balancerCPU, func() (float64, error) { return cluster.BalancerMetric(0, metricCPU) }},
+		{&s.balancerMemory, func() (float64, error) { return cluster.BalancerMetric(0, metricResident) }},
+	}
+	for _, r := range reads {
+		value, err := r.read()
+		if err != nil {
+			return s, err
+		}
+		*r.into = value
+	}
+	return s, nil
+}
+
+func measureSlopes(ctx context.Context, cluster *harness.Cluster, sizes []int) (*measure.Report, error) {
+	report := &measure.Report{
+		Title: "cost of open flows, one agent and one balancer",
+		Header: []string{
+			"flows", "agent MiB", "balancer MiB", "agent us/new flow", "balancer us/new flow",
+			"agent us/quiet flow/s", "balancer us/quiet flow/s",
+		},
+	}
+	flows := &openFlows{url: cluster.URL(largeService, "/name")}
+	defer flows.close()
+	for _, size := range sizes {
+		before, err := sampleUsage(cluster)
+		if err != nil {
+			return nil, err
+		}
+		added := size - flows.count()
+		if err := flows.grow(ctx, added); err != nil {
+			return nil, err
+		}
+		opened, err := sampleUsage(cluster)
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(slopeSettle)
+		settled, err := sampleUsage(cluster)
+		if err != nil {
+			return nil, err
+		}
+		addSlopeRow(report, size, added, before, opened, settled)
+	}
+	return report, nil
+}
+
+func addSlopeRow(report *measure.Report, size, added int, before, opened, settled usageSample) {
+	const microseconds = 1e6
+	quietSeconds := settled.at.Sub(opened.at).Seconds()
+	perNew := func(a, b float64) string { return fmt.Sprintf("%.0f", (b-a)*microseconds/float64(added)) }
+	perQuiet := func(a, b float64) string {
+		return fmt.Sprintf("%.1f", (b-a)*microseconds/float64(size)/quietSeconds)
+	}
+	mebibytes := func(bytes float64) string { return fmt.Sprintf("%.1f", bytes/bytesPerKiB/bytesPerKiB) }
+	report.AddRow(size, mebibytes(settled.agentMemory), mebibytes(settled.balancerMemory),
+		perNew(before.agentCPU, opened.agentCPU), perNew(before.balancerCPU, opened.balancerCPU),
+		perQuiet(opened.agentCPU, settled.agentCPU), perQuiet(opened.balancerCPU, settled.balancerCPU))
+}
+
+// openFlows keeps flows open.
+type openFlows struct {
+	url string
+
+	mu          sync.Mutex
+	connections []io.Closer
+}
+
+func (f *openFlows) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.connections)
+}
+
+func (f *openFlows) grow(ctx context.Context, count int) error {
+	var openers sync.WaitGroup
+	jobs := make(chan struct{}, count)
+	for range count {
+		jobs <- struct{}{}
+	}
+	close(jobs)
+	failures := make(chan error, count)
+	for range slopeOpeners {
+		openers.Go(func() {
+			for range jobs {
+				failures <- f.open(ctx)
+			}
+		})
+	}
+	openers.Wait()
+	for range count {
+		if err := <-failures; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *openFlows) open(ctx context.Context) error {
+	client, connections := measure.NewClient(slopeTimeout)
+	f.mu.Lock()
+	f.connections = append(f.connections, connections)
+	f.mu.Unlock()
+	_, err := measure.Name(ctx, client, f.url)
+	return err
+}
+
+func (f *openFlows) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, connection := range f.connections {
+		connection.Close()
+	}
+}
