Rotate keys while flows are established

Cause: an instance read the key file once, at its start; a rotation needed a restart of every process, and the stateless reset key changed with the current epoch, so callers of a restarted agent would not have believed its resets.

Ruled out: SIGHUP (a signal for each process, nothing gained over looking); reset keys by the epoch of each ID (the QUIC transport takes one key). Given up: after the oldest key is withdrawn, a restarted agent's resets for flows of before are not believed; their callers notice by their pings.

--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -39,30 +39,36 @@
 	purpose     = "envelope tag"
 )
 
-// Sealer seals and opens envelopes. It is safe for concurrent use.
+// Sealer seals and opens envelopes. It is safe for concurrent use and follows
+// rotations of its keyring.
 type Sealer struct {
-	current keyring.Epoch
-	macs    map[keyring.Epoch]*sync.Pool
+	macs *keyring.Working[*sync.Pool]
 }
 
 // NewSealer makes a sealer for all epochs of the keyring.
 func NewSealer(keys *keyring.Keyring) (*Sealer, error) {
-	sealer := &Sealer{current: keys.Current(), macs: make(map[keyring.Epoch]*sync.Pool)}
-	for _, epoch := range keys.Epochs() {
-		key, err := keys.Derive(epoch, purpose, keyBytes)
-		if err != nil {
-			return nil, err
-		}
-		sealer.macs[epoch] = &sync.Pool{New: func() any { return hmac.New(sha256.New, key) }}
+	macs, err := keyring.NewWorking(keys, newMACs)
+	if err != nil {
+		return nil, err
+	}
+	return &Sealer{macs: macs}, nil
+}
+
+func newMACs(derive func(purpose string, length int) ([]byte, error)) (*sync.Pool, error) {
+	key, err := derive(purpose, keyBytes)
+	if err != nil {
+		return nil, err
 	}
-	return sealer, nil
+	return &sync.Pool{New: func() any { return hmac.New(sha256.New, key) }}, nil
 }
 
 // Seal appends the sealed envelope to buffer.
 func (s *Sealer) Seal(buffer []byte, message *wire.Envelope) ([]byte, error) {
 	start := len(buffer)
-	buffer = append(buffer, format, byte(s.current))
-	buffer = append(buffer, make([]byte, tagBytes)...)
+	epoch, macs := s.macs.Current()
+	var noTag [tagBytes]byte
+	buffer = append(buffer, format, byte(epoch))
+	buffer = append(buffer, noTag[:]...)
 	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, message)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -71,7 +77,7 @@
 	if len(sealed) > MaxBytes {
 		return nil, Error.New("envelope of %d bytes, at most %d fit", len(sealed), MaxBytes)
 	}
-	s.tag(s.current, sealed, sealed[2:headerBytes])
+	tag(macs, sealed, sealed[2:headerBytes])
 	return buffer, nil
 }
 
@@ -80,12 +86,12 @@
 	if len(data) < headerBytes || data[0] != format {
 		return ErrMalformed
 	}
-	epoch := keyring.Epoch(data[1])
-	if _, ok := s.macs[epoch]; !ok {
+	macs, ok := s.macs.Of(keyring.Epoch(data[1]))
+	if !ok {
 		return ErrForged
 	}
 	var want [tagBytes]byte
-	s.tag(epoch, data, want[:])
+	tag(macs, data, want[:])
 	if !hmac.Equal(want[:], data[2:headerBytes]) {
 		return ErrForged
 	}
@@ -95,8 +101,7 @@
 	return nil
 }
 
-func (s *Sealer) tag(epoch keyring.Epoch, sealed, into []byte) {
-	pool := s.macs[epoch]
+func tag(pool *sync.Pool, sealed, into []byte) {
 	mac := pool.Get().(hash.Hash)
 	mac.Reset()
 	mac.Write(sealed[:2])
--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -5,12 +5,16 @@
 package keyring
 
 import (
+	"bytes"
 	"crypto/hkdf"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/zeebo/errs"
 
@@ -29,8 +33,14 @@
 // Epoch numbers a secret of the key file.
 type Epoch uint8
 
-// Keyring holds the secrets of all valid epochs.
+// Keyring holds the secrets of all valid epochs. It is safe for concurrent use,
+// and Replace rotates it while it is in use.
 type Keyring struct {
+	held atomic.Pointer[epochs]
+}
+
+// epochs is one immutable state of a keyring.
+type epochs struct {
 	current Epoch
 	secrets map[Epoch][]byte
 }
@@ -40,7 +50,24 @@
 	if len(secrets[current]) != SecretBytes {
 		return nil, Error.New("no secret of %d bytes for the current epoch %d", SecretBytes, current)
 	}
-	return &Keyring{current: current, secrets: secrets}, nil
+	k := new(Keyring)
+	k.held.Store(&epochs{current: current, secrets: secrets})
+	return k, nil
+}
+
+// Replace takes over the epochs of another keyring. It reports false when they
+// are the same as before.
+func (k *Keyring) Replace(with *Keyring) bool {
+	next := with.held.Load()
+	if k.held.Load().equal(next) {
+		return false
+	}
+	k.held.Store(next)
+	return true
+}
+
+func (e *epochs) equal(other *epochs) bool {
+	return e.current == other.current && maps.EqualFunc(e.secrets, other.secrets, bytes.Equal)
 }
 
 // Load reads a key file.
@@ -91,21 +118,34 @@
 
 // Current returns the epoch under which new tokens are issued.
 func (k *Keyring) Current() Epoch {
-	return k.current
+	return k.held.Load().current
 }
 
-// Epochs returns all valid epochs.
-func (k *Keyring) Epochs() []Epoch {
-	epochs := make([]Epoch, 0, len(k.secrets))
-	for epoch := range k.secrets {
-		epochs = append(epochs, epoch)
+// Oldest returns the valid epoch that became current first. Epoch numbers grow
+// with each rotation and wrap after 255.
+func (k *Keyring) Oldest() Epoch {
+	held := k.held.Load()
+	oldest := held.current
+	for epoch := range held.secrets {
+		if int8(epoch-held.current) < int8(oldest-held.current) {
+			oldest = epoch
+		}
 	}
-	return epochs
+	return oldest
+}
+
+// Epochs returns all valid epochs in ascending order.
+func (k *Keyring) Epochs() []Epoch {
+	return slices.Sorted(maps.Keys(k.held.Load().secrets))
 }
 
 // Derive returns a key of the given length for one purpose in one epoch.
 func (k *Keyring) Derive(epoch Epoch, purpose string, length int) ([]byte, error) {
-	secret, ok := k.secrets[epoch]
+	return k.held.Load().derive(epoch, purpose, length)
+}
+
+func (e *epochs) derive(epoch Epoch, purpose string, length int) ([]byte, error) {
+	secret, ok := e.secrets[epoch]
 	if !ok {
 		return nil, Error.New("no key for epoch %d", epoch)
 	}
--- /dev/null
+++ b/internal/keyring/keyring_test.go
@@ -0,0 +1,94 @@
+package keyring_test
+
+import (
+	"bytes"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/envelope"
+	"sassafrasturn.example/internal/keyring"
+	"sassafrasturn.example/internal/token"
+	"sassafrasturn.example/internal/wire"
+)
+
+func keysOf(g Gomega, current keyring.Epoch, epochs ...keyring.Epoch) *keyring.Keyring {
+	secrets := make(map[keyring.Epoch][]byte)
+	for _, epoch := range epochs {
+		secrets[epoch] = bytes.Repeat([]byte{byte(epoch)}, keyring.SecretBytes)
+	}
+	keys, err := keyring.New(current, secrets)
+	g.Expect(err).NotTo(HaveOccurred())
+	return keys
+}
+
+// member is one instance's keys, as a balancer and an agent use them.
+type member struct {
+	keys   *keyring.Keyring
+	codec  *token.Codec
+	sealer *envelope.Sealer
+}
+
+func newMember(g Gomega, keys *keyring.Keyring) *member {
+	codec, err := token.NewCodec(keys)
+	g.Expect(err).NotTo(HaveOccurred())
+	sealer, err := envelope.NewSealer(keys)
+	g.Expect(err).NotTo(HaveOccurred())
+	return &member{keys: keys, codec: codec, sealer: sealer}
+}
+
+func (m *member) understands(g Gomega, other *member) bool {
+	sealed, err := other.sealer.Seal(nil, &wire.Envelope{Service: 3})
+	g.Expect(err).NotTo(HaveOccurred())
+	id := other.codec.Encode(token.Route{Agent: netip.MustParseAddrPort("10.0.0.1:1")})
+	_, ok := m.codec.Decode(id[:])
+	return ok && m.sealer.Open(sealed, new(wire.Envelope)) == nil
+}
+
+// rotations are the states of the key file in an operator's order.
+func rotations(g Gomega) []*keyring.Keyring {
+	return []*keyring.Keyring{keysOf(g, 1, 1), keysOf(g, 1, 1, 2), keysOf(g, 2, 1, 2)}
+}
+
+func TestRotationReachesInstancesOneByOne(t *testing.T) {
+	g := NewWithT(t)
+	steps := rotations(g)
+	first := newMember(g, keysOf(g, 1, 1))
+	second := newMember(g, keysOf(g, 1, 1))
+	flow := first.codec.Encode(token.Route{Agent: netip.MustParseAddrPort("10.0.0.1:7500"), Service: 5})
+	for _, step := range steps[1:] {
+		for _, m := range []*member{first, second} {
+			g.Expect(m.keys.Replace(step)).To(BeTrue())
+			g.Expect(m.keys.Replace(step)).To(BeFalse())
+			g.Expect(first.understands(g, second) && second.understands(g, first)).To(BeTrue())
+			route, ok := m.codec.Decode(flow[:])
+			g.Expect(ok).To(BeTrue(), "the established flow's token stays valid")
+			g.Expect(route.Service).To(Equal(uint32(5)))
+		}
+	}
+	issued := first.codec.Encode(token.Route{Agent: netip.MustParseAddrPort("10.0.0.1:7500")})
+	g.Expect(issued[0]).To(Equal(byte(2)), "new tokens come under the current epoch")
+	g.Expect(first.keys.Replace(keysOf(g, 2, 2))).To(BeTrue())
+	_, ok := first.codec.Decode(flow[:])
+	g.Expect(ok).To(BeFalse(), "a withdrawn key opens nothing")
+}
+
+// TestNaiveRotationBreaksFlows shows what the second epoch is for.
+func TestNaiveRotationBreaksFlows(t *testing.T) {
+	g := NewWithT(t)
+	m := newMember(g, keysOf(g, 1, 1))
+	flow := m.codec.Encode(token.Route{Agent: netip.MustParseAddrPort("10.0.0.1:7500")})
+	m.keys.Replace(keysOf(g, 2, 2))
+	_, ok := m.codec.Decode(flow[:])
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestOldestEpochOutlastsRotation(t *testing.T) {
+	g := NewWithT(t)
+	for _, step := range rotations(g) {
+		g.Expect(step.Oldest()).To(Equal(keyring.Epoch(1)))
+	}
+	g.Expect(keysOf(g, 2, 2, 3).Oldest()).To(Equal(keyring.Epoch(2)), "a key that is not yet current is newer")
+	g.Expect(keysOf(g, 0, 255, 0).Oldest()).To(Equal(keyring.Epoch(255)), "numbers wrap")
+}
--- a/internal/machine/agent/serving.go
+++ b/internal/machine/agent/serving.go
@@ -59,11 +59,13 @@
 }
 
 func (s *serving) listen(certificate tls.Certificate) error {
-	resetKey, err := s.agent.instance.Keys.Derive(s.agent.instance.Keys.Current(), purposeReset, resetKeyBytes)
+	// The oldest epoch outlasts a rotation, so that a later incarnation derives the same keys.
+	epoch := s.agent.instance.Keys.Oldest()
+	resetKey, err := s.agent.instance.Keys.Derive(epoch, purposeReset, resetKeyBytes)
 	if err != nil {
 		return err
 	}
-	addressKey, err := s.agent.instance.Keys.Derive(s.agent.instance.Keys.Current(), purposeAddress, addressKeyBytes)
+	addressKey, err := s.agent.instance.Keys.Derive(epoch, purposeAddress, addressKeyBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -106,6 +106,7 @@
 	server := &link.Server{TLS: i.serverTLS, Handler: i}
 	go server.Serve(linkCtx, listener)
 	i.joinPeers(linkCtx)
+	go i.followKeyFile(linkCtx)
 	if err := i.serveMetrics(linkCtx); err != nil {
 		return err
 	}
--- a/internal/token/connectionid.go
+++ b/internal/token/connectionid.go
@@ -57,36 +57,33 @@
 	check cipher.Block
 }
 
-// Codec encodes and decodes connection IDs. It is safe for concurrent use.
+// Codec encodes and decodes connection IDs. It is safe for concurrent use and
+// follows rotations of its keyring.
 type Codec struct {
-	current keyring.Epoch
-	ciphers map[keyring.Epoch]epochCiphers
+	ciphers *keyring.Working[epochCiphers]
 }
 
 // NewCodec makes a codec for all epochs of the keyring.
 func NewCodec(keys *keyring.Keyring) (*Codec, error) {
-	codec := &Codec{current: keys.Current(), ciphers: make(map[keyring.Epoch]epochCiphers)}
-	for _, epoch := range keys.Epochs() {
-		route, err := newBlock(keys, epoch, purposeRoute)
-		if err != nil {
-			return nil, err
-		}
-		check, err := newBlock(keys, epoch, purposeCheck)
-		if err != nil {
-			return nil, err
-		}
-		codec.ciphers[epoch] = epochCiphers{route: route, check: check}
+	ciphers, err := keyring.NewWorking(keys, newEpochCiphers)
+	if err != nil {
+		return nil, err
 	}
-	return codec, nil
+	return &Codec{ciphers: ciphers}, nil
 }
 
-func newBlock(keys *keyring.Keyring, epoch keyring.Epoch, purpose string) (cipher.Block, error) {
-	key, err := keys.Derive(epoch, purpose, aesKeyBytes)
-	if err != nil {
-		return nil, err
+func newEpochCiphers(derive func(purpose string, length int) ([]byte, error)) (epochCiphers, error) {
+	var ciphers epochCiphers
+	for purpose, block := range map[string]*cipher.Block{purposeRoute: &ciphers.route, purposeCheck: &ciphers.check} {
+		key, err := derive(purpose, aesKeyBytes)
+		if err != nil {
+			return ciphers, err
+		}
+		if *block, err = aes.NewCipher(key); err != nil {
+			return ciphers, Error.Wrap(err)
+		}
 	}
-	block, err := aes.NewCipher(key)
-	return block, Error.Wrap(err)
+	return ciphers, nil
 }
 
 // Encode returns the connection ID for a route under the current epoch.
@@ -102,8 +99,8 @@
 	binary.BigEndian.PutUint32(plain[12:16], r.Counter)
 
 	var id [ConnectionIDBytes]byte
-	id[0] = byte(c.current)
-	ciphers := c.ciphers[c.current]
+	epoch, ciphers := c.ciphers.Current()
+	id[0] = byte(epoch)
 	block := id[epochBytes : epochBytes+aes.BlockSize]
 	ciphers.route.Encrypt(block, plain[:])
 	check := checkOf(ciphers.check, block)
@@ -117,7 +114,7 @@
 	if len(id) != ConnectionIDBytes {
 		return Route{}, false
 	}
-	ciphers, ok := c.ciphers[keyring.Epoch(id[0])]
+	ciphers, ok := c.ciphers.Of(keyring.Epoch(id[0]))
 	if !ok {
 		return Route{}, false
 	}
