Reply through balancers that have probed when a flow is quiet

Cause: after a quiet time replies left through the last balancer that had forwarded, also when it had died since.

Change: rotation over those that forwarded within 100 ms, else over those heard within 1.25 s (probes included, hearProbe), else the last one heard; bounded at 64.

Test: go test -run 'ReturnPaths|QuietFlow' ./internal/machine/agent, seed 7; the naive last-heard version stands in the test and must lose events there.

--- a/internal/machine/agent/returnpath.go
+++ b/internal/machine/agent/returnpath.go
@@ -6,71 +6,108 @@
 	"time"
 )
 
-// rotationWindow is how long a balancer stays in the rotation after it was
-// last heard from.
-const rotationWindow = 100 * time.Millisecond
+const (
+	// rotationWindow is how long a balancer stays in the rotation after it has
+	// forwarded a datagram.
+	rotationWindow = 100 * time.Millisecond
+	// probeWindow is how long a balancer counts as alive after it was heard in
+	// any way: the probe interval of one second and a quarter for delays.
+	probeWindow = 1250 * time.Millisecond
+	// maxReturnPaths bounds how many balancers are remembered; the one heard
+	// longest ago makes room.
+	maxReturnPaths = 64
+)
 
-// returnPaths chooses the balancer that each reply leaves through: those heard
-// from lately take turns, and when there is none the last one heard is used.
+// returnPaths chooses the balancer that each reply leaves through. Those that
+// have forwarded a datagram within rotationWindow take turns. When there is
+// none, those heard within probeWindow take turns, probes included, and
+// without any of these the one heard last is used. A balancer that may be dead
+// is thus never chosen while a live one is known.
 type returnPaths struct {
 	mu    sync.Mutex
-	heard []heardBalancer
+	paths []returnPath
 	next  int
 }
 
-type heardBalancer struct {
-	address netip.AddrPort
-	at      time.Time
+type returnPath struct {
+	balancer netip.AddrPort
+	// forwarded is when it last forwarded a datagram, zero for never.
+	forwarded time.Time
+	// heard is when it last forwarded a datagram or probed.
+	heard time.Time
 }
 
 func newReturnPaths() *returnPaths {
 	return &returnPaths{}
 }
 
-// hear notes that the balancer was heard from.
+// hear notes that the balancer forwarded a datagram.
 func (p *returnPaths) hear(now time.Time, balancer netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expire(now)
-	for i := range p.heard {
-		if p.heard[i].address == balancer {
-			p.heard[i].at = now
-			return
-		}
-	}
-	p.heard = append(p.heard, heardBalancer{address: balancer, at: now})
+	path := p.find(balancer)
+	path.forwarded, path.heard = now, now
 }
 
-// expire drops balancers outside the window, but keeps the last one heard.
-func (p *returnPaths) expire(now time.Time) {
-	last := p.lastHeard()
-	kept := p.heard[:0]
-	for _, balancer := range p.heard {
-		if now.Sub(balancer.at) <= rotationWindow || balancer.address == last {
-			kept = append(kept, balancer)
-		}
-	}
-	p.heard = kept
+// hearProbe notes that the balancer probed the agent.
+func (p *returnPaths) hearProbe(now time.Time, balancer netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.find(balancer).heard = now
 }
 
-func (p *returnPaths) lastHeard() netip.AddrPort {
-	var last heardBalancer
-	for _, balancer := range p.heard {
-		if !balancer.at.Before(last.at) {
-			last = balancer
+// find returns the path through the balancer and adds it where it is missing.
+func (p *returnPaths) find(balancer netip.AddrPort) *returnPath {
+	oldest := 0
+	for i := range p.paths {
+		if p.paths[i].balancer == balancer {
+			return &p.paths[i]
+		}
+		if p.paths[i].heard.Before(p.paths[oldest].heard) {
+			oldest = i
 		}
 	}
-	return last.address
+	if len(p.paths) < maxReturnPaths {
+		p.paths = append(p.paths, returnPath{})
+		oldest = len(p.paths) - 1
+	}
+	p.paths[oldest] = returnPath{balancer: balancer}
+	return &p.paths[oldest]
 }
 
 // pick returns the balancer for one reply; false when none was ever heard from.
 func (p *returnPaths) pick(now time.Time) (netip.AddrPort, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.expire(now)
-	if len(p.heard) == 0 {
+	if len(p.paths) == 0 {
 		return netip.AddrPort{}, false
 	}
-	p.next = (p.next + 1) % len(p.heard)
-	return p.heard[p.next].address, true
+	if path := p.turn(func(path *returnPath) bool { return now.Sub(path.forwarded) <= rotationWindow }); path != nil {
+		return path.balancer, true
+	}
+	if path := p.turn(func(path *returnPath) bool { return now.Sub(path.heard) <= probeWindow }); path != nil {
+		return path.balancer, true
+	}
+	return p.lastHeard().balancer, true
+}
+
+// turn returns the next path in turn that is live, or nil.
+func (p *returnPaths) turn(isLive func(*returnPath) bool) *returnPath {
+	for range p.paths {
+		p.next = (p.next + 1) % len(p.paths)
+		if path := &p.paths[p.next]; isLive(path) {
+			return path
+		}
+	}
+	return nil
+}
+
+func (p *returnPaths) lastHeard() *returnPath {
+	last := &p.paths[0]
+	for i := range p.paths {
+		if p.paths[i].heard.After(last.heard) {
+			last = &p.paths[i]
+		}
+	}
+	return last
 }
--- /dev/null
+++ b/internal/machine/agent/returnpath_test.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	balancers     = 4
+	probeInterval = time.Second
+	seed          = 7
+)
+
+func balancerAt(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7500)
+}
+
+// replyPath is what both the product and the naive versions offer.
+type replyPath interface {
+	hear(now time.Time, balancer netip.AddrPort)
+	hearProbe(now time.Time, balancer netip.AddrPort)
+	pick(now time.Time) (netip.AddrPort, bool)
+}
+
+// lastHeardPath is naive: the last balancer that forwarded gets every reply.
+type lastHeardPath struct{ last netip.AddrPort }
+
+func (p *lastHeardPath) hear(_ time.Time, balancer netip.AddrPort) { p.last = balancer }
+func (p *lastHeardPath) hearProbe(time.Time, netip.AddrPort)       {}
+func (p *lastHeardPath) pick(time.Time) (netip.AddrPort, bool)     { return p.last, p.last.IsValid() }
+
+// quietFlow replays a board that gets one event every 10 s, with PTO
+// retransmissions, while each balancer in turn dies after it was heard. It
+// returns in how many events no copy left through a live balancer within 2 s.
+func quietFlow(path replyPath) (lost int) {
+	random := rand.New(rand.NewPCG(seed, seed))
+	now := time.Unix(1000, 0)
+	for range 200 {
+		path.hear(now, balancerAt(random.IntN(balancers)))
+		dead := balancerAt(random.IntN(balancers))
+		died := now.Add(time.Duration(random.Int64N(int64(8 * time.Second))))
+		event := now.Add(10 * time.Second)
+		for at := now; at.Before(event); at = at.Add(probeInterval) {
+			for i := range balancers {
+				probed := at.Add(probeInterval / balancers * time.Duration(i))
+				if balancerAt(i) != dead || probed.Before(died) {
+					path.hearProbe(probed, balancerAt(i))
+				}
+			}
+		}
+		if !leaves(path, event, dead) {
+			lost++
+		}
+		now = event.Add(probeInterval)
+	}
+	return lost
+}
+
+func leaves(path replyPath, event time.Time, dead netip.AddrPort) bool {
+	for _, pto := range []time.Duration{0, 200, 600, 1400} {
+		if balancer, ok := path.pick(event.Add(pto * time.Millisecond)); ok && balancer != dead {
+			return true
+		}
+	}
+	return false
+}
+
+func TestQuietFlowRepliesThroughLiveBalancer(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(quietFlow(&lastHeardPath{})).To(BeNumerically(">", 0), "the naive version must fail")
+	g.Expect(quietFlow(newReturnPaths())).To(BeZero())
+}
+
+func TestReturnPathsNeverChooseMaybeDeadBalancer(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	paths := newReturnPaths()
+	_, ok := paths.pick(now)
+	g.Expect(ok).To(BeFalse())
+	paths.hear(now, balancerAt(1))
+	paths.hear(now.Add(150*time.Millisecond), balancerAt(2))
+	for range 8 {
+		picked, _ := paths.pick(now.Add(160 * time.Millisecond))
+		g.Expect(picked).To(Equal(balancerAt(2)), "1 was heard longer ago than the rotation window")
+	}
+	later := now.Add(5 * time.Second)
+	picked, _ := paths.pick(later)
+	g.Expect(picked).To(Equal(balancerAt(2)), "the last one heard is the last resort")
+	paths.hearProbe(later, balancerAt(3))
+	for range 8 {
+		picked, _ := paths.pick(later.Add(probeInterval))
+		g.Expect(picked).To(Equal(balancerAt(3)), "only 3 has probed lately")
+	}
+}
+
+func TestReturnPathsSpreadAndStayBounded(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	paths := newReturnPaths()
+	for i := range 200 {
+		paths.hear(now.Add(time.Duration(i)), balancerAt(i))
+	}
+	g.Expect(paths.paths).To(HaveLen(maxReturnPaths))
+	counts := make(map[netip.AddrPort]int)
+	for range 10 * maxReturnPaths {
+		picked, _ := paths.pick(now)
+		counts[picked]++
+	}
+	g.Expect(counts).To(HaveLen(maxReturnPaths))
+	g.Expect(counts).To(HaveEach(10))
+}
+
+func BenchmarkReturnPaths(b *testing.B) {
+	paths := newReturnPaths()
+	now := time.Unix(1000, 0)
+	b.ReportAllocs()
+	for i := range b.N {
+		paths.hear(now, balancerAt(i%40))
+		paths.pick(now)
+	}
+}
