--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"sort"
 
+	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/contract"
@@ -23,12 +24,24 @@
 // MaxRemembered bounds how many submission results are kept for resends.
 const MaxRemembered = 4096
 
+// MaxRememberedBytes bounds the documents in the results that are kept; the
+// oldest results lose theirs first, but keep their outcome and version.
+const MaxRememberedBytes = 8 << 20
+
+// Error is the class of this package's errors.
+var Error = errs.Class("catalog")
+
+// ErrUnknownCommand is the class of errors about a command that a newer program
+// has put into the log.
+var ErrUnknownCommand = errs.Class("the log holds a command that this program does not know; install the newer program on this instance")
+
 type service struct {
-	number   uint32
-	version  uint64
-	index    uint64
-	document []byte
-	address  string
+	number      uint32
+	version     uint64
+	index       uint64
+	document    []byte
+	address     string
+	isWithdrawn bool
 }
 
 type zone struct {
@@ -39,55 +52,80 @@
 
 // Catalog holds the applied state. It is not safe for concurrent use.
 type Catalog struct {
-	services   map[string]*service
+	services map[string]*service
+	// owners maps the addresses in use to the names of their services.
+	owners     map[string]string
 	zones      map[string]*zone
+	zoneIndex  uint64
 	nextNumber uint32
-	remembered map[string]*wire.CommandResult
-	order      []string
+	remembered results
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
 	return &Catalog{
 		services:   make(map[string]*service),
+		owners:     make(map[string]string),
 		zones:      make(map[string]*zone),
 		nextNumber: 1,
-		remembered: make(map[string]*wire.CommandResult),
+		remembered: newResults(),
+	}
+}
+
+// Remembered returns the result of an earlier submission with the ID, or nil.
+func (c *Catalog) Remembered(submissionID string) *wire.CommandResult {
+	return c.remembered.get(submissionID)
+}
+
+// Prepare checks a command before it is proposed and adds what Apply needs.
+// It returns nil, or the result for a command that must not be proposed.
+//
+// Documents are read only here: Apply uses what Prepare has read, so that
+// instances with programs of different versions apply the same.
+func Prepare(command *wire.Command) *wire.CommandResult {
+	submit := command.GetSubmit()
+	if submit == nil {
+		return nil
+	}
+	file := submit.File
+	if file == "" {
+		file = "document"
 	}
+	doc, err := contract.Parse(file, submit.Document)
+	if err != nil {
+		return invalid(0, "%s", err)
+	}
+	submit.Service = doc.Service
+	submit.Address = doc.Address.String()
+	submit.EditedFrom = doc.EditedFrom
+	return nil
 }
 
 // Apply runs the command that stands at the log index.
-func (c *Catalog) Apply(index uint64, command *wire.Command) *wire.CommandResult {
-	if first, ok := c.remembered[command.SubmissionId]; ok && command.SubmissionId != "" {
-		return first
+func (c *Catalog) Apply(index uint64, command *wire.Command) (*wire.CommandResult, error) {
+	if first := c.Remembered(command.SubmissionId); first != nil {
+		return first, nil
 	}
-	result := c.applyNew(index, command)
-	c.remember(command.SubmissionId, result)
-	return result
+	result, err := c.applyNew(index, command)
+	if err != nil {
+		return nil, err
+	}
+	c.remembered.add(command.SubmissionId, result)
+	return result, nil
 }
 
-func (c *Catalog) applyNew(index uint64, command *wire.Command) *wire.CommandResult {
+func (c *Catalog) applyNew(index uint64, command *wire.Command) (*wire.CommandResult, error) {
 	switch body := command.Body.(type) {
 	case *wire.Command_Submit:
-		return c.applySubmit(index, body.Submit)
+		return c.applySubmit(index, body.Submit), nil
+	case *wire.Command_Withdraw:
+		return c.applyWithdraw(index, body.Withdraw), nil
 	case *wire.Command_SetZone:
-		return c.applySetZone(index, body.SetZone)
+		return c.applySetZone(index, body.SetZone), nil
 	case *wire.Command_RegisterZone:
-		return c.applyRegisterZone(index, body.RegisterZone)
+		return c.applyRegisterZone(index, body.RegisterZone), nil
 	default:
-		return invalid(index, "unknown command")
-	}
-}
-
-func (c *Catalog) remember(id string, result *wire.CommandResult) {
-	if id == "" {
-		return
-	}
-	c.remembered[id] = result
-	c.order = append(c.order, id)
-	if len(c.order) > MaxRemembered {
-		delete(c.remembered, c.order[0])
-		c.order = c.order[1:]
+		return nil, ErrUnknownCommand.New("index %d", index)
 	}
 }
 
@@ -100,19 +138,15 @@
 }
 
 func (c *Catalog) applySubmit(index uint64, submit *wire.SubmitDocument) *wire.CommandResult {
-	doc, err := contract.Parse("document", submit.Document)
-	if err != nil {
-		return invalid(index, "%s", err)
-	}
-	held := c.services[doc.Service]
-	if held != nil && doc.EditedFrom != held.version {
-		return conflict(index, held)
+	held := c.services[submit.Service]
+	if held != nil && submit.EditedFrom != held.version {
+		return conflict(index, submit.File, held)
 	}
-	if held == nil && doc.EditedFrom != 0 {
-		return invalid(index, "document: [service] version: found %q, allowed: 0, the service is new", fmt.Sprint(doc.EditedFrom))
+	if held == nil && submit.EditedFrom != 0 {
+		return invalid(index, "%s: [service] version: found %q, allowed: 0, the service is new", submit.File, fmt.Sprint(submit.EditedFrom))
 	}
-	if owner := c.ownerOf(doc.Address.String()); owner != "" && owner != doc.Service {
-		return invalid(index, "document: [service] address: found %q, allowed: an address that no other service has; %s has it", doc.Address, owner)
+	if owner := c.owners[submit.Address]; owner != "" && owner != submit.Service {
+		return invalid(index, "%s: [service] address: found %q, allowed: an address that no other service has; %s has it", submit.File, submit.Address, owner)
 	}
 	if held == nil {
 		if c.nextNumber > token.MaxService {
@@ -120,34 +154,48 @@
 		}
 		held = &service{number: c.nextNumber}
 		c.nextNumber++
-		c.services[doc.Service] = held
+		c.services[submit.Service] = held
 	}
+	delete(c.owners, held.address)
+	c.owners[submit.Address] = submit.Service
 	held.version++
 	held.index = index
 	held.document = submit.Document
-	held.address = doc.Address.String()
+	held.address = submit.Address
+	held.isWithdrawn = false
 	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: index, Version: held.version}
 }
 
-func conflict(index uint64, winner *service) *wire.CommandResult {
+// applyWithdraw ends a service. Its name and number stay taken; its address is free.
+func (c *Catalog) applyWithdraw(index uint64, withdraw *wire.WithdrawService) *wire.CommandResult {
+	held := c.services[withdraw.Service]
+	if held == nil {
+		return invalid(index, "there is no service %q; see list", withdraw.Service)
+	}
+	if withdraw.Version != held.version {
+		return conflict(index, withdraw.Service, held)
+	}
+	if held.isWithdrawn {
+		return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: held.index, Version: held.version}
+	}
+	delete(c.owners, held.address)
+	held.version++
+	held.index = index
+	held.address = ""
+	held.isWithdrawn = true
+	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: index, Version: held.version}
+}
+
+func conflict(index uint64, place string, winner *service) *wire.CommandResult {
 	return &wire.CommandResult{
 		Outcome:  wire.CommandResult_OUTCOME_CONFLICT,
 		Index:    index,
 		Version:  winner.version,
 		Document: winner.document,
-		Findings: fmt.Sprintf("document: [service] version: the newest version is %d; edit from that one", winner.version),
+		Findings: fmt.Sprintf("%s: [service] version: the newest version is %d; edit from that one", place, winner.version),
 	}
 }
 
-func (c *Catalog) ownerOf(address string) string {
-	for name, s := range c.services {
-		if s.address == address {
-			return name
-		}
-	}
-	return ""
-}
-
 func (c *Catalog) applySetZone(index uint64, set *wire.SetZone) *wire.CommandResult {
 	held := c.zones[set.Name]
 	if held == nil {
@@ -156,21 +204,25 @@
 	if held.out != set.Out {
 		held.out = set.Out
 		held.index = index
+		c.zoneIndex = index
 	}
-	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: index}
+	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: held.index}
 }
 
 func (c *Catalog) applyRegisterZone(index uint64, register *wire.RegisterZone) *wire.CommandResult {
 	if register.Name == "" {
 		return invalid(index, "a zone needs a name")
 	}
-	if c.zones[register.Name] == nil {
+	held := c.zones[register.Name]
+	if held == nil {
 		if len(c.zones) >= MaxZones {
 			return invalid(index, "%d zones are known, no more are possible", MaxZones)
 		}
-		c.zones[register.Name] = &zone{number: uint32(len(c.zones) + 1), index: index}
+		held = &zone{number: uint32(len(c.zones) + 1), index: index}
+		c.zones[register.Name] = held
+		c.zoneIndex = index
 	}
-	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: index}
+	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: held.index}
 }
 
 func (c *Catalog) zoneNames() []string {
@@ -182,16 +234,26 @@
 	return names
 }
 
-// Records returns the state as exchange records.
-func (c *Catalog) Records() []*wire.Record {
+// ZoneIndex returns the log index of the newest change to any zone.
+func (c *Catalog) ZoneIndex() uint64 {
+	return c.zoneIndex
+}
+
+// Records returns, as exchange records, the state that was changed after the
+// log index; 0 gives all of it.
+func (c *Catalog) Records(after uint64) []*wire.Record {
 	var records []*wire.Record
 	for name, s := range c.services {
-		value := &wire.Service{Number: s.number, Version: s.version, Document: s.document}
-		records = append(records, record(wire.Record_KIND_SERVICE, name, s.index, value))
+		if s.index > after {
+			value := &wire.Service{Number: s.number, Version: s.version, Document: s.document, Withdrawn: s.isWithdrawn}
+			records = append(records, record(wire.Record_KIND_SERVICE, name, s.index, value))
+		}
 	}
 	for name, z := range c.zones {
-		value := &wire.Zone{Number: z.number, Name: name, Out: z.out}
-		records = append(records, record(wire.Record_KIND_ZONE, name, z.index, value))
+		if z.index > after {
+			value := &wire.Zone{Number: z.number, Name: name, Out: z.out}
+			records = append(records, record(wire.Record_KIND_ZONE, name, z.index, value))
+		}
 	}
 	return records
 }
--- /dev/null
+++ b/internal/catalog/results.go
@@ -0,0 +1,61 @@
+package catalog
+
+import "sassafrasturn.example/internal/wire"
+
+// results remembers the results of submissions, so that a resend gets the
+// first answer. Both its count and its bytes are bounded.
+type results struct {
+	byID map[string]*wire.CommandResult
+	// order holds the IDs, the oldest first.
+	order []string
+	// withoutDocument is how many of the oldest have lost their documents.
+	withoutDocument int
+	documentBytes   int
+}
+
+func newResults() results {
+	return results{byID: make(map[string]*wire.CommandResult)}
+}
+
+func (r *results) get(id string) *wire.CommandResult {
+	if id == "" {
+		return nil
+	}
+	return r.byID[id]
+}
+
+func (r *results) add(id string, result *wire.CommandResult) {
+	if id == "" {
+		return
+	}
+	r.byID[id] = result
+	r.order = append(r.order, id)
+	r.documentBytes += len(result.Document)
+	if len(r.order) > MaxRemembered {
+		r.dropOldest()
+	}
+	for r.documentBytes > MaxRememberedBytes {
+		r.dropDocument()
+	}
+}
+
+func (r *results) dropOldest() {
+	oldest := r.order[0]
+	r.documentBytes -= len(r.byID[oldest].Document)
+	delete(r.byID, oldest)
+	r.order = r.order[1:]
+	r.withoutDocument = max(r.withoutDocument-1, 0)
+}
+
+// dropDocument replaces the oldest result that has a document by one without;
+// answers that have been handed out stay as they are.
+func (r *results) dropDocument() {
+	id := r.order[r.withoutDocument]
+	r.withoutDocument++
+	held := r.byID[id]
+	if len(held.Document) == 0 {
+		return
+	}
+	r.documentBytes -= len(held.Document)
+	r.byID[id] = &wire.CommandResult{Outcome: held.Outcome, Index: held.Index, Version: held.Version, Findings: held.Findings}
+}
--- /dev/null
+++ b/internal/catalog/snapshot.go
@@ -0,0 +1,60 @@
+package catalog
+
+import (
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// Snapshot returns the whole state, the results for resends included.
+func (c *Catalog) Snapshot() ([]byte, error) {
+	state := &wire.CatalogState{NextNumber: c.nextNumber}
+	for name, s := range c.services {
+		state.Services = append(state.Services, &wire.CatalogService{
+			Name: name, Number: s.number, Version: s.version, Index: s.index,
+			Document: s.document, Address: s.address, Withdrawn: s.isWithdrawn,
+		})
+	}
+	sort.Slice(state.Services, func(a, b int) bool { return state.Services[a].Number < state.Services[b].Number })
+	for name, z := range c.zones {
+		state.Zones = append(state.Zones, &wire.CatalogZone{Name: name, Number: z.number, Out: z.out, Index: z.index})
+	}
+	sort.Slice(state.Zones, func(a, b int) bool { return state.Zones[a].Number < state.Zones[b].Number })
+	for _, id := range c.remembered.order {
+		state.Remembered = append(state.Remembered, &wire.RememberedResult{SubmissionId: id, Result: c.remembered.byID[id]})
+	}
+	data, err := proto.Marshal(state)
+	return data, Error.Wrap(err)
+}
+
+// Restore returns the catalog of a snapshot; an empty one is an empty catalog.
+func Restore(data []byte) (*Catalog, error) {
+	c := New()
+	if len(data) == 0 {
+		return c, nil
+	}
+	state := new(wire.CatalogState)
+	if err := proto.Unmarshal(data, state); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c.nextNumber = state.NextNumber
+	for _, s := range state.Services {
+		c.services[s.Name] = &service{
+			number: s.Number, version: s.Version, index: s.Index,
+			document: s.Document, address: s.Address, isWithdrawn: s.Withdrawn,
+		}
+		if !s.Withdrawn {
+			c.owners[s.Address] = s.Name
+		}
+	}
+	for _, z := range state.Zones {
+		c.zones[z.Name] = &zone{number: z.Number, out: z.Out, index: z.Index}
+		c.zoneIndex = max(c.zoneIndex, z.Index)
+	}
+	for _, r := range state.Remembered {
+		c.remembered.add(r.SubmissionId, r.Result)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,133 @@
+package consensus
+
+import (
+	"time"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// resetElection draws the time of the next election.
+func (c *Core) resetElection() {
+	spread := time.Duration(c.config.Rand.Int64N(int64(ElectionTimeout)))
+	c.electionAt = c.now + ElectionTimeout + spread
+}
+
+// isLeaderAlive reports whether a leader may still hold its lease.
+func (c *Core) isLeaderAlive() bool {
+	return c.role == Leader || c.now < c.noVoteUntil
+}
+
+func (c *Core) becomeFollower(term, leader uint64) {
+	if term != c.term {
+		c.term, c.vote = term, 0
+	}
+	if c.role != Follower {
+		c.resetElection()
+	}
+	c.role = Follower
+	c.leader = leader
+	c.peers = nil
+	c.granted = nil
+	c.uncommittedBytes = 0
+}
+
+// hearLeader notes a message of the current leader.
+func (c *Core) hearLeader(id uint64) {
+	if c.role != Follower || c.leader != id {
+		c.becomeFollower(c.term, id)
+	}
+	c.noVoteUntil = c.now + ElectionTimeout
+	c.resetElection()
+}
+
+func (c *Core) startPreVote() {
+	c.resetElection()
+	c.leader = 0
+	if !c.isVoter() {
+		return
+	}
+	c.role = PreCandidate
+	c.askForVotes(wire.ConsensusMessage_KIND_PRE_VOTE, c.term+1)
+}
+
+func (c *Core) startVote() {
+	c.role = Candidate
+	c.term++
+	c.vote = c.config.ID
+	c.campaignAt = c.now
+	c.noVoteUntil = c.now + ElectionTimeout
+	c.askForVotes(wire.ConsensusMessage_KIND_VOTE, c.term)
+}
+
+func (c *Core) askForVotes(kind wire.ConsensusMessage_Kind, term uint64) {
+	c.granted = map[uint64]bool{c.config.ID: true}
+	for _, member := range c.log.group().GetMembers() {
+		if !member.Voter || member.Id == c.config.ID {
+			continue
+		}
+		c.sendTo(member, &wire.ConsensusMessage{
+			Kind: kind, Term: term, Index: c.log.lastIndex(), LogTerm: c.log.lastTerm(),
+		})
+	}
+	c.tally()
+}
+
+func (c *Core) answerVote(m *wire.ConsensusMessage) {
+	if m.Kind == wire.ConsensusMessage_KIND_PRE_VOTE {
+		isGranted := m.Term > c.term && !c.isLeaderAlive() && c.log.isUpToDate(m.Index, m.LogTerm)
+		answer := &wire.ConsensusMessage{Kind: wire.ConsensusMessage_KIND_PRE_VOTE_ANSWER, Term: m.Term, Rejected: !isGranted}
+		if !isGranted {
+			answer.Term = c.term
+		}
+		c.answer(m, answer)
+		return
+	}
+	isGranted := (c.vote == 0 || c.vote == m.From) && !c.isLeaderAlive() && c.log.isUpToDate(m.Index, m.LogTerm)
+	if isGranted {
+		c.vote = m.From
+		// The grant starts the candidate's lease as an append does.
+		c.noVoteUntil = c.now + ElectionTimeout
+		c.resetElection()
+	}
+	c.answer(m, &wire.ConsensusMessage{Kind: wire.ConsensusMessage_KIND_VOTE_ANSWER, Term: c.term, Rejected: !isGranted})
+}
+
+func (c *Core) countVote(m *wire.ConsensusMessage) {
+	isPreVote := m.Kind == wire.ConsensusMessage_KIND_PRE_VOTE_ANSWER
+	isDue := isPreVote && c.role == PreCandidate && m.Term == c.term+1 ||
+		!isPreVote && c.role == Candidate && m.Term == c.term
+	if !isDue || m.Rejected || c.memberOf(m) == nil {
+		return
+	}
+	c.granted[m.From] = true
+	c.tally()
+}
+
+func (c *Core) tally() {
+	if !c.hasQuorum(func(id uint64) bool { return c.granted[id] }) {
+		return
+	}
+	if c.role == PreCandidate {
+		c.startVote()
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role = Leader
+	c.leader = c.config.ID
+	for _, entry := range c.log.from(c.commit + 1) {
+		c.uncommittedBytes += len(entry.Command)
+	}
+	c.peers = make(map[uint64]*peer)
+	c.refreshPeers()
+	for id, p := range c.peers {
+		if c.granted[id] {
+			p.contact = c.campaignAt
+		}
+	}
+	// An entry of the own term commits all earlier ones.
+	c.appendOwn(&wire.LogEntry{})
+	c.heartbeatAt = c.now + HeartbeatInterval
+}
--- /dev/null
+++ b/internal/consensus/group.go
@@ -0,0 +1,186 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+func (c *Core) isSelf(member *wire.ControlMember) bool {
+	return member.Id == c.config.ID && member.Disk == c.config.Disk
+}
+
+func (c *Core) isMember() bool {
+	return slices.ContainsFunc(c.log.group().GetMembers(), c.isSelf)
+}
+
+func (c *Core) isVoter() bool {
+	return slices.ContainsFunc(c.log.group().GetMembers(), func(m *wire.ControlMember) bool { return m.Voter && c.isSelf(m) })
+}
+
+// memberOf returns the member that sent a message, or nil when the sender is
+// none: its ID is unknown or its disk is not the one with which it joined.
+func (c *Core) memberOf(m *wire.ConsensusMessage) *wire.ControlMember {
+	member := find(c.log.group(), m.From)
+	if member == nil || member.Disk != m.FromDisk {
+		return nil
+	}
+	return member
+}
+
+func find(group *wire.ControlGroup, id uint64) *wire.ControlMember {
+	for _, member := range group.GetMembers() {
+		if member.Id == id {
+			return member
+		}
+	}
+	return nil
+}
+
+func (c *Core) hasQuorum(isGranted func(id uint64) bool) bool {
+	voters, granted := 0, 0
+	for _, member := range c.log.group().GetMembers() {
+		if !member.Voter {
+			continue
+		}
+		voters++
+		if isGranted(member.Id) {
+			granted++
+		}
+	}
+	return granted > voters/2
+}
+
+// refreshPeers follows a change of the group on a leader.
+func (c *Core) refreshPeers() {
+	peers := make(map[uint64]*peer)
+	for _, member := range c.log.group().GetMembers() {
+		if c.isSelf(member) {
+			continue
+		}
+		p := c.peers[member.Id]
+		if p == nil {
+			p = &peer{next: c.log.lastIndex() + 1, contact: neverHeard}
+		}
+		p.member = member
+		peers[member.Id] = p
+	}
+	c.peers = peers
+}
+
+// canChange reports whether the group may change: the last change and an entry
+// of the own term are committed.
+func (c *Core) canChange() bool {
+	term, _ := c.log.termAt(c.commit)
+	return c.role == Leader && c.log.groupIndex() <= c.commit && term == c.term
+}
+
+func (c *Core) propose(group *wire.ControlGroup) (index, term uint64) {
+	entry := c.appendOwn(&wire.LogEntry{Group: group})
+	return entry.Index, entry.Term
+}
+
+// ProposeAdd adds a learner. The leader makes it a voter once it has caught up.
+func (c *Core) ProposeAdd(now time.Duration, member *wire.ControlMember) (index, term uint64, err error) {
+	if err := c.checkChange(now); err != nil {
+		return 0, 0, err
+	}
+	group := c.log.group()
+	if member.Id <= group.HighestId {
+		return 0, 0, Error.New("found ID %d, allowed: an ID over %d, since IDs are not used again", member.Id, group.HighestId)
+	}
+	if member.Replaces != 0 && find(group, member.Replaces) == nil {
+		return 0, 0, Error.New("there is no member %d to replace; see control list", member.Replaces)
+	}
+	if len(group.Members) >= MaxMembers {
+		return 0, 0, Error.New("the group has %d members already, at most %d are allowed; remove one first", len(group.Members), MaxMembers)
+	}
+	next := proto.CloneOf(group)
+	added := proto.CloneOf(member)
+	added.Voter = false
+	next.Members = append(next.Members, added)
+	next.HighestId = member.Id
+	index, term = c.propose(next)
+	return index, term, nil
+}
+
+// MaxMembers bounds the group: 7 members and one that replaces another.
+const MaxMembers = 8
+
+// ProposeRemove removes a member.
+func (c *Core) ProposeRemove(now time.Duration, id uint64) (index, term uint64, err error) {
+	if err := c.checkChange(now); err != nil {
+		return 0, 0, err
+	}
+	group := c.log.group()
+	member := find(group, id)
+	if member == nil {
+		return 0, 0, Error.New("there is no member %d; see control list", id)
+	}
+	if member.Voter && countVoters(group) == 1 {
+		return 0, 0, Error.New("member %d is the only voter; add another one first", id)
+	}
+	index, term = c.propose(without(group, id))
+	return index, term, nil
+}
+
+func (c *Core) checkChange(now time.Duration) error {
+	c.observe(now)
+	if c.role != Leader {
+		return ErrNotLeader
+	}
+	if !c.canChange() {
+		return ErrChanging
+	}
+	return nil
+}
+
+func countVoters(group *wire.ControlGroup) int {
+	voters := 0
+	for _, member := range group.GetMembers() {
+		if member.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
+func without(group *wire.ControlGroup, id uint64) *wire.ControlGroup {
+	next := proto.CloneOf(group)
+	next.Members = slices.DeleteFunc(next.Members, func(m *wire.ControlMember) bool { return m.Id == id })
+	for _, member := range next.Members {
+		if member.Replaces == id {
+			member.Replaces = 0
+		}
+	}
+	return next
+}
+
+// changeGroup makes a learner that has caught up a voter, and removes the
+// member that a new voter replaces.
+func (c *Core) changeGroup() {
+	if !c.canChange() {
+		return
+	}
+	for _, member := range c.log.group().Members {
+		if member.Voter && member.Replaces != 0 {
+			c.propose(without(c.log.group(), member.Replaces))
+			return
+		}
+		if !member.Voter && c.hasCaughtUp(member) {
+			next := proto.CloneOf(c.log.group())
+			find(next, member.Id).Voter = true
+			c.propose(next)
+			return
+		}
+	}
+}
+
+// hasCaughtUp reports whether a learner has the whole log and answers.
+func (c *Core) hasCaughtUp(member *wire.ControlMember) bool {
+	p := c.peers[member.Id]
+	return p != nil && p.match == c.log.lastIndex() && c.now-p.contact < ElectionTimeout
+}
--- /dev/null
+++ b/internal/consensus/replicate.go
@@ -0,0 +1,206 @@
+package consensus
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// peer is what a leader knows of another member.
+type peer struct {
+	member *wire.ControlMember
+	// match is the index up to which the peer has stored the leader's log.
+	match uint64
+	// next is the index of the next entry to send.
+	next uint64
+	// waitUntil is when entries are sent again without an answer.
+	waitUntil time.Duration
+	// contact is when the newest answered append was sent.
+	contact time.Duration
+}
+
+const neverHeard = time.Duration(math.MinInt64 / 2)
+
+func (c *Core) broadcastAppend() {
+	c.heartbeatAt = c.now + HeartbeatInterval
+	for _, p := range c.peers {
+		c.sendAppend(p)
+	}
+	c.changeGroup()
+}
+
+// sendAppend sends entries, or a mere heartbeat while an answer is awaited.
+func (c *Core) sendAppend(p *peer) {
+	isWaiting := c.now < p.waitUntil
+	previous := p.next - 1
+	term, ok := c.log.termAt(previous)
+	if !ok {
+		if !isWaiting {
+			c.sendSnapshot(p)
+			return
+		}
+		previous, term = c.log.baseIndex(), c.log.snapshot.Term
+	}
+	var entries []*wire.LogEntry
+	if !isWaiting && ok {
+		entries = c.log.batch(p.next)
+	}
+	if len(entries) > 0 {
+		p.waitUntil = c.now + appendRetryInterval
+	}
+	c.sendTo(p.member, &wire.ConsensusMessage{
+		Kind: wire.ConsensusMessage_KIND_APPEND, Term: c.term,
+		Index: previous, LogTerm: term, Entries: entries, Commit: c.commit, SentAt: int64(c.now),
+	})
+}
+
+func (c *Core) sendSnapshot(p *peer) {
+	p.waitUntil = c.now + snapshotRetryInterval
+	c.sendTo(p.member, &wire.ConsensusMessage{
+		Kind: wire.ConsensusMessage_KIND_SNAPSHOT, Term: c.term, Snapshot: c.log.snapshot, SentAt: int64(c.now),
+	})
+}
+
+func (c *Core) handleAppend(m *wire.ConsensusMessage) {
+	c.hearLeader(m.From)
+	answer := &wire.ConsensusMessage{Kind: wire.ConsensusMessage_KIND_APPEND_ANSWER, Term: c.term, SentAt: m.SentAt}
+	if m.Index < c.commit {
+		// All leaders have what is committed.
+		answer.Index = c.commit
+		c.answer(m, answer)
+		return
+	}
+	if term, ok := c.log.termAt(m.Index); !ok || term != m.LogTerm {
+		answer.Index, answer.Rejected = m.Index, true
+		answer.Last = min(c.log.lastIndex(), m.Index-1)
+		c.answer(m, answer)
+		return
+	}
+	c.takeEntries(m.Entries)
+	answer.Index = m.Index + uint64(len(m.Entries))
+	c.commit = max(c.commit, min(m.Commit, answer.Index))
+	c.answer(m, answer)
+}
+
+// takeEntries appends what is new and drops what the leader does not have.
+func (c *Core) takeEntries(entries []*wire.LogEntry) {
+	for _, entry := range entries {
+		term, ok := c.log.termAt(entry.Index)
+		if ok && term == entry.Term {
+			continue
+		}
+		if ok {
+			c.log.truncate(entry.Index)
+			c.stable = min(c.stable, entry.Index-1)
+		}
+		c.log.append(entry)
+	}
+}
+
+func (c *Core) handleSnapshot(m *wire.ConsensusMessage) {
+	c.hearLeader(m.From)
+	snapshot := m.Snapshot
+	if snapshot.GetIndex() > c.commit {
+		c.installSnapshot(snapshot)
+	}
+	c.answer(m, &wire.ConsensusMessage{Kind: wire.ConsensusMessage_KIND_APPEND_ANSWER, Term: c.term, Index: c.commit, SentAt: m.SentAt})
+}
+
+func (c *Core) installSnapshot(snapshot *wire.LogSnapshot) {
+	if term, ok := c.log.termAt(snapshot.Index); ok && term == snapshot.Term {
+		c.commit = snapshot.Index
+		return
+	}
+	c.log.reset(snapshot)
+	c.newSnapshot = snapshot
+	c.commit = snapshot.Index
+	c.applied = snapshot.Index
+	c.stable = snapshot.Index
+}
+
+func (c *Core) handleAppendAnswer(m *wire.ConsensusMessage) {
+	if c.role != Leader || c.memberOf(m) == nil {
+		return
+	}
+	p := c.peers[m.From]
+	if p == nil {
+		return
+	}
+	p.contact = max(p.contact, min(time.Duration(m.SentAt), c.now))
+	if m.Rejected {
+		c.stepBack(p, m)
+		return
+	}
+	if m.Index > c.log.lastIndex() {
+		return
+	}
+	if m.Index > p.match {
+		p.match = m.Index
+		p.next = p.match + 1
+		p.waitUntil = 0
+	}
+	c.advanceCommit()
+	if p.next <= c.log.lastIndex() && c.now >= p.waitUntil {
+		c.sendAppend(p)
+	}
+	c.changeGroup()
+}
+
+// stepBack looks for the end of the common part of the logs.
+func (c *Core) stepBack(p *peer, m *wire.ConsensusMessage) {
+	if m.Index != p.next-1 {
+		return
+	}
+	p.next = max(min(p.next-1, m.Last+1), p.match+1)
+	p.waitUntil = 0
+	c.sendAppend(p)
+}
+
+// advanceCommit commits what a majority has stored, if it is of the own term.
+func (c *Core) advanceCommit() {
+	index := c.quorumValue(c.stable, func(p *peer) uint64 { return p.match })
+	if term, ok := c.log.termAt(index); !ok || term != c.term || index <= c.commit {
+		return
+	}
+	for _, entry := range c.log.between(c.commit+1, index) {
+		c.uncommittedBytes -= len(entry.Command)
+	}
+	c.commit = index
+	if !c.isMember() && c.commit >= c.log.groupIndex() {
+		c.becomeFollower(c.term, 0)
+		return
+	}
+	// Followers learn of the commit at once, not with the next heartbeat.
+	for _, p := range c.peers {
+		c.sendAppend(p)
+	}
+}
+
+// quorumValue returns the highest value that a majority of the voters has reached.
+func (c *Core) quorumValue(own uint64, of func(*peer) uint64) uint64 {
+	var values []uint64
+	for _, member := range c.log.group().GetMembers() {
+		switch {
+		case !member.Voter:
+		case c.isSelf(member):
+			values = append(values, own)
+		default:
+			values = append(values, of(c.peers[member.Id]))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// quorumContact returns when the newest append was sent that a majority has answered.
+func (c *Core) quorumContact() time.Duration {
+	// Shifting by neverHeard keeps the order of negative times.
+	shift := func(t time.Duration) uint64 { return uint64(t - neverHeard) }
+	contact := c.quorumValue(shift(c.now), func(p *peer) uint64 { return shift(p.contact) })
+	return time.Duration(contact) + neverHeard
+}
--- a/internal/harness/suite_test.go
+++ b/internal/harness/suite_test.go
@@ -32,7 +32,7 @@
 // twoServices is the users' frame in small: three zones, two services.
 func twoServices() harness.Plan {
 	return harness.Plan{
-		Controls:  1,
+		Controls:  3,
 		Balancers: 3,
 		Zones:     []string{"a", "b", "c"},
 		Services: []harness.ServicePlan{
--- /dev/null
+++ b/internal/journal/files.go
@@ -0,0 +1,126 @@
+package journal
+
+import (
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// File is a file that is being written.
+type File interface {
+	Write(data []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// Folder is what the journal needs of the data folder. Names have no path.
+type Folder interface {
+	// List returns the names of all files.
+	List() ([]string, error)
+	Read(name string) ([]byte, error)
+	// Create opens a new, empty file; one of that name is emptied.
+	Create(name string) (File, error)
+	// Append opens a file for writing at its end.
+	Append(name string) (File, error)
+	// Truncate cuts a file and syncs it.
+	Truncate(name string, size int64) error
+	Rename(from, to string) error
+	Remove(name string) error
+	// Sync makes the names of the folder durable.
+	Sync() error
+}
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+	lockName   = "lock"
+)
+
+// diskFolder is a folder on a disk.
+type diskFolder struct {
+	path string
+	lock *os.File
+}
+
+// OpenFolder opens a data folder, makes it when it is missing, and keeps other
+// processes out of it.
+func OpenFolder(path string) (Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := syncPath(filepath.Dir(path)); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, Error.New("the data folder %s is in use by another process; end that one or name another folder", path)
+	}
+	return &diskFolder{path: path, lock: lock}, nil
+}
+
+func (f *diskFolder) join(name string) string {
+	return filepath.Join(f.path, name)
+}
+
+// List returns the names of all files but the lock.
+func (f *diskFolder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	var names []string
+	for _, entry := range entries {
+		if entry.Name() != lockName {
+			names = append(names, entry.Name())
+		}
+	}
+	return names, err
+}
+
+// Read returns the content of a file.
+func (f *diskFolder) Read(name string) ([]byte, error) {
+	return os.ReadFile(f.join(name))
+}
+
+// Create opens a new, empty file.
+func (f *diskFolder) Create(name string) (File, error) {
+	return os.OpenFile(f.join(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Append opens a file for writing at its end.
+func (f *diskFolder) Append(name string) (File, error) {
+	return os.OpenFile(f.join(name), os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Truncate cuts a file and syncs it.
+func (f *diskFolder) Truncate(name string, size int64) error {
+	if err := os.Truncate(f.join(name), size); err != nil {
+		return err
+	}
+	return syncPath(f.join(name))
+}
+
+// Rename gives a file another name.
+func (f *diskFolder) Rename(from, to string) error {
+	return os.Rename(f.join(from), f.join(to))
+}
+
+// Remove deletes a file.
+func (f *diskFolder) Remove(name string) error {
+	return os.Remove(f.join(name))
+}
+
+// Sync makes the names of the folder durable.
+func (f *diskFolder) Sync() error {
+	return syncPath(f.path)
+}
+
+func syncPath(path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	return file.Sync()
+}
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
-	"net"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
 
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
 
-	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/wire"
 )
@@ -17,40 +20,71 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("control")
 
-// Log is the replicated log of commands.
-type Log interface {
-	// Propose appends a command and returns its result once it is applied.
-	Propose(ctx context.Context, command *wire.Command) (*wire.CommandResult, error)
-}
-
 // Control is the control role of an instance.
 type Control struct {
-	instance *machine.Instance
-	log      Log
-	changed  chan struct{}
+	instance  *machine.Instance
+	replica   *replica
+	loop      *loop
+	transport atomic.Pointer[transport]
+	changed   chan struct{}
 }
 
-// New prepares the control role of an instance.
+// New restores the control role of an instance from its data folder.
 func New(instance *machine.Instance) (*Control, error) {
-	return &Control{
-		instance: instance,
-		log:      newSoloLog(instance.Store),
-		changed:  make(chan struct{}, 1),
-	}, nil
+	folder, err := journal.OpenFolder(instance.Settings.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{instance: instance, changed: make(chan struct{}, 1)}
+	started := time.Now()
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	out := outputs{send: c.send, publish: func(records []*wire.Record) { instance.Store.Merge(records) }}
+	c.replica, err = openReplica(folder, uint64(instance.Settings.Control.ID), random, 0, out)
+	if err != nil {
+		return nil, err
+	}
+	c.loop = newLoop(c.replica, started, c.learn)
+	registerMetrics(instance.Metrics, c.loop)
+	return c, nil
+}
+
+func (c *Control) send(m *wire.ConsensusMessage) {
+	if t := c.transport.Load(); t != nil {
+		t.send(m)
+	}
+}
+
+func (c *Control) learn(id uint64, address string) {
+	if t := c.transport.Load(); t != nil {
+		t.learn(id, address)
+	}
 }
 
-// Run registers zones until ctx ends.
+// Run takes part in the agreement and registers zones until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
+	s := c.instance.Settings
+	c.transport.Store(newTransport(ctx, c.instance.Dialer, uint64(s.Control.ID), s.Link.Listen.String()))
+	go c.found(ctx)
+	go c.followZones(ctx)
+	return c.loop.run(ctx)
+}
+
+// zoneRetryInterval separates attempts to register zones, which only a leader does.
+const zoneRetryInterval = time.Second
+
+func (c *Control) followZones(ctx context.Context) {
 	stopWatch := c.instance.Store.Watch(func([]*wire.Record) { c.signalChange() })
 	defer stopWatch()
-	c.signalChange()
+	ticker := time.NewTicker(zoneRetryInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-c.changed:
-			c.registerZones(ctx)
+		case <-ticker.C:
 		}
+		c.registerZones(ctx)
 	}
 }
 
@@ -63,16 +97,29 @@
 
 // registerZones makes the zones of all instances known.
 func (c *Control) registerZones(ctx context.Context) {
+	if !c.isLeader() {
+		return
+	}
+	for _, name := range c.unknownZones() {
+		command := &wire.Command{Body: &wire.Command_RegisterZone{RegisterZone: &wire.RegisterZone{Name: name}}}
+		if _, err := c.propose(ctx, command); err != nil {
+			c.instance.Log.Warn().Str("zone", name).Err(err).Msg("zone not registered")
+		}
+	}
+}
+
+func (c *Control) unknownZones() []string {
+	var names []string
+	isSeen := make(map[string]bool)
 	for _, record := range c.instance.Store.List(wire.Record_KIND_ENDPOINT, wire.Record_KIND_BALANCER) {
 		name := zoneOf(record)
-		if name == "" || c.instance.Store.Get(wire.Record_KIND_ZONE, name) != nil {
+		if name == "" || isSeen[name] || c.instance.Store.Get(wire.Record_KIND_ZONE, name) != nil {
 			continue
 		}
-		command := &wire.Command{Body: &wire.Command_RegisterZone{RegisterZone: &wire.RegisterZone{Name: name}}}
-		if _, err := c.log.Propose(ctx, command); err != nil {
-			c.instance.Log.Warn().Str("zone", name).Err(err).Msg("zone not registered")
-		}
+		isSeen[name] = true
+		names = append(names, name)
 	}
+	return names
 }
 
 func zoneOf(record *wire.Record) string {
@@ -93,31 +140,39 @@
 // Drain has nothing to wait for.
 func (c *Control) Drain(context.Context) {}
 
-// ServeStream answers commands.
-func (c *Control) ServeStream(ctx context.Context, request *wire.Request, stream net.Conn) bool {
-	command := request.GetCommand()
-	if command == nil {
-		return false
-	}
-	response := new(wire.Response)
-	result, err := c.log.Propose(ctx, command)
-	if err != nil {
-		response.Error = err.Error()
-	} else {
-		response.Body = &wire.Response_Command{Command: result}
-	}
-	if err := link.WriteMessage(stream, response); err != nil {
-		c.instance.Log.Debug().Err(err).Msg("command result not sent")
-	}
-	return true
-}
-
-// Health returns nil: a control instance serves as long as it runs.
+// Health fails until the instance belongs to a group.
 func (c *Control) Health() error {
+	if c.loop.status.Load().Group.GetNumber() == 0 {
+		return Error.New("the instance belongs to no control group yet; it waits for the members of its settings, or for sassafrasturnctl control add")
+	}
 	return nil
 }
 
-// Details says nothing yet about the log.
+// Details says how the instance stands in the group.
 func (c *Control) Details() []string {
-	return nil
+	status := c.loop.status.Load()
+	lines := []string{
+		fmt.Sprintf("control id: %d", c.replica.identity.Id),
+		fmt.Sprintf("control role: %s", status.Role),
+		fmt.Sprintf("control leader: %d", status.Leader),
+		fmt.Sprintf("control term: %d", status.Term),
+		fmt.Sprintf("control log: committed %d, applied %d, last %d", status.Commit, status.Applied, status.Last),
+	}
+	for _, member := range status.Group.GetMembers() {
+		lines = append(lines, fmt.Sprintf("control member: %s", DescribeMember(member)))
+	}
+	return lines
+}
+
+// DescribeMember gives a member as one line.
+func DescribeMember(member *wire.ControlMember) string {
+	state := "voter"
+	if !member.Voter {
+		state = "learner"
+	}
+	line := fmt.Sprintf("%d@%s %s", member.Id, member.Address, state)
+	if member.Replaces != 0 {
+		line += fmt.Sprintf(", replaces %d", member.Replaces)
+	}
+	return line
 }
--- /dev/null
+++ b/internal/machine/control/founding.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"sassafrasturn.example/internal/settings"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	foundingInterval = 300 * time.Millisecond
+	identityTimeout  = 2 * time.Second
+	// lostDiskLogInterval separates log lines about a group without this disk.
+	lostDiskLogInterval = 10 * time.Second
+)
+
+// found waits until the instance belongs to a group. The member with the lowest
+// ID of the settings forms a new group, but only once all members have said
+// that they know none: an instance that has lost its disk must not begin anew.
+func (c *Control) found(ctx context.Context) {
+	var loggedAt time.Time
+	for ctx.Err() == nil && c.loop.status.Load().Group.GetNumber() == 0 {
+		identities, all := c.askMembers(ctx)
+		if group := knownGroup(identities); group != nil {
+			if time.Since(loggedAt) > lostDiskLogInterval {
+				loggedAt = time.Now()
+				c.logForeignGroup(group)
+			}
+		} else if all && c.isFounder() {
+			c.formGroup(ctx, identities)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(foundingInterval):
+		}
+	}
+}
+
+// members returns the members of the settings; without any, this instance is
+// the only one.
+func (c *Control) members() []settings.Member {
+	s := c.instance.Settings
+	if len(s.Control.Members) == 0 {
+		return []settings.Member{{ID: uint64(s.Control.ID), Link: s.Link.Listen}}
+	}
+	return s.Control.Members
+}
+
+func (c *Control) isFounder() bool {
+	own := uint64(c.instance.Settings.Control.ID)
+	isListed := false
+	for _, member := range c.members() {
+		if member.ID < own {
+			return false
+		}
+		isListed = isListed || member.ID == own
+	}
+	return isListed
+}
+
+// askMembers returns the identities of the members of the settings and whether
+// all of them have answered.
+func (c *Control) askMembers(ctx context.Context) (identities []*wire.DiskIdentity, all bool) {
+	all = true
+	for _, member := range c.members() {
+		if member.ID == c.replica.identity.Id {
+			identities = append(identities, c.replica.identity)
+			continue
+		}
+		identity, err := c.askIdentity(ctx, member.Link.String())
+		if err != nil || identity.Id != member.ID {
+			all = false
+			continue
+		}
+		identities = append(identities, identity)
+	}
+	return identities, all
+}
+
+func (c *Control) askIdentity(ctx context.Context, address string) (*wire.DiskIdentity, error) {
+	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
+	defer cancel()
+	request := &wire.ConsensusRequest{
+		From: c.replica.identity.Id,
+		Body: &wire.ConsensusRequest_Identity{Identity: &wire.IdentityRequest{}},
+	}
+	response, err := c.instance.Dialer.Call(ctx, address, &wire.Request{Body: &wire.Request_Consensus{Consensus: request}})
+	if err != nil {
+		return nil, err
+	}
+	identity := response.GetConsensus().GetIdentity()
+	if identity == nil {
+		return nil, Error.New("%s does not say who it is: %s; is it a control instance?", address, response.Error)
+	}
+	return identity, nil
+}
+
+func knownGroup(identities []*wire.DiskIdentity) *wire.ControlGroup {
+	for _, identity := range identities {
+		if identity.Group.GetNumber() != 0 {
+			return identity.Group
+		}
+	}
+	return nil
+}
+
+func (c *Control) logForeignGroup(group *wire.ControlGroup) {
+	for _, member := range group.Members {
+		if member.Id == c.replica.identity.Id && member.Disk == c.replica.identity.Disk {
+			return
+		}
+	}
+	c.instance.Log.Warn().Uint64("id", c.replica.identity.Id).
+		Msg("the control group does not have this disk as a member; if the data folder was lost, give the instance a new id and run sassafrasturnctl control add")
+}
+
+func (c *Control) formGroup(ctx context.Context, identities []*wire.DiskIdentity) {
+	var members []*wire.ControlMember
+	for i, member := range c.members() {
+		members = append(members, &wire.ControlMember{
+			Id: member.ID, Address: member.Link.String(), Disk: identities[i].Disk, Voter: true,
+		})
+	}
+	err := c.loop.do(ctx, func(now time.Duration) error {
+		if status := c.replica.core.Status(now); status.Group.GetNumber() != 0 || status.Term != 0 {
+			return nil
+		}
+		return c.replica.form(now, members)
+	})
+	if err == nil {
+		c.instance.Log.Info().Int("members", len(members)).Msg("control group formed")
+	}
+}
--- /dev/null
+++ b/internal/machine/control/metrics.go
@@ -0,0 +1,30 @@
+package control
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sassafrasturn.example/internal/consensus"
+)
+
+// registerMetrics exposes how the replica of a loop stands.
+func registerMetrics(registry *prometheus.Registry, l *loop) {
+	gauge := func(name, help string, value func(*consensus.Status) float64) {
+		opts := prometheus.GaugeOpts{Name: "sassafrasturn_control_" + name, Help: help}
+		registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return value(l.status.Load()) }))
+	}
+	gauge("leader", "1 when this instance leads the control group.", func(s *consensus.Status) float64 {
+		if s.Role == consensus.Leader {
+			return 1
+		}
+		return 0
+	})
+	gauge("known_leader", "ID of the leader that this instance follows; 0 when it knows none.", func(s *consensus.Status) float64 {
+		return float64(s.Leader)
+	})
+	gauge("term", "Term of the agreement.", func(s *consensus.Status) float64 { return float64(s.Term) })
+	gauge("commit_index", "Log index up to which commands are committed.", func(s *consensus.Status) float64 { return float64(s.Commit) })
+	gauge("applied_index", "Log index up to which commands are applied.", func(s *consensus.Status) float64 { return float64(s.Applied) })
+	gauge("members", "Members of the control group, learners included.", func(s *consensus.Status) float64 {
+		return float64(len(s.Group.GetMembers()))
+	})
+}
--- /dev/null
+++ b/internal/machine/control/replica.go
@@ -0,0 +1,312 @@
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/catalog"
+	"sassafrasturn.example/internal/consensus"
+	"sassafrasturn.example/internal/journal"
+	"sassafrasturn.example/internal/wire"
+)
+
+// Bounds of a replica.
+const (
+	// maxPending bounds the proposals that wait for their result.
+	maxPending = 1024
+	// A snapshot replaces the log after as many entries or bytes.
+	snapshotEntries  = 1000
+	snapshotLogBytes = 16 << 20
+)
+
+// Errors of proposals.
+var (
+	errPending = Error.New("not run: %d proposals are waiting already; try again", maxPending)
+	errUnknown = Error.New("outcome unknown: the leader has changed; send it again with the same submission ID, which gets the first answer if there is one")
+)
+
+// waiter waits for the entry that was proposed at an index and term.
+type waiter struct {
+	term uint64
+	done func(*wire.CommandResult, error)
+}
+
+// outputs is where a replica's work goes.
+type outputs struct {
+	send    func(*wire.ConsensusMessage)
+	publish func([]*wire.Record)
+}
+
+// replica is one control instance's copy of the replicated state: agreement,
+// journal and catalog. It is not safe for concurrent use. After an error the
+// instance must stop.
+type replica struct {
+	identity *wire.DiskIdentity
+	rand     *rand.Rand
+	outputs  outputs
+
+	core    *consensus.Core
+	journal *journal.Journal
+	catalog *catalog.Catalog
+
+	waiting map[uint64]waiter
+	// published is the log index up to which changes have been published.
+	published uint64
+	// sinceSnapshot counts the entries that were applied after the snapshot.
+	sinceSnapshot int
+
+	leaseSequence uint64
+	leaseAt       time.Duration
+}
+
+// openReplica restores a replica from its data folder and publishes its state.
+func openReplica(folder journal.Folder, id uint64, random *rand.Rand, now time.Duration, out outputs) (*replica, error) {
+	fresh := &wire.DiskIdentity{Id: id, Disk: random.Uint64() | 1}
+	j, contents, err := journal.Open(folder, fresh)
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{
+		identity: contents.Identity, rand: random, outputs: out,
+		journal: j, waiting: make(map[uint64]waiter), leaseAt: now,
+	}
+	if err := r.checkIdentity(id, contents); err != nil {
+		return nil, err
+	}
+	stored := consensus.Stored{State: contents.State, Snapshot: contents.Snapshot, Entries: contents.Entries}
+	if err := r.restore(stored, now); err != nil {
+		return nil, err
+	}
+	return r, r.work(now)
+}
+
+// checkIdentity refuses a folder that another member has used. One that was
+// never a member's may change its ID.
+func (r *replica) checkIdentity(id uint64, contents *journal.Contents) error {
+	if r.identity.Id == id {
+		return nil
+	}
+	if contents.State != nil || contents.Snapshot != nil {
+		return Error.New("[control] id: found %d, allowed: %d, to which the data folder belongs; or name an empty data folder", id, r.identity.Id)
+	}
+	r.identity = &wire.DiskIdentity{Id: id, Disk: r.rand.Uint64() | 1}
+	return r.journal.StoreIdentity(r.identity)
+}
+
+func (r *replica) restore(stored consensus.Stored, now time.Duration) error {
+	c, err := catalog.Restore(stored.Snapshot.GetState())
+	if err != nil {
+		return err
+	}
+	r.catalog = c
+	config := consensus.Config{ID: r.identity.Id, Disk: r.identity.Disk, Rand: r.rand}
+	r.core = consensus.New(config, stored, now)
+	r.publish(r.core.Status(now).Applied)
+	return nil
+}
+
+// form begins a new group with the given members.
+func (r *replica) form(now time.Duration, members []*wire.ControlMember) error {
+	group := &wire.ControlGroup{Number: r.rand.Uint64() | 1, Members: members}
+	for _, member := range members {
+		group.HighestId = max(group.HighestId, member.Id)
+	}
+	stored := consensus.Stored{
+		State:    &wire.VoteState{Term: consensus.FirstTerm, Commit: 1},
+		Snapshot: consensus.FirstSnapshot(group),
+	}
+	if err := r.journal.Replace(stored.Snapshot, stored.State, nil); err != nil {
+		return err
+	}
+	return r.restore(stored, now)
+}
+
+func (r *replica) tick(now time.Duration) error {
+	r.core.Tick(now)
+	return r.work(now)
+}
+
+func (r *replica) step(now time.Duration, m *wire.ConsensusMessage) error {
+	r.core.Step(now, m)
+	return r.work(now)
+}
+
+// propose puts a command that has been prepared into the log. done gets its
+// result, before propose returns or later.
+func (r *replica) propose(now time.Duration, command *wire.Command, done func(*wire.CommandResult, error)) {
+	if first := r.catalog.Remembered(command.SubmissionId); first != nil {
+		done(first, nil)
+		return
+	}
+	if len(r.waiting) >= maxPending {
+		done(nil, errPending)
+		return
+	}
+	data, err := proto.Marshal(command)
+	if err != nil {
+		done(nil, Error.Wrap(err))
+		return
+	}
+	index, term, err := r.core.Propose(now, data)
+	r.await(index, term, err, done)
+}
+
+func (r *replica) addMember(now time.Duration, member *wire.ControlMember, done func(*wire.CommandResult, error)) {
+	index, term, err := r.core.ProposeAdd(now, member)
+	r.await(index, term, err, done)
+}
+
+func (r *replica) removeMember(now time.Duration, id uint64, done func(*wire.CommandResult, error)) {
+	index, term, err := r.core.ProposeRemove(now, id)
+	r.await(index, term, err, done)
+}
+
+func (r *replica) await(index, term uint64, err error, done func(*wire.CommandResult, error)) {
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	r.waiting[index] = waiter{term: term, done: done}
+}
+
+// work stores, sends and applies what is due.
+func (r *replica) work(now time.Duration) error {
+	for {
+		ready := r.core.Ready()
+		if ready.IsEmpty() {
+			break
+		}
+		if err := r.do(ready); err != nil {
+			return err
+		}
+		r.core.Advance(ready)
+	}
+	status := r.core.Status(now)
+	if status.Role != consensus.Leader {
+		r.failWaiting()
+	}
+	r.publish(status.Applied)
+	return r.compact(status)
+}
+
+func (r *replica) do(ready *consensus.Ready) error {
+	if err := r.store(ready); err != nil {
+		return err
+	}
+	for _, m := range ready.Messages {
+		r.outputs.send(m)
+	}
+	for _, entry := range ready.Committed {
+		if err := r.apply(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *replica) store(ready *consensus.Ready) error {
+	if ready.Snapshot != nil {
+		c, err := catalog.Restore(ready.Snapshot.State)
+		if err != nil {
+			return err
+		}
+		if err := r.journal.Replace(ready.Snapshot, ready.State, ready.Entries); err != nil {
+			return err
+		}
+		r.catalog = c
+		r.sinceSnapshot = 0
+		return nil
+	}
+	if ready.State == nil && len(ready.Entries) == 0 {
+		return nil
+	}
+	return r.journal.Save(ready.State, ready.Entries)
+}
+
+func (r *replica) apply(entry *wire.LogEntry) error {
+	result, err := r.applyCommand(entry)
+	if err != nil {
+		return err
+	}
+	r.sinceSnapshot++
+	w, ok := r.waiting[entry.Index]
+	if !ok {
+		return nil
+	}
+	delete(r.waiting, entry.Index)
+	if w.term != entry.Term {
+		w.done(nil, errUnknown)
+		return nil
+	}
+	w.done(result, nil)
+	return nil
+}
+
+func (r *replica) applyCommand(entry *wire.LogEntry) (*wire.CommandResult, error) {
+	if len(entry.Command) == 0 {
+		return nil, nil
+	}
+	command := new(wire.Command)
+	if err := proto.Unmarshal(entry.Command, command); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return r.catalog.Apply(entry.Index, command)
+}
+
+// failWaiting answers the proposals of an instance that leads no longer.
+func (r *replica) failWaiting() {
+	for index, w := range r.waiting {
+		delete(r.waiting, index)
+		w.done(nil, errUnknown)
+	}
+}
+
+// publish hands out the records that were changed since the last call.
+func (r *replica) publish(applied uint64) {
+	if applied <= r.published {
+		return
+	}
+	if records := r.catalog.Records(r.published); len(records) > 0 {
+		r.outputs.publish(records)
+	}
+	r.published = applied
+}
+
+// compact replaces the log by a snapshot when it has grown long.
+func (r *replica) compact(status consensus.Status) error {
+	if r.sinceSnapshot == 0 || r.sinceSnapshot < snapshotEntries && r.journal.LogBytes() < snapshotLogBytes {
+		return nil
+	}
+	state, err := r.catalog.Snapshot()
+	if err != nil {
+		return err
+	}
+	r.sinceSnapshot = 0
+	stored := r.core.Compact(state)
+	return r.journal.Replace(stored.Snapshot, stored.State, stored.Entries)
+}
+
+// Intervals of the lease.
+const (
+	leaseInterval = 500 * time.Millisecond
+	leaseDuration = 3 * time.Second
+)
+
+// lease returns the next lease record when one is due: the instance leads, has
+// applied all that is committed, and a majority has answered an append that
+// was sent after the last lease and within the interval.
+func (r *replica) lease(now time.Duration) *wire.Lease {
+	status := r.core.Status(now)
+	if !status.IsCurrent || status.Contact <= r.leaseAt || now-status.Contact > leaseInterval {
+		return nil
+	}
+	r.leaseAt = now
+	r.leaseSequence++
+	return &wire.Lease{
+		Index:      status.Applied,
+		ZoneIndex:  r.catalog.ZoneIndex(),
+		DurationMs: uint32(leaseDuration.Milliseconds()),
+	}
+}
--- /dev/null
+++ b/internal/machine/control/serve.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"sassafrasturn.example/internal/catalog"
+	"sassafrasturn.example/internal/consensus"
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	// proposalTimeout bounds the wait for the result of a proposal.
+	proposalTimeout = 5 * time.Second
+	// leaderTimeout bounds the wait for a leader to be known.
+	leaderTimeout      = 3 * time.Second
+	leaderPollInterval = 50 * time.Millisecond
+)
+
+var errNoLeader = Error.New("not run: no leader is known, perhaps since no majority of the control instances is up; see sassafrasturnctl status")
+
+// ServeStream answers commands and requests about the control group.
+func (c *Control) ServeStream(ctx context.Context, request *wire.Request, stream net.Conn) bool {
+	switch body := request.Body.(type) {
+	case *wire.Request_Command:
+		c.respond(stream, c.serveCommand(ctx, body.Command))
+	case *wire.Request_Consensus:
+		c.serveConsensus(ctx, body.Consensus, stream)
+	default:
+		return false
+	}
+	return true
+}
+
+func (c *Control) respond(stream net.Conn, response *wire.Response) {
+	if err := link.WriteMessage(stream, response); err != nil {
+		c.instance.Log.Debug().Err(err).Msg("response not sent")
+	}
+}
+
+func (c *Control) isLeader() bool {
+	return c.loop.status.Load().Role == consensus.Leader
+}
+
+// findLeader waits until this instance leads or knows the leader's address.
+func (c *Control) findLeader(ctx context.Context) (isSelf bool, address string) {
+	ctx, cancel := context.WithTimeout(ctx, leaderTimeout)
+	defer cancel()
+	for {
+		status := c.loop.status.Load()
+		if status.Role == consensus.Leader {
+			return true, ""
+		}
+		for _, member := range status.Group.GetMembers() {
+			if member.Id == status.Leader {
+				return false, member.Address
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return false, ""
+		case <-time.After(leaderPollInterval):
+		}
+	}
+}
+
+// atLeader answers a request that only the leader can serve.
+func (c *Control) atLeader(ctx context.Context, serve func() (*wire.Response, error)) *wire.Response {
+	isSelf, address := c.findLeader(ctx)
+	if address != "" {
+		return &wire.Response{Redirect: address}
+	}
+	if !isSelf {
+		return &wire.Response{Error: errNoLeader.Error()}
+	}
+	response, err := serve()
+	if err != nil {
+		return &wire.Response{Error: err.Error()}
+	}
+	return response
+}
+
+func (c *Control) serveCommand(ctx context.Context, command *wire.Command) *wire.Response {
+	return c.atLeader(ctx, func() (*wire.Response, error) {
+		result, err := c.propose(ctx, command)
+		if err != nil {
+			return nil, err
+		}
+		c.logResult(command, result)
+		return &wire.Response{Body: &wire.Response_Command{Command: result}}, nil
+	})
+}
+
+func (c *Control) logResult(command *wire.Command, result *wire.CommandResult) {
+	c.instance.Log.Info().Str("submission", command.SubmissionId).
+		Str("service", command.GetSubmit().GetService()+command.GetWithdraw().GetService()).
+		Str("zone", command.GetSetZone().GetName()).Bool("out", command.GetSetZone().GetOut()).
+		Stringer("outcome", result.Outcome).Uint64("index", result.Index).Uint64("version", result.Version).
+		Msg("command answered")
+}
+
+// propose checks a command and puts it into the log.
+func (c *Control) propose(ctx context.Context, command *wire.Command) (*wire.CommandResult, error) {
+	if refused := catalog.Prepare(command); refused != nil {
+		return refused, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	return c.loop.submit(ctx, func(now time.Duration, done func(*wire.CommandResult, error)) {
+		c.replica.propose(now, command, done)
+	})
+}
+
+func (c *Control) serveConsensus(ctx context.Context, request *wire.ConsensusRequest, stream net.Conn) {
+	switch body := request.Body.(type) {
+	case nil:
+		c.receive(ctx, stream)
+	case *wire.ConsensusRequest_Identity:
+		c.respond(stream, consensusResponse(&wire.ConsensusResponse{Identity: c.identity()}))
+	case *wire.ConsensusRequest_List:
+		c.respond(stream, consensusResponse(&wire.ConsensusResponse{Group: c.loop.status.Load().Group}))
+	case *wire.ConsensusRequest_Add:
+		c.respond(stream, c.atLeader(ctx, func() (*wire.Response, error) { return c.addMember(ctx, body.Add) }))
+	case *wire.ConsensusRequest_Remove:
+		c.respond(stream, c.atLeader(ctx, func() (*wire.Response, error) { return c.removeMember(ctx, body.Remove) }))
+	}
+}
+
+func consensusResponse(body *wire.ConsensusResponse) *wire.Response {
+	return &wire.Response{Body: &wire.Response_Consensus{Consensus: body}}
+}
+
+// receive takes in messages of another member until the stream ends.
+func (c *Control) receive(ctx context.Context, stream net.Conn) {
+	for {
+		m, err := readMessage(stream)
+		if err != nil {
+			return
+		}
+		if m.To != c.replica.identity.Id || m.ToDisk != c.replica.identity.Disk {
+			continue
+		}
+		c.learn(m.From, m.FromAddress)
+		if !c.loop.deliver(ctx, m) {
+			return
+		}
+	}
+}
+
+func (c *Control) identity() *wire.DiskIdentity {
+	return &wire.DiskIdentity{
+		Id:    c.replica.identity.Id,
+		Disk:  c.replica.identity.Disk,
+		Group: c.loop.status.Load().Group,
+	}
+}
+
+// addMember adds an instance that waits at an address with an empty data folder.
+func (c *Control) addMember(ctx context.Context, add *wire.AddControl) (*wire.Response, error) {
+	identity, err := c.askIdentity(ctx, add.Address)
+	if err != nil {
+		return nil, err
+	}
+	if identity.Id != add.Id {
+		return nil, Error.New("the instance at %s has id %d in its settings, not %d", add.Address, identity.Id, add.Id)
+	}
+	if identity.Group.GetNumber() != 0 {
+		return nil, Error.New("the instance at %s belongs to a control group already; give it an empty data folder", add.Address)
+	}
+	member := &wire.ControlMember{Id: add.Id, Address: add.Address, Disk: identity.Disk, Replaces: add.Replaces}
+	return c.changeGroup(ctx, func(now time.Duration, done func(*wire.CommandResult, error)) {
+		c.replica.addMember(now, member, done)
+	})
+}
+
+func (c *Control) removeMember(ctx context.Context, remove *wire.RemoveControl) (*wire.Response, error) {
+	return c.changeGroup(ctx, func(now time.Duration, done func(*wire.CommandResult, error)) {
+		c.replica.removeMember(now, remove.Id, done)
+	})
+}
+
+func (c *Control) changeGroup(ctx context.Context, start func(time.Duration, func(*wire.CommandResult, error))) (*wire.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposalTimeout)
+	defer cancel()
+	if _, err := c.loop.submit(ctx, start); err != nil {
+		return nil, err
+	}
+	return consensusResponse(&wire.ConsensusResponse{Group: c.loop.status.Load().Group}), nil
+}
