--- a/cmd/sassafrasturnbench/measure.go
+++ b/cmd/sassafrasturnbench/measure.go
@@ -38,7 +38,7 @@
 func userPlan() harness.Plan {
 	const extra = "\n[requests]\nnon_idempotent = POST /orders\nstreaming = GET /board, GET /drawings/*\n\n[limits]\nqueue = 1000\n"
 	return harness.Plan{
-		Controls:  1,
+		Controls:  3,
 		Balancers: 3,
 		Zones:     []string{"a", "b", "c"},
 		Services: []harness.ServicePlan{
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -128,11 +128,6 @@
 	return r.work(now)
 }
 
-func (r *replica) step(now time.Duration, m *wire.ConsensusMessage) error {
-	r.core.Step(now, m)
-	return r.work(now)
-}
-
 // propose puts a command that has been prepared into the log. done gets its
 // result, before propose returns or later.
 func (r *replica) propose(now time.Duration, command *wire.Command, done func(*wire.CommandResult, error)) {
