Hold a zone lease at every instance

Cause: nothing told a balancer that its view of the zones was old; one that was cut off or frozen forwarded into a zone that had gone out for as long as it lived.

Control instances take the lease that they publish themselves.

Ruled out: counting from arrival (the naive version of the test: answers that lay in the socket's buffer while the process was frozen look fresh); CLOCK_BOOTTIME (a system call for each datagram: the larger of the monotonic and the wall clock's elapsed time covers suspends and costs no allocation).

--- a/internal/exchange/session.go
+++ b/internal/exchange/session.go
@@ -27,6 +27,10 @@
 func (o *outbox) put(records []*wire.Record) {
 	o.mu.Lock()
 	for _, record := range records {
+		if record.Kind == wire.Record_KIND_LEASE {
+			// Instances ask each other for leases: a record in a buffer does not say how old it is.
+			continue
+		}
 		key := recordKey{kind: record.Kind, key: record.Key}
 		held, ok := o.pending[key]
 		if !ok || IsNewer(record, held) {
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -43,6 +43,9 @@
 func (c *Control) Run(ctx context.Context) error {
 	stopWatch := c.instance.Store.Watch(func([]*wire.Record) { c.signalChange() })
 	defer stopWatch()
+	if solo, ok := c.log.(*soloLog); ok {
+		go solo.followLease(ctx)
+	}
 	c.signalChange()
 	for {
 		select {
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -19,6 +20,7 @@
 	"sassafrasturn.example/internal/link"
 	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
+	"sassafrasturn.example/internal/zone"
 )
 
 // Error is the class of this package's errors.
@@ -49,6 +51,10 @@
 	Store     *exchange.Store
 	Dialer    *link.Dialer
 	Metrics   *prometheus.Registry
+	// ListenUDP opens the sockets of the datagram path.
+	ListenUDP func(address netip.AddrPort) (Socket, error)
+	// Lease says whether a balancer may go on by what is known of the zones.
+	Lease *zone.Holder
 	// Incarnation grows with every start of the instance: Unix milliseconds.
 	Incarnation uint64
 
@@ -75,6 +81,8 @@
 		Store:       exchange.NewStore(),
 		Dialer:      &link.Dialer{TLS: clientTLS},
 		Metrics:     newRegistry(),
+		ListenUDP:   listenUDP,
+		Lease:       zone.NewHolder(),
 		Incarnation: uint64(time.Now().UnixMilli()),
 		serverTLS:   serverTLS,
 	}, nil
@@ -107,6 +115,7 @@
 	go server.Serve(linkCtx, listener)
 	i.joinPeers(linkCtx)
 	go i.followKeyFile(linkCtx)
+	i.followLease(linkCtx)
 	if err := i.serveMetrics(linkCtx); err != nil {
 		return err
 	}
@@ -159,6 +168,9 @@
 		// The error says only how the stream ended.
 		_ = exchange.Run(ctx, i.Store, stream)
 		return
+	case *wire.Request_Lease:
+		i.answerLease(request.GetLease(), stream)
+		return
 	case *wire.Request_Status:
 		i.respond(stream, &wire.Response{Body: &wire.Response_Status{Status: i.status()}})
 		return
--- /dev/null
+++ b/internal/machine/lease.go
@@ -0,0 +1,224 @@
+package machine
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/settings"
+	"sassafrasturn.example/internal/wire"
+	"sassafrasturn.example/internal/zone"
+)
+
+const (
+	// askTimeout bounds the wait for one answer.
+	askTimeout = time.Second
+	// neighbourCount is how many instances besides the configured peers are
+	// asked for the lease, so that it spreads past a cut to control.
+	neighbourCount = 2
+	// neighbourTerm is how long an instance asks the same neighbours.
+	neighbourTerm = 30 * time.Second
+
+	leaseKey = "control"
+	// maxLease bounds the duration of a lease, whatever a peer says.
+	maxLease = 10 * time.Second
+)
+
+// followLease keeps the instance's zone lease and zone records up to date.
+func (i *Instance) followLease(ctx context.Context) {
+	stop := i.Store.Watch(i.noteRecords)
+	context.AfterFunc(ctx, stop)
+	i.noteRecords(i.Store.List(wire.Record_KIND_ZONE, wire.Record_KIND_LEASE))
+	for _, peer := range i.Settings.Cluster.Peers {
+		if peer != i.Settings.Link.Listen {
+			go i.askPeer(ctx, peer.String())
+		}
+	}
+	for range neighbourCount {
+		go i.askNeighbours(ctx)
+	}
+}
+
+// noteRecords takes the newest zone change, and at a control instance the
+// lease that its own leader has published: leases do not travel by exchange,
+// because records that lay in a buffer do not say how old they are.
+func (i *Instance) noteRecords(records []*wire.Record) {
+	now := time.Now()
+	for _, record := range records {
+		switch record.Kind {
+		case wire.Record_KIND_ZONE:
+			i.Lease.SetView(record.Major)
+		case wire.Record_KIND_LEASE:
+			lease := new(wire.Lease)
+			if i.isControl() && record.Key == leaseKey && proto.Unmarshal(record.Value, lease) == nil {
+				i.Lease.Offer(now, leaseOf(record.Major, lease))
+			}
+		}
+	}
+}
+
+func (i *Instance) isControl() bool {
+	return i.Settings.Role == settings.RoleControl || i.Settings.Role == settings.RoleAll
+}
+
+func leaseOf(term uint64, lease *wire.Lease) zone.Lease {
+	duration := time.Duration(lease.DurationMs) * time.Millisecond
+	return zone.Lease{Term: term, ZoneIndex: lease.ZoneIndex, Duration: min(duration, maxLease)}
+}
+
+// askNeighbours asks one instance after the other for the lease.
+func (i *Instance) askNeighbours(ctx context.Context) {
+	for ctx.Err() == nil {
+		address := i.pickNeighbour()
+		if address == "" {
+			sleep(ctx, zone.AskInterval)
+			continue
+		}
+		term, cancel := context.WithTimeout(ctx, neighbourTerm)
+		i.askPeer(term, address)
+		cancel()
+	}
+}
+
+// pickNeighbour returns the link address of a random balancer or agent, or "".
+func (i *Instance) pickNeighbour() string {
+	own := i.Settings.Link.Listen.String()
+	records := i.Store.List(wire.Record_KIND_BALANCER, wire.Record_KIND_ENDPOINT)
+	for range min(len(records), 4) {
+		if address := linkOf(records[rand.IntN(len(records))]); address != "" && address != own {
+			return address
+		}
+	}
+	return ""
+}
+
+func linkOf(record *wire.Record) string {
+	if record.Kind == wire.Record_KIND_BALANCER {
+		balancer := new(wire.Balancer)
+		if proto.Unmarshal(record.Value, balancer) != nil {
+			return ""
+		}
+		return balancer.Link
+	}
+	endpoint := new(wire.Endpoint)
+	if proto.Unmarshal(record.Value, endpoint) != nil || endpoint.State == wire.Endpoint_STATE_GONE {
+		return ""
+	}
+	return endpoint.Link
+}
+
+// askPeer asks the instance at address again and again until ctx ends.
+func (i *Instance) askPeer(ctx context.Context, address string) {
+	var session *yamux.Session
+	defer func() {
+		if session != nil {
+			session.Close()
+		}
+	}()
+	for ctx.Err() == nil {
+		var err error
+		if session == nil {
+			session, err = i.Dialer.Dial(ctx, address)
+		}
+		if err == nil {
+			err = i.askOnce(ctx, session)
+		}
+		if err != nil && session != nil {
+			session.Close()
+			session = nil
+		}
+		i.waitToAsk(ctx)
+	}
+}
+
+// waitToAsk waits for the interval, or until the lease runs out: an answer
+// that is asked for then tells at once whether peers are heard.
+func (i *Instance) waitToAsk(ctx context.Context) {
+	wait := zone.AskInterval
+	if until, ok := i.Lease.FreshUntil(); ok {
+		if left := time.Until(until); left > 0 {
+			wait = min(wait, left+time.Millisecond)
+		}
+	}
+	sleep(ctx, wait)
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
+func (i *Instance) askOnce(ctx context.Context, session *yamux.Session) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	question := &wire.LeaseRequest{ZonesDigest: zonesDigest(i.Store.List(wire.Record_KIND_ZONE))}
+	asked := time.Now()
+	response, err := link.CallOn(ctx, session, &wire.Request{Body: &wire.Request_Lease{Lease: question}})
+	if err != nil {
+		return err
+	}
+	answer := response.GetLease()
+	if answer == nil {
+		return Error.New("the peer does not answer lease requests")
+	}
+	i.takeLease(asked, time.Now(), answer)
+	return nil
+}
+
+// takeLease takes in an answer; its zones come first, so that the view has
+// what the lease names.
+func (i *Instance) takeLease(asked, now time.Time, answer *wire.LeaseResponse) {
+	zones := slices.DeleteFunc(answer.Zones, func(r *wire.Record) bool { return r.Kind != wire.Record_KIND_ZONE })
+	i.Store.Merge(zones)
+	i.Lease.Hear(asked, now, newestIndex(zones))
+	if answer.Lease != nil {
+		age := time.Duration(answer.AgeMs) * time.Millisecond
+		i.Lease.Offer(asked.Add(-age), leaseOf(answer.Term, answer.Lease))
+	}
+}
+
+// answerLease tells a peer the lease that this instance holds and the zones.
+func (i *Instance) answerLease(question *wire.LeaseRequest, stream net.Conn) {
+	answer := new(wire.LeaseResponse)
+	if lease, age, ok := i.Lease.Valid(time.Now()); ok {
+		answer.Lease = &wire.Lease{ZoneIndex: lease.ZoneIndex, DurationMs: uint32(lease.Duration.Milliseconds())}
+		answer.Term = lease.Term
+		// Rounded up: a lease must not look younger than it is.
+		answer.AgeMs = uint32(age.Milliseconds()) + 1
+	}
+	zones := i.Store.List(wire.Record_KIND_ZONE)
+	if zonesDigest(zones) != question.ZonesDigest {
+		answer.Zones = zones
+	}
+	i.respond(stream, &wire.Response{Body: &wire.Response_Lease{Lease: answer}})
+}
+
+func newestIndex(records []*wire.Record) uint64 {
+	var newest uint64
+	for _, record := range records {
+		newest = max(newest, record.Major)
+	}
+	return newest
+}
+
+// zonesDigest tells sets of zone records apart by their keys and versions.
+func zonesDigest(records []*wire.Record) uint64 {
+	sorted := slices.SortedFunc(slices.Values(records), func(a, b *wire.Record) int { return cmp.Compare(a.Key, b.Key) })
+	hash := fnv.New64a()
+	for _, record := range sorted {
+		hash.Write([]byte(record.Key))
+		hash.Write(binary.BigEndian.AppendUint64([]byte{0}, record.Major))
+	}
+	return hash.Sum64()
+}
