Keep flows through changes of address and allow list, guard zones at both ends

Cause: a change of address closed the old socket under established flows; an allow list that no longer covered an endpoint stopped the agent's update; a balancer forwarded whatever its lease; an agent in a zone that is out took datagrams; every record change rebuilt every view; the datagram path allocated.

Balancers look at the lease for each datagram. Agents drop what is for another zone, or for theirs when it is out, and correct the balancer's view (KIND_STALE). Only the newest incarnation at an agent address is an endpoint. Views are rebuilt by service, changes gathered for 20 ms. serving.go untouched; agent.go: sockets, the guard and the order of two checks in reconcile.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -29,6 +29,8 @@
 	index    uint64
 	document []byte
 	address  string
+	// former is the address before the last change of address.
+	former string
 }
 
 type zone struct {
@@ -122,6 +124,9 @@
 		c.nextNumber++
 		c.services[doc.Service] = held
 	}
+	if address := doc.Address.String(); held.address != "" && held.address != address {
+		held.former = held.address
+	}
 	held.version++
 	held.index = index
 	held.document = submit.Document
@@ -186,7 +191,7 @@
 func (c *Catalog) Records() []*wire.Record {
 	var records []*wire.Record
 	for name, s := range c.services {
-		value := &wire.Service{Number: s.number, Version: s.version, Document: s.document}
+		value := &wire.Service{Number: s.number, Version: s.version, Document: s.document, FormerAddress: s.former}
 		records = append(records, record(wire.Record_KIND_SERVICE, name, s.index, value))
 	}
 	for name, z := range c.zones {
--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -115,8 +115,19 @@
 
 // PackAddress gives an address as it stands in envelopes and records.
 func PackAddress(address netip.AddrPort) []byte {
-	ip := address.Addr().Unmap().AsSlice()
-	return append(ip, byte(address.Port()>>8), byte(address.Port()))
+	return AppendAddress(nil, address)
+}
+
+// AppendAddress appends what PackAddress gives.
+func AppendAddress(buffer []byte, address netip.AddrPort) []byte {
+	if ip := address.Addr().Unmap(); ip.Is4() {
+		bytes := ip.As4()
+		buffer = append(buffer, bytes[:]...)
+	} else if ip.Is6() {
+		bytes := ip.As16()
+		buffer = append(buffer, bytes[:]...)
+	}
+	return append(buffer, byte(address.Port()>>8), byte(address.Port()))
 }
 
 // UnpackAddress reads what PackAddress wrote.
--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -22,18 +23,20 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("agent")
 
-// socketBufferBytes is asked for on the envelope socket; the kernel may give less.
-const socketBufferBytes = 4 << 20
-
 // Agent is the agent role of an instance.
 type Agent struct {
 	instance *machine.Instance
 	sealer   *envelope.Sealer
 	codec    *token.Codec
-	conn     *net.UDPConn
+	conn     machine.Socket
 	paths    *returnPaths
-	metrics  *metrics
-	changed  chan struct{}
+	guard    atomic.Pointer[guard]
+	// guardMu keeps an older guard from replacing a newer one.
+	guardMu sync.Mutex
+	// corrected is when a balancer's view was last corrected, in Unix nanoseconds.
+	corrected atomic.Int64
+	metrics   *metrics
+	changed   chan struct{}
 
 	mu         sync.Mutex
 	announced  *Announcement
@@ -53,14 +56,11 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(instance.Settings.Agent.Envelope))
+	conn, err := instance.ListenUDP(instance.Settings.Agent.Envelope)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	// Where the options are refused, forwarding works with smaller buffers.
-	_ = conn.SetReadBuffer(socketBufferBytes)
-	_ = conn.SetWriteBuffer(socketBufferBytes)
-	return &Agent{
+	a := &Agent{
 		instance: instance,
 		sealer:   sealer,
 		codec:    codec,
@@ -68,13 +68,19 @@
 		paths:    newReturnPaths(),
 		metrics:  newMetrics(instance.Metrics),
 		changed:  make(chan struct{}, 1),
-	}, nil
+	}
+	a.guard.Store(a.readGuard())
+	return a, nil
 }
 
 // Run serves the endpoint until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
-	stopWatch := a.instance.Store.Watch(func([]*wire.Record) { a.signalChange() })
+	stopWatch := a.instance.Store.Watch(func(records []*wire.Record) {
+		a.followZones(records)
+		a.signalChange()
+	})
 	defer stopWatch()
+	a.followZones(a.instance.Store.List(wire.Record_KIND_ZONE))
 	if err := a.serveAnnouncements(ctx); err != nil {
 		return err
 	}
@@ -127,13 +133,14 @@
 	if doc == nil || zone == 0 {
 		return nil
 	}
-	if !doc.Allows(a.instance.Settings.Agent.Envelope.Addr()) {
-		return Error.New("the document of %s does not allow endpoints at %s", doc.Service, a.instance.Settings.Agent.Envelope.Addr())
-	}
 	if a.serving != nil {
+		// Also when the document allows no endpoint here any more: established flows go on.
 		a.serving.update(doc)
 		return nil
 	}
+	if !doc.Allows(a.instance.Settings.Agent.Envelope.Addr()) {
+		return Error.New("the document of %s does not allow endpoints at %s", doc.Service, a.instance.Settings.Agent.Envelope.Addr())
+	}
 	s, err := newServing(a, service, zone, doc, a.announced)
 	if err != nil {
 		return err
--- a/internal/machine/agent/metrics.go
+++ b/internal/machine/agent/metrics.go
@@ -6,16 +6,19 @@
 type dropReason string
 
 const (
-	dropForged           dropReason = "forged"
-	dropUnexpected       dropReason = "unexpected"
-	dropMalformed        dropReason = "malformed"
-	dropOtherService     dropReason = "other-service"
-	dropOtherAgent       dropReason = "other-agent"
-	dropOtherIncarnation dropReason = "other-incarnation"
-	dropQueueFull        dropReason = "queue-full"
-	dropNoBalancer       dropReason = "no-balancer"
-	dropRefused          dropReason = "refused"
-	dropSendFailed       dropReason = "send-failed"
+	dropNone         dropReason = ""
+	dropZoneOut      dropReason = "zone-out"
+	dropOtherZone    dropReason = "other-zone"
+	dropNotAllowed   dropReason = "not-allowed"
+	dropForged       dropReason = "forged"
+	dropUnexpected   dropReason = "unexpected"
+	dropMalformed    dropReason = "malformed"
+	dropOtherService dropReason = "other-service"
+	dropOtherAgent   dropReason = "other-agent"
+	dropQueueFull    dropReason = "queue-full"
+	dropNoBalancer   dropReason = "no-balancer"
+	dropRefused      dropReason = "refused"
+	dropSendFailed   dropReason = "send-failed"
 )
 
 type metrics struct {
--- a/internal/machine/agent/packetconn.go
+++ b/internal/machine/agent/packetconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"time"
@@ -16,9 +17,22 @@
 
 type datagram struct {
 	payload []byte
-	caller  *net.UDPAddr
+	caller  callerAddr
 }
 
+// callerAddr is a caller's address together with the address of the service
+// that it dialed: replies leave from there, also after the service has moved
+// to another address.
+type callerAddr struct {
+	caller, dialed netip.AddrPort
+}
+
+// Network returns the name of the network.
+func (callerAddr) Network() string { return "udp" }
+
+// String returns the caller's address.
+func (a callerAddr) String() string { return a.caller.String() }
+
 // packetConn is the net.PacketConn of the QUIC transport: datagrams come out of
 // envelopes and leave in envelopes.
 type packetConn struct {
@@ -69,9 +83,9 @@
 
 // WriteTo sends a datagram to the caller through a balancer.
 func (c *packetConn) WriteTo(p []byte, address net.Addr) (int, error) {
-	caller, ok := address.(*net.UDPAddr)
+	to, ok := address.(callerAddr)
 	if !ok {
-		return 0, Error.New("caller address %v is not a UDP address", address)
+		return 0, Error.New("address %v did not come from this connection", address)
 	}
 	balancer, ok := c.agent.paths.pick(time.Now())
 	if !ok {
@@ -82,7 +96,8 @@
 	message := &wire.Envelope{
 		Kind:    wire.Envelope_KIND_REPLY,
 		Service: c.service,
-		Caller:  envelope.PackAddress(caller.AddrPort()),
+		Caller:  envelope.PackAddress(to.caller),
+		Dialed:  envelope.PackAddress(to.dialed),
 		Payload: p,
 	}
 	c.agent.send(message, balancer)
--- a/internal/machine/agent/receive.go
+++ b/internal/machine/agent/receive.go
@@ -9,6 +9,7 @@
 
 	"sassafrasturn.example/internal/envelope"
 	"sassafrasturn.example/internal/route"
+	"sassafrasturn.example/internal/token"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -52,72 +53,89 @@
 	if handedOn, ok := envelope.UnpackAddress(message.Balancer); ok {
 		balancer = handedOn
 	}
-	a.paths.hear(time.Now(), balancer)
 	a.mu.Lock()
 	s := a.serving
 	a.mu.Unlock()
 	if s == nil || s.number != message.Service {
-		a.drop(dropOtherService)
+		a.refuse(dropOtherService, balancer)
+		return
+	}
+	if a.guard.Load().isZoneOut {
+		a.refuse(dropZoneOut, balancer)
 		return
 	}
 	caller, ok := envelope.UnpackAddress(message.Caller)
+	dialed, isDialed := envelope.UnpackAddress(message.Dialed)
 	packet, isPacket := route.ParsePacket(message.Payload)
-	if !ok || !isPacket {
+	if !ok || !isDialed || !isPacket {
 		a.drop(dropMalformed)
 		return
 	}
-	if !a.isForThisAgent(s, packet) {
-		return
-	}
-	if !a.takeNewFlow(s, packet, balancer, message) {
+	flow, isEstablished := a.codec.Decode(packet.Destination)
+	if isEstablished {
+		if reason := a.checkRoute(s, flow); reason != dropNone {
+			a.refuse(reason, balancer)
+			return
+		}
+	} else if !a.takeNewFlow(s, packet, balancer, message) {
 		return
 	}
-	if !s.packets.deliver(datagram{payload: message.Payload, caller: net.UDPAddrFromAddrPort(caller)}) {
+	a.paths.hear(time.Now(), balancer)
+	if !s.packets.deliver(datagram{payload: message.Payload, caller: callerAddr{caller: caller, dialed: dialed}}) {
 		a.drop(dropQueueFull)
 		return
 	}
 	a.metrics.taken.Inc()
 }
 
-// isForThisAgent is the last guard against datagrams of other services or
-// agents. A datagram of an earlier incarnation of the same service passes: the
+// checkRoute is the last guard against datagrams of other services, agents and
+// zones. A datagram of an earlier incarnation of the same service passes: the
 // transport does not know its connection and answers with a stateless reset.
-func (a *Agent) isForThisAgent(s *serving, packet route.Packet) bool {
-	flow, ok := a.codec.Decode(packet.Destination)
-	if !ok {
-		return true
-	}
-	if flow.Service != s.number {
-		a.drop(dropOtherService)
-		return false
-	}
-	if flow.Agent != a.instance.Settings.Agent.Envelope {
-		a.drop(dropOtherAgent)
-		return false
+func (a *Agent) checkRoute(s *serving, flow token.Route) dropReason {
+	switch {
+	case flow.Service != s.number:
+		return dropOtherService
+	case flow.Agent != a.instance.Settings.Agent.Envelope:
+		return dropOtherAgent
+	case flow.Zone != s.zone:
+		return dropOtherZone
+	default:
+		return dropNone
 	}
-	return true
 }
 
-// takeNewFlow reports whether the datagram belongs here: it is of an
-// established flow, or of a new flow that this agent accepts.
+// takeNewFlow reports whether this agent accepts the new flow that the
+// datagram belongs to.
 func (a *Agent) takeNewFlow(s *serving, packet route.Packet, balancer netip.AddrPort, message *wire.Envelope) bool {
-	if _, ok := a.codec.Decode(packet.Destination); ok {
-		return true
-	}
 	if !packet.IsInitial {
 		a.drop(dropMalformed)
 		return false
 	}
-	switch s.hunt.decide(time.Now(), packet.Destination, len(message.Candidates) == 0) {
+	message.Candidates = a.guard.Load().withoutZonesOut(message.Candidates)
+	isLast := len(message.Candidates) == 0
+	if !s.doc.Load().Allows(a.instance.Settings.Agent.Envelope.Addr()) {
+		// Established flows go on; the document gives this endpoint no new ones.
+		a.handOnOrDrop(balancer, message, dropNotAllowed)
+		return false
+	}
+	switch s.hunt.decide(time.Now(), packet.Destination, isLast) {
 	case huntAccept:
 		return true
 	case huntHandOn:
-		a.handOn(balancer, message)
-		return false
+		a.handOnOrDrop(balancer, message, dropRefused)
 	default:
 		a.drop(dropRefused)
-		return false
 	}
+	return false
+}
+
+// handOnOrDrop hands a new flow on, or drops it when no candidate is left.
+func (a *Agent) handOnOrDrop(balancer netip.AddrPort, message *wire.Envelope, reason dropReason) {
+	if len(message.Candidates) == 0 {
+		a.drop(reason)
+		return
+	}
+	a.handOn(balancer, message)
 }
 
 // handOn sends a new flow to the next candidate.
--- a/internal/machine/balancer/balancer.go
+++ b/internal/machine/balancer/balancer.go
@@ -7,11 +7,12 @@
 	"context"
 	"net"
 	"net/netip"
-	"sync"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/envelope"
 	"sassafrasturn.example/internal/machine"
@@ -23,27 +24,24 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("balancer")
 
-const (
-	// socketBufferBytes is asked for on every UDP socket; the kernel may give less.
-	socketBufferBytes = 4 << 20
-	// quietPeriod without any datagram ends draining: the fabric has moved on.
-	quietPeriod = time.Second
-)
+// quietPeriod without any datagram ends draining: the fabric has moved on.
+const quietPeriod = time.Second
 
 // Balancer is the balancer role of an instance.
 type Balancer struct {
 	instance *machine.Instance
 	sealer   *envelope.Sealer
 	router   *route.Router
-	conn     *net.UDPConn
+	conn     machine.Socket
 	metrics  *metrics
 
-	mu        sync.RWMutex
-	listeners map[uint32]*listener
+	changes *changeSet
+	catalog *catalogView
+	// listeners are found by where they are bound; changed by copy.
+	listeners atomic.Pointer[map[netip.AddrPort]*listener]
 
 	isDraining   atomic.Bool
 	lastDatagram atomic.Int64
-	changed      chan struct{}
 }
 
 // New prepares the balancer role of an instance.
@@ -56,45 +54,38 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(instance.Settings.Balancer.Envelope))
+	conn, err := instance.ListenUDP(instance.Settings.Balancer.Envelope)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	setBuffers(conn)
-	return &Balancer{
-		instance:  instance,
-		sealer:    sealer,
-		router:    route.NewRouter(codec),
-		conn:      conn,
-		metrics:   newMetrics(instance.Metrics),
-		listeners: make(map[uint32]*listener),
-		changed:   make(chan struct{}, 1),
-	}, nil
-}
-
-// setBuffers asks for large socket buffers. Where the option is refused,
-// forwarding works with the smaller ones.
-func setBuffers(conn *net.UDPConn) {
-	_ = conn.SetReadBuffer(socketBufferBytes)
-	_ = conn.SetWriteBuffer(socketBufferBytes)
+	b := &Balancer{
+		instance: instance,
+		sealer:   sealer,
+		router:   route.NewRouter(codec),
+		conn:     conn,
+		metrics:  newMetrics(instance.Metrics, instance.Lease),
+		changes:  newChangeSet(),
+		catalog:  newCatalogView(),
+	}
+	b.listeners.Store(&map[netip.AddrPort]*listener{})
+	return b, nil
 }
 
 // Run forwards datagrams until ctx ends.
 func (b *Balancer) Run(ctx context.Context) error {
-	stopWatch := b.instance.Store.Watch(b.onRecords)
+	stopWatch := b.instance.Store.Watch(b.changes.add)
 	defer stopWatch()
 	context.AfterFunc(ctx, b.close)
 	b.publish()
-	b.signalChange()
+	b.changes.add(b.instance.Store.List())
 	go b.followRecords(ctx)
+	go b.logLease(ctx)
 	return b.forwardReplies(ctx)
 }
 
 func (b *Balancer) close() {
 	b.conn.Close()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, l := range b.listeners {
+	for _, l := range *b.listeners.Load() {
 		l.conn.Close()
 	}
 }
@@ -129,20 +120,22 @@
 	return false
 }
 
-// Health fails while the balancer drains, so that the fabric moves on.
+// Health fails while the balancer drains or may not forward, so that the
+// fabric moves on.
 func (b *Balancer) Health() error {
 	if b.isDraining.Load() {
 		return Error.New("draining")
 	}
+	if state := b.instance.Lease.State(time.Now()); !state.MayForward() {
+		return Error.New("zone lease: %s", state)
+	}
 	return nil
 }
 
 // Details says which services the balancer takes datagrams for.
 func (b *Balancer) Details() []string {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	var lines []string
-	for _, l := range b.listeners {
+	lines := []string{"zone lease: " + b.instance.Lease.State(time.Now()).String()}
+	for _, l := range *b.listeners.Load() {
 		lines = append(lines, l.describe())
 	}
 	return lines
@@ -161,7 +154,7 @@
 			continue
 		}
 		if err := b.sealer.Open(buffer[:n], message); err != nil {
-			b.metrics.dropped.WithLabelValues(string(dropForged)).Inc()
+			b.metrics.drop(dropForged)
 			continue
 		}
 		b.handle(from, message)
@@ -172,23 +165,70 @@
 	switch message.Kind {
 	case wire.Envelope_KIND_REPLY:
 		b.reply(message)
+	case wire.Envelope_KIND_STALE:
+		b.takeNewer(message)
 	default:
-		b.metrics.dropped.WithLabelValues(string(dropUnexpected)).Inc()
+		b.metrics.drop(dropUnexpected)
 	}
 }
 
+// reply sends an agent's datagram to the caller, from the address that the
+// caller dialed.
 func (b *Balancer) reply(message *wire.Envelope) {
 	caller, ok := envelope.UnpackAddress(message.Caller)
-	b.mu.RLock()
-	l := b.listeners[message.Service]
-	b.mu.RUnlock()
-	if !ok || l == nil {
-		b.metrics.dropped.WithLabelValues(string(dropUnexpected)).Inc()
+	dialed, isDialed := envelope.UnpackAddress(message.Dialed)
+	if !ok || !isDialed {
+		b.metrics.drop(dropUnexpected)
+		return
+	}
+	l := b.listenerAt(b.listenAddress(dialed))
+	if l == nil || l.number != message.Service {
+		b.metrics.drop(dropUnexpected)
 		return
 	}
 	if _, err := l.conn.WriteToUDPAddrPort(message.Payload, caller); err != nil {
-		b.metrics.dropped.WithLabelValues(string(dropSendFailed)).Inc()
+		b.metrics.drop(dropSendFailed)
 		return
 	}
 	b.metrics.replies.Inc()
 }
+
+// takeNewer takes in the records by which an agent corrects a stale view.
+func (b *Balancer) takeNewer(message *wire.Envelope) {
+	newer := new(wire.Exchange)
+	if proto.Unmarshal(message.Payload, newer) != nil {
+		b.metrics.drop(dropUnexpected)
+		return
+	}
+	b.metrics.corrections.Inc()
+	records := slices.DeleteFunc(newer.Records, func(record *wire.Record) bool {
+		return record.Kind != wire.Record_KIND_ENDPOINT && record.Kind != wire.Record_KIND_ZONE
+	})
+	for _, record := range b.instance.Store.Merge(records) {
+		b.instance.Decisions.Decision("correct").Str("record", record.Key).Msg("newer state taken from an agent")
+	}
+}
+
+// leaseLogInterval separates looks at the state of the zone lease for the log.
+const leaseLogInterval = 100 * time.Millisecond
+
+// logLease writes a line whenever the right to forward changes.
+func (b *Balancer) logLease(ctx context.Context) {
+	ticker := time.NewTicker(leaseLogInterval)
+	defer ticker.Stop()
+	last := b.instance.Lease.State(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			state := b.instance.Lease.State(now)
+			if state == last {
+				continue
+			}
+			b.metrics.leaseChanges.WithLabelValues(state.String()).Inc()
+			b.instance.Log.Warn().Str("was", last.String()).Str("is", state.String()).Bool("forwards", state.MayForward()).Msg("zone lease changed")
+			last = state
+		}
+	}
+}
--- a/internal/machine/balancer/listener.go
+++ b/internal/machine/balancer/listener.go
@@ -11,32 +11,50 @@
 	"time"
 
 	"sassafrasturn.example/internal/envelope"
+	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/route"
 	"sassafrasturn.example/internal/wire"
 )
 
-// listener takes the datagrams of one service.
+// maxDatagramBytes bounds a caller's datagram: a jumbo frame.
+const maxDatagramBytes = 9000
+
+// listener takes the datagrams of one address of a service.
 type listener struct {
 	balancer *Balancer
 	service  string
-	address  netip.AddrPort
-	conn     *net.UDPConn
-	view     atomic.Pointer[route.View]
+	number   uint32
+	// local is where the socket is bound.
+	local netip.AddrPort
+	// packedDialed is the address that callers use, as it stands in envelopes.
+	packedDialed []byte
+	conn         machine.Socket
+	view         atomic.Pointer[route.View]
+	// retireAt ends a former address; zero at the current one.
+	retireAt time.Time
 }
 
-func newListener(b *Balancer, service string, address netip.AddrPort, conn *net.UDPConn, view *route.View) *listener {
-	l := &listener{balancer: b, service: service, address: address, conn: conn}
-	l.view.Store(view)
-	return l
+func (l *listener) describe() string {
+	view := l.view.Load()
+	if view.IsFormer {
+		return fmt.Sprintf("service %s: serves established flows at its former address %s", l.service, l.local)
+	}
+	return fmt.Sprintf("service %s: takes datagrams at %s, %d endpoints take new flows", l.service, l.local, len(view.Endpoints))
 }
 
-func (l *listener) describe() string {
-	return fmt.Sprintf("service %s: takes datagrams at %s, %d endpoints take new flows", l.service, l.address, len(l.view.Load().Endpoints))
+// scratch is what a reader uses again for each datagram.
+type scratch struct {
+	message    wire.Envelope
+	caller     []byte
+	addresses  [route.MaxCandidates][]byte
+	candidates [][]byte
+	sealed     []byte
 }
 
 func (l *listener) run(ctx context.Context) {
-	buffer := make([]byte, envelope.MaxBytes)
-	var sealed []byte
+	// One byte more than the bound tells longer datagrams from the longest.
+	buffer := make([]byte, maxDatagramBytes+1)
+	work := new(scratch)
 	for {
 		n, caller, err := l.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
@@ -45,56 +63,81 @@
 		if err != nil {
 			continue
 		}
-		l.balancer.lastDatagram.Store(time.Now().UnixNano())
-		sealed = l.forward(sealed[:0], buffer[:n], caller)
+		l.take(work, buffer[:n], caller)
 	}
 }
 
-// forward decides one datagram and sends it on; it returns its scratch buffer.
-func (l *listener) forward(sealed, datagram []byte, caller netip.AddrPort) []byte {
+// take decides one datagram. The lease is looked at with the clock of this
+// moment, so that a process that was frozen past it forwards nothing.
+func (l *listener) take(work *scratch, datagram []byte, caller netip.AddrPort) {
 	b := l.balancer
+	now := time.Now()
+	b.lastDatagram.Store(now.UnixNano())
+	if len(datagram) > maxDatagramBytes {
+		l.drop(route.ReasonMalformed, caller)
+		return
+	}
+	if !b.instance.Lease.State(now).MayForward() {
+		l.drop(reasonNoLease, caller)
+		return
+	}
 	view := l.view.Load()
 	decision := b.router.Decide(view, datagram)
 	if decision.Action == route.ActionDrop {
-		l.drop(decision, caller)
-		return sealed
-	}
-	message := &wire.Envelope{
-		Kind:    wire.Envelope_KIND_FORWARD,
-		Service: view.Service,
-		Caller:  envelope.PackAddress(caller),
-		Payload: datagram,
+		l.drop(decision.Reason, caller)
+		return
 	}
+	l.forward(work, &decision, datagram, caller)
+}
+
+// forward sends a datagram to the agent of the decision.
+func (l *listener) forward(work *scratch, decision *route.Decision, datagram []byte, caller netip.AddrPort) {
+	b := l.balancer
+	message := &work.message
+	message.Kind = wire.Envelope_KIND_FORWARD
+	message.Service = l.number
+	work.caller = envelope.AppendAddress(work.caller[:0], caller)
+	message.Caller = work.caller
+	message.Dialed = l.packedDialed
+	message.Payload = datagram
+	message.Candidates = nil
 	if decision.Action == route.ActionOffer {
 		l.describeOffer(decision, caller, datagram)
-		for _, next := range decision.Agents[1:] {
-			message.Candidates = append(message.Candidates, envelope.PackAddress(next))
-		}
+		message.Candidates = work.packCandidates(decision.Candidates.All()[1:])
 		b.metrics.offered.Inc()
 	} else {
 		b.metrics.forwarded.Inc()
 	}
-	sealed, err := b.sealer.Seal(sealed, message)
+	sealed, err := b.sealer.Seal(work.sealed[:0], message)
 	if err != nil {
-		b.metrics.dropped.WithLabelValues(string(dropSendFailed)).Inc()
-		return nil
+		b.metrics.drop(dropSendFailed)
+		return
+	}
+	work.sealed = sealed
+	if _, err := b.conn.WriteToUDPAddrPort(sealed, decision.Agent); err != nil {
+		b.metrics.drop(dropSendFailed)
 	}
-	if _, err := b.conn.WriteToUDPAddrPort(sealed, decision.Agents[0]); err != nil {
-		b.metrics.dropped.WithLabelValues(string(dropSendFailed)).Inc()
+}
+
+func (w *scratch) packCandidates(agents []netip.AddrPort) [][]byte {
+	w.candidates = w.candidates[:0]
+	for i, agent := range agents {
+		w.addresses[i] = envelope.AppendAddress(w.addresses[i][:0], agent)
+		w.candidates = append(w.candidates, w.addresses[i])
 	}
-	return sealed
+	return w.candidates
 }
 
-func (l *listener) drop(decision route.Decision, caller netip.AddrPort) {
-	l.balancer.metrics.dropped.WithLabelValues(string(decision.Reason)).Inc()
+func (l *listener) drop(reason route.Reason, caller netip.AddrPort) {
+	l.balancer.metrics.drop(dropReason(reason))
 	l.balancer.instance.Decisions.Decision("drop").
 		Str("service", l.service).
 		Stringer("caller", caller).
-		Str("reason", string(decision.Reason)).
+		Str("reason", string(reason)).
 		Msg("datagram dropped")
 }
 
-func (l *listener) describeOffer(decision route.Decision, caller netip.AddrPort, datagram []byte) {
+func (l *listener) describeOffer(decision *route.Decision, caller netip.AddrPort, datagram []byte) {
 	entry := l.balancer.instance.Decisions.Decision("offer")
 	if entry == nil {
 		return
@@ -103,7 +146,7 @@
 	entry.Str("service", l.service).
 		Stringer("caller", caller).
 		Str("flow", hex.EncodeToString(packet.Destination)).
-		Stringer("agent", decision.Agents[0]).
-		Int("candidates", len(decision.Agents)).
+		Stringer("agent", decision.Agent).
+		Int("candidates", len(decision.Candidates.All())).
 		Msg("new flow offered")
 }
--- a/internal/machine/balancer/metrics.go
+++ b/internal/machine/balancer/metrics.go
@@ -1,6 +1,16 @@
 package balancer
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sassafrasturn.example/internal/route"
+	"sassafrasturn.example/internal/zone"
+)
+
+// reasonNoLease: the balancer may not forward by what it knows of the zones.
+const reasonNoLease route.Reason = "no-lease"
 
 // dropReason labels datagrams that were dropped for reasons other than a
 // routing decision.
@@ -16,10 +26,13 @@
 	forwarded prometheus.Counter
 	offered   prometheus.Counter
 	replies   prometheus.Counter
-	dropped   *prometheus.CounterVec
+	// corrections counts messages by which agents correct the view.
+	corrections  prometheus.Counter
+	leaseChanges *prometheus.CounterVec
+	dropped      *prometheus.CounterVec
 }
 
-func newMetrics(registry *prometheus.Registry) *metrics {
+func newMetrics(registry *prometheus.Registry, lease *zone.Holder) *metrics {
 	m := &metrics{
 		forwarded: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sassafrasturn_balancer_forwarded_datagrams_total",
@@ -38,6 +51,22 @@
 			Help: "Datagrams dropped, by reason.",
 		}, []string{"reason"}),
 	}
-	registry.MustRegister(m.forwarded, m.offered, m.replies, m.dropped)
+	m.corrections = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sassafrasturn_balancer_corrections_total",
+		Help: "Messages by which agents corrected a stale view.",
+	})
+	m.leaseChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "sassafrasturn_balancer_lease_changes_total",
+		Help: "Changes of the zone lease, by the state that began.",
+	}, []string{"state"})
+	state := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sassafrasturn_balancer_lease_state",
+		Help: "State of the zone lease: 0 none, 1 fresh, 2 static, 3 isolated, 4 stale; 1 and 2 forward.",
+	}, func() float64 { return float64(lease.State(time.Now())) })
+	registry.MustRegister(m.forwarded, m.offered, m.replies, m.dropped, m.corrections, m.leaseChanges, state)
 	return m
 }
+
+func (m *metrics) drop(reason dropReason) {
+	m.dropped.WithLabelValues(string(reason)).Inc()
+}
--- a/internal/machine/balancer/view.go
+++ b/internal/machine/balancer/view.go
@@ -2,8 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
+	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -14,26 +15,107 @@
 	"sassafrasturn.example/internal/wire"
 )
 
-func (b *Balancer) onRecords([]*wire.Record) {
-	b.signalChange()
+// coalesceInterval gathers record changes before the views are rebuilt.
+const coalesceInterval = 20 * time.Millisecond
+
+// changeSet collects the names of changed records until they are applied.
+type changeSet struct {
+	mu        sync.Mutex
+	services  map[string]bool
+	instances map[string]bool
+	hasZones  bool
+	signal    chan struct{}
+}
+
+func newChangeSet() *changeSet {
+	return &changeSet{services: make(map[string]bool), instances: make(map[string]bool), signal: make(chan struct{}, 1)}
 }
 
-func (b *Balancer) signalChange() {
+func (c *changeSet) add(records []*wire.Record) {
+	c.mu.Lock()
+	for _, record := range records {
+		switch record.Kind {
+		case wire.Record_KIND_SERVICE:
+			c.services[record.Key] = true
+		case wire.Record_KIND_ENDPOINT, wire.Record_KIND_VERDICT:
+			c.instances[record.Key] = true
+		case wire.Record_KIND_ZONE:
+			c.hasZones = true
+		}
+	}
+	isEmpty := len(c.services) == 0 && len(c.instances) == 0 && !c.hasZones
+	c.mu.Unlock()
+	if isEmpty {
+		return
+	}
 	select {
-	case b.changed <- struct{}{}:
+	case c.signal <- struct{}{}:
 	default:
 	}
 }
 
-// followRecords rebuilds the views whenever records have changed.
+func (c *changeSet) take() (services, instances map[string]bool, hasZones bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	services, instances, hasZones = c.services, c.instances, c.hasZones
+	c.services, c.instances, c.hasZones = make(map[string]bool), make(map[string]bool), false
+	return services, instances, hasZones
+}
+
+// followRecords rebuilds the views of the services that changed.
 func (b *Balancer) followRecords(ctx context.Context) {
+	retire := time.NewTicker(retireInterval)
+	defer retire.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-b.changed:
-			b.rebuild(ctx)
+		case <-retire.C:
+			b.retireFormer(time.Now())
+			continue
+		case <-b.changes.signal:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(coalesceInterval):
 		}
+		b.applyChanges(ctx)
+	}
+}
+
+// heldService is a service as its newest document says.
+type heldService struct {
+	number uint32
+	doc    *contract.Document
+	former netip.AddrPort
+}
+
+// heldEndpoint is an endpoint as its newest record says.
+type heldEndpoint struct {
+	*wire.Endpoint
+	incarnation uint64
+}
+
+// catalogView is what the balancer has read of the records. It belongs to the
+// goroutine that follows them.
+type catalogView struct {
+	services  map[string]*heldService
+	endpoints map[string]*heldEndpoint
+	// byService lists the instances of each service.
+	byService map[string]map[string]bool
+	// owners tells which instance announced itself last at an agent address.
+	owners map[string]string
+	zones  *zoneTable
+}
+
+func newCatalogView() *catalogView {
+	return &catalogView{
+		services:  make(map[string]*heldService),
+		endpoints: make(map[string]*heldEndpoint),
+		byService: make(map[string]map[string]bool),
+		owners:    make(map[string]string),
+		zones:     &zoneTable{numbers: make(map[string]uint8)},
 	}
 }
 
@@ -42,21 +124,83 @@
 	out     [256]bool
 }
 
-func (b *Balancer) rebuild(ctx context.Context) {
-	zones := b.readZones()
-	endpoints := b.readEndpoints()
-	for _, record := range b.instance.Store.List(wire.Record_KIND_SERVICE) {
-		service := new(wire.Service)
-		if proto.Unmarshal(record.Value, service) != nil {
-			continue
+// applyChanges reads the changed records and rebuilds the views that depend on them.
+func (b *Balancer) applyChanges(ctx context.Context) {
+	services, instances, hasZones := b.changes.take()
+	for name := range instances {
+		for _, service := range b.readEndpoint(name) {
+			services[service] = true
 		}
-		doc, err := contract.Parse(record.Key, service.Document)
-		if err != nil {
-			b.instance.Log.Error().Str("service", record.Key).Err(err).Msg("document not understood")
-			continue
+	}
+	for name := range services {
+		b.readService(name)
+	}
+	if hasZones {
+		b.catalog.zones = b.readZones()
+		for name := range b.catalog.services {
+			services[name] = true
 		}
-		b.applyService(ctx, service.Number, doc, buildView(service.Number, doc, zones, endpoints[doc.Service]))
 	}
+	for name := range services {
+		if service := b.catalog.services[name]; service != nil {
+			b.applyService(ctx, service, b.buildView(service))
+		}
+	}
+}
+
+func (b *Balancer) readService(name string) {
+	record := b.instance.Store.Get(wire.Record_KIND_SERVICE, name)
+	service := new(wire.Service)
+	if record == nil || proto.Unmarshal(record.Value, service) != nil {
+		return
+	}
+	doc, err := contract.Parse(name, service.Document)
+	if err != nil {
+		b.instance.Log.Error().Str("service", name).Err(err).Msg("document not understood")
+		return
+	}
+	// An address that does not parse is as good as none.
+	former, _ := netip.ParseAddrPort(service.FormerAddress)
+	b.catalog.services[name] = &heldService{number: service.Number, doc: doc, former: former}
+}
+
+// readEndpoint reads the record of an instance and returns the services whose
+// endpoints it changes.
+func (b *Balancer) readEndpoint(instance string) []string {
+	record := b.instance.Store.Get(wire.Record_KIND_ENDPOINT, instance)
+	endpoint := new(wire.Endpoint)
+	if record == nil || proto.Unmarshal(record.Value, endpoint) != nil {
+		return nil
+	}
+	c := b.catalog
+	affected := []string{endpoint.Service}
+	if earlier := c.endpoints[instance]; earlier != nil && earlier.Service != endpoint.Service {
+		delete(c.byService[earlier.Service], instance)
+		affected = append(affected, earlier.Service)
+	}
+	if c.byService[endpoint.Service] == nil {
+		c.byService[endpoint.Service] = make(map[string]bool)
+	}
+	c.byService[endpoint.Service][instance] = true
+	c.endpoints[instance] = &heldEndpoint{Endpoint: endpoint, incarnation: record.Major}
+	return append(affected, c.takeAddress(instance)...)
+}
+
+// takeAddress notes which instance has announced itself last at an agent
+// address: a process that took over an IP address and port ends the endpoint
+// that was there before. It returns the service of that one.
+func (c *catalogView) takeAddress(instance string) []string {
+	endpoint := c.endpoints[instance]
+	address := string(endpoint.Address)
+	owner := c.endpoints[c.owners[address]]
+	if owner != nil && owner.incarnation > endpoint.incarnation {
+		return nil
+	}
+	c.owners[address] = instance
+	if owner == nil || owner == endpoint {
+		return nil
+	}
+	return []string{owner.Service}
 }
 
 func (b *Balancer) readZones() *zoneTable {
@@ -72,24 +216,25 @@
 	return table
 }
 
-func (b *Balancer) readEndpoints() map[string][]*wire.Endpoint {
-	endpoints := make(map[string][]*wire.Endpoint)
-	for _, record := range b.instance.Store.List(wire.Record_KIND_ENDPOINT) {
-		endpoint := new(wire.Endpoint)
-		if proto.Unmarshal(record.Value, endpoint) != nil {
-			continue
+// readEndpoints lists the endpoints of a service that own their agent address.
+func (b *Balancer) readEndpoints(service string) []*wire.Endpoint {
+	var endpoints []*wire.Endpoint
+	for instance := range b.catalog.byService[service] {
+		endpoint := b.catalog.endpoints[instance]
+		if b.catalog.owners[string(endpoint.Address)] == instance {
+			endpoints = append(endpoints, endpoint.Endpoint)
 		}
-		endpoints[endpoint.Service] = append(endpoints[endpoint.Service], endpoint)
 	}
 	return endpoints
 }
 
 // buildView lists the endpoints of a service that may take new flows.
-func buildView(number uint32, doc *contract.Document, zones *zoneTable, endpoints []*wire.Endpoint) *route.View {
-	view := &route.View{Service: number, ZonesOut: zones.out}
-	for _, endpoint := range endpoints {
+func (b *Balancer) buildView(service *heldService) *route.View {
+	zones := b.catalog.zones
+	view := &route.View{Service: service.number, ZonesOut: &zones.out}
+	for _, endpoint := range b.readEndpoints(service.doc.Service) {
 		agent, ok := envelope.UnpackAddress(endpoint.Address)
-		if !ok || !doc.Allows(agent.Addr()) || !takesNewFlows(endpoint.State) {
+		if !ok || !agent.Addr().Is4() || !service.doc.Allows(agent.Addr()) || !takesNewFlows(endpoint.State) {
 			continue
 		}
 		zone := zones.numbers[endpoint.Zone]
@@ -105,33 +250,6 @@
 	return state == wire.Endpoint_STATE_COLD || state == wire.Endpoint_STATE_WARM
 }
 
-// applyService puts a view in force and opens the service's socket when it has none.
-func (b *Balancer) applyService(ctx context.Context, number uint32, doc *contract.Document, view *route.View) {
-	address := b.listenAddress(doc.Address)
-	b.mu.RLock()
-	l := b.listeners[number]
-	b.mu.RUnlock()
-	if l != nil && l.address == address {
-		l.view.Store(view)
-		return
-	}
-	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-	if err != nil {
-		b.instance.Log.Error().Str("service", doc.Service).Err(err).Msg("service address not bound")
-		return
-	}
-	setBuffers(conn)
-	next := newListener(b, doc.Service, address, conn, view)
-	b.mu.Lock()
-	b.listeners[number] = next
-	b.mu.Unlock()
-	if l != nil {
-		l.conn.Close()
-	}
-	b.instance.Log.Info().Str("service", doc.Service).Stringer("address", address).Msg("taking datagrams")
-	go next.run(ctx)
-}
-
 func (b *Balancer) listenAddress(document netip.AddrPort) netip.AddrPort {
 	s := b.instance.Settings.Balancer
 	if s.Delivery == settings.DeliveryDocumentPort {
--- a/internal/route/candidates.go
+++ b/internal/route/candidates.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"net/netip"
-	"sort"
 )
 
 // MaxCandidates is how many agents a new flow may be offered to.
@@ -13,52 +11,64 @@
 // Endpoint is an endpoint as a balancer sees it.
 type Endpoint struct {
 	Instance string
-	// Agent is the envelope address of the agent beside it.
+	// Agent is the envelope address of the agent beside it; IPv4.
 	Agent netip.AddrPort
 	Zone  uint8
 }
 
-type scored struct {
-	score    uint64
-	endpoint *Endpoint
+// Candidates is an ordered list of agents.
+type Candidates struct {
+	agents [MaxCandidates]netip.AddrPort
+	count  int
 }
 
-// Candidates orders the endpoints for a new flow by rendezvous hashing of its
-// connection ID and returns the first few. Every balancer with the same
+// All returns the agents in order.
+func (c *Candidates) All() []netip.AddrPort {
+	return c.agents[:c.count]
+}
+
+// ChooseCandidates orders the endpoints for a new flow by rendezvous hashing of
+// its connection ID and returns the first few. Every balancer with the same
 // endpoints gets the same order, and one that knows of one endpoint more or
 // less gets nearly the same.
-func Candidates(id []byte, endpoints []Endpoint) []*Endpoint {
-	best := make([]scored, 0, MaxCandidates+1)
+func ChooseCandidates(id []byte, endpoints []Endpoint) Candidates {
+	var chosen Candidates
+	var scores [MaxCandidates]uint64
+	seed := hashID(id)
 	for i := range endpoints {
-		score := rendezvousScore(id, endpoints[i].Agent)
-		if len(best) == MaxCandidates && score <= best[MaxCandidates-1].score {
-			continue
+		score := rendezvousScore(seed, endpoints[i].Agent)
+		at := chosen.count
+		for at > 0 && scores[at-1] < score {
+			at--
 		}
-		best = append(best, scored{score: score, endpoint: &endpoints[i]})
-		sort.SliceStable(best, func(a, b int) bool { return best[a].score > best[b].score })
-		if len(best) > MaxCandidates {
-			best = best[:MaxCandidates]
+		if at == MaxCandidates {
+			continue
 		}
+		chosen.count = min(chosen.count+1, MaxCandidates)
+		copy(scores[at+1:], scores[at:])
+		copy(chosen.agents[at+1:], chosen.agents[at:])
+		scores[at], chosen.agents[at] = score, endpoints[i].Agent
 	}
-	result := make([]*Endpoint, len(best))
-	for i := range best {
-		result[i] = best[i].endpoint
+	return chosen
+}
+
+// hashID is FNV-1a over the ID; every balancer must get the same value.
+func hashID(id []byte) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	hash := uint64(offset)
+	for _, b := range id {
+		hash = (hash ^ uint64(b)) * prime
 	}
-	return result
+	return hash
 }
 
-func rendezvousScore(id []byte, agent netip.AddrPort) uint64 {
-	hash := fnv.New64a()
-	hash.Write(id)
+func rendezvousScore(seed uint64, agent netip.AddrPort) uint64 {
 	address := agent.Addr().As4()
-	hash.Write(address[:])
-	var port [2]byte
-	binary.BigEndian.PutUint16(port[:], agent.Port())
-	hash.Write(port[:])
-	return mix(hash.Sum64())
+	key := uint64(binary.BigEndian.Uint32(address[:]))<<16 | uint64(agent.Port())
+	return mix(seed ^ mix(key))
 }
 
-// mix is the finalizer of splitmix64; it spreads the low entropy of FNV's last bytes.
+// mix is the finalizer of splitmix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
--- a/internal/route/router.go
+++ b/internal/route/router.go
@@ -12,8 +12,12 @@
 	Service uint32
 	// Endpoints may take new flows.
 	Endpoints []Endpoint
-	// ZonesOut tells which availability zones are out of service, by number.
-	ZonesOut [256]bool
+	// ZonesOut tells which availability zones are out of service, by number;
+	// views share it.
+	ZonesOut *[256]bool
+	// IsFormer is true at an address that the service had before: established
+	// flows go on there, new ones are refused.
+	IsFormer bool
 }
 
 // Action is what a balancer does with a datagram.
@@ -39,15 +43,19 @@
 	ReasonOtherService Reason = "other-service"
 	ReasonZoneOut      Reason = "zone-out"
 	ReasonNoEndpoint   Reason = "no-endpoint"
+	// ReasonFormerAddress: a new flow at an address that the service had before.
+	ReasonFormerAddress Reason = "former-address"
 )
 
 // Decision is what to do with one datagram.
 type Decision struct {
 	Action Action
 	Reason Reason
-	// Agents lists where to send: one agent of an established flow, or the
-	// candidates of a new one in order.
-	Agents []netip.AddrPort
+	// Agent is where to send: the agent of an established flow, or the first
+	// candidate of a new one.
+	Agent netip.AddrPort
+	// Candidates are those of a new flow in order, with Agent as the first.
+	Candidates Candidates
 	// Route is what the connection ID of an established flow says.
 	Route token.Route
 }
@@ -88,16 +96,16 @@
 	if view.ZonesOut[flow.Zone] {
 		return drop(ReasonZoneOut)
 	}
-	return Decision{Action: ActionForward, Agents: []netip.AddrPort{flow.Agent}, Route: flow}
+	return Decision{Action: ActionForward, Agent: flow.Agent, Route: flow}
 }
 
 func decideNew(view *View, id []byte) Decision {
-	var agents []netip.AddrPort
-	for _, endpoint := range Candidates(id, view.Endpoints) {
-		agents = append(agents, endpoint.Agent)
+	if view.IsFormer {
+		return drop(ReasonFormerAddress)
 	}
-	if len(agents) == 0 {
+	candidates := ChooseCandidates(id, view.Endpoints)
+	if candidates.count == 0 {
 		return drop(ReasonNoEndpoint)
 	}
-	return Decision{Action: ActionOffer, Agents: agents}
+	return Decision{Action: ActionOffer, Agent: candidates.agents[0], Candidates: candidates}
 }
