--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -42,6 +42,8 @@
 	document    []byte
 	address     string
 	isWithdrawn bool
+	// former is the address before the last change of address.
+	former string
 }
 
 type zone struct {
@@ -156,6 +158,9 @@
 		c.nextNumber++
 		c.services[submit.Service] = held
 	}
+	if held.address != "" && held.address != submit.Address {
+		held.former = held.address
+	}
 	delete(c.owners, held.address)
 	c.owners[submit.Address] = submit.Service
 	held.version++
@@ -245,7 +250,10 @@
 	var records []*wire.Record
 	for name, s := range c.services {
 		if s.index > after {
-			value := &wire.Service{Number: s.number, Version: s.version, Document: s.document, Withdrawn: s.isWithdrawn}
+			value := &wire.Service{
+				Number: s.number, Version: s.version, Document: s.document,
+				Withdrawn: s.isWithdrawn, FormerAddress: s.former,
+			}
 			records = append(records, record(wire.Record_KIND_SERVICE, name, s.index, value))
 		}
 	}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -14,7 +14,7 @@
 	for name, s := range c.services {
 		state.Services = append(state.Services, &wire.CatalogService{
 			Name: name, Number: s.number, Version: s.version, Index: s.index,
-			Document: s.document, Address: s.address, Withdrawn: s.isWithdrawn,
+			Document: s.document, Address: s.address, Withdrawn: s.isWithdrawn, FormerAddress: s.former,
 		})
 	}
 	sort.Slice(state.Services, func(a, b int) bool { return state.Services[a].Number < state.Services[b].Number })
@@ -43,7 +43,7 @@
 	for _, s := range state.Services {
 		c.services[s.Name] = &service{
 			number: s.Number, version: s.Version, index: s.Index,
-			document: s.Document, address: s.Address, isWithdrawn: s.Withdrawn,
+			document: s.Document, address: s.Address, isWithdrawn: s.Withdrawn, former: s.FormerAddress,
 		}
 		if !s.Withdrawn {
 			c.owners[s.Address] = s.Name
