--- /dev/null
+++ b/internal/admit/limit.go
@@ -0,0 +1,206 @@
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// cutSamples answers in a row that are all slow show a latency jump.
+	cutSamples = 4
+	// raiseShare of a large limit is added at each raise; a small one grows by 1.
+	raiseShare = 0.25
+	// raiseTolerance is up to how many times the usual latency the limit may be raised.
+	raiseTolerance = 1.15
+	// cutTolerance is from how many times the usual latency on it is a jump.
+	cutTolerance = 2.0
+	// baselineShare of the difference is how far one window moves the usual latency.
+	baselineShare = 0.25
+	// firstPause follows a refusal or failure at the lowest limit; it doubles
+	// with each further one up to maxPause.
+	firstPause = 50 * time.Millisecond
+	maxPause   = 2 * time.Second
+)
+
+// Ramp says how gently a cold endpoint is brought in.
+type Ramp struct {
+	// Start is how many requests it is given at a time at first.
+	Start int
+	// Answers is how many answers decide each raise.
+	Answers int
+	// Slots is how many requests it works on at a time when it is warm.
+	Slots int
+}
+
+// Limit is the concurrency limit of one endpoint, found from what the agent
+// itself observes: answers, refusals, timeouts and latency. It starts at the
+// document's ramp start, answers raise it up to the endpoint's slots, and
+// refusals, timeouts, failures and latency jumps cut it. What the endpoint
+// reports about its own load has no influence. It is not safe for concurrent use.
+type Limit struct {
+	ramp    Ramp
+	current float64
+
+	window   []time.Duration
+	baseline time.Duration
+	// slowRun counts the last answers in a row that were slow.
+	slowRun int
+	// begun numbers the requests; those begun before the last cut say nothing
+	// about the limit after it.
+	begun      uint64
+	cutAt      uint64
+	cuts       int
+	pause      time.Duration
+	pausedTill time.Time
+}
+
+// NewLimit returns the limit of a cold endpoint.
+func NewLimit(ramp Ramp) *Limit {
+	l := new(Limit)
+	l.SetRamp(ramp)
+	l.Reset()
+	return l
+}
+
+// SetRamp changes where the limit starts and ends.
+func (l *Limit) SetRamp(ramp Ramp) {
+	ramp.Slots = max(1, ramp.Slots)
+	ramp.Start = min(max(1, ramp.Start), ramp.Slots)
+	ramp.Answers = max(1, ramp.Answers)
+	l.ramp = ramp
+	l.current = min(l.current, float64(ramp.Slots))
+}
+
+// Reset treats the endpoint as cold: nothing observed before counts any more.
+func (l *Limit) Reset() {
+	l.current = float64(l.ramp.Start)
+	l.baseline = 0
+	l.startRound()
+	l.cuts = 0
+	l.pause = 0
+	l.pausedTill = time.Time{}
+}
+
+// Slots returns how many requests the endpoint may work on now.
+func (l *Limit) Slots(now time.Time) int {
+	if now.Before(l.pausedTill) {
+		return 0
+	}
+	return int(l.current)
+}
+
+// PausedTill returns until when the endpoint is given nothing.
+func (l *Limit) PausedTill() time.Time {
+	return l.pausedTill
+}
+
+// IsWarm reports whether the endpoint may work on as many requests as it has slots.
+func (l *Limit) IsWarm() bool {
+	return int(l.current) >= l.ramp.Slots
+}
+
+// Begin numbers a request that is given to the endpoint.
+func (l *Limit) Begin() uint64 {
+	l.begun++
+	return l.begun
+}
+
+// End notes what became of a request. inFlight counts it and all others that
+// the endpoint was working on at that moment.
+func (l *Limit) End(now time.Time, request uint64, outcome Outcome, latency time.Duration, inFlight int) {
+	switch outcome {
+	case OutcomeAnswered:
+		l.answered(request, latency, inFlight)
+	case OutcomeShed, OutcomeTimedOut, OutcomeFailed:
+		l.refused(now, request, outcome)
+	}
+}
+
+func (l *Limit) answered(request uint64, latency time.Duration, inFlight int) {
+	if request <= l.cutAt {
+		return
+	}
+	l.window = append(l.window, latency)
+	l.countSlow(latency)
+	if l.slowRun >= cutSamples {
+		l.cutForJump()
+		return
+	}
+	if len(l.window) < l.ramp.Answers {
+		return
+	}
+	median := l.median()
+	isFast := l.baseline == 0 || float64(median) <= raiseTolerance*float64(l.baseline)
+	l.learn(median)
+	l.window = l.window[:0]
+	l.cuts, l.pause = 0, 0
+	// An unused limit proves nothing about a higher one.
+	if isFast && inFlight >= int(l.current) {
+		l.current = min(l.current+max(1, float64(int(l.current*raiseShare))), float64(l.ramp.Slots))
+	}
+}
+
+func (l *Limit) median() time.Duration {
+	sorted := slices.Sorted(slices.Values(l.window))
+	return sorted[len(sorted)/2]
+}
+
+func (l *Limit) countSlow(latency time.Duration) {
+	if l.baseline > 0 && float64(latency) > cutTolerance*float64(l.baseline) {
+		l.slowRun++
+		return
+	}
+	l.slowRun = 0
+}
+
+// learn follows the usual latency: down at any limit, up only while the
+// endpoint is given no more than at the ramp's start, because higher up a rise
+// may be of the limit's own making.
+func (l *Limit) learn(median time.Duration) {
+	if l.baseline == 0 {
+		l.baseline = median
+		return
+	}
+	if median < l.baseline || int(l.current) <= l.ramp.Start {
+		l.baseline += time.Duration(baselineShare * float64(median-l.baseline))
+	}
+}
+
+// cutForJump cuts to the half after one latency jump and to the ramp's start
+// after a second one in a row.
+func (l *Limit) cutForJump() {
+	l.cuts++
+	l.lower(l.cuts == 1)
+	l.startRound()
+}
+
+// lower cuts to the half, or to the ramp's start where that is less.
+func (l *Limit) lower(isHalf bool) {
+	next := int(l.current) / 2
+	if !isHalf {
+		next = min(next, l.ramp.Start)
+	}
+	l.current = float64(max(1, next))
+}
+
+func (l *Limit) startRound() {
+	l.cutAt = l.begun
+	l.window = l.window[:0]
+	l.slowRun = 0
+}
+
+// refused cuts to the half after one refusal, to the ramp's start after a
+// second one in a row and after a failure, and pauses where that was not
+// enough.
+func (l *Limit) refused(now time.Time, request uint64, outcome Outcome) {
+	if request <= l.cutAt {
+		return
+	}
+	l.cuts++
+	if int(l.current) <= 1 {
+		l.pause = min(max(firstPause, 2*l.pause), maxPause)
+		l.pausedTill = now.Add(l.pause)
+	}
+	l.lower(outcome == OutcomeShed && l.cuts == 1)
+	l.startRound()
+}
--- /dev/null
+++ b/internal/admit/limit_test.go
@@ -0,0 +1,268 @@
+package admit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/admit"
+	"sassafrasturn.example/internal/contract"
+)
+
+const (
+	tick        = time.Millisecond
+	fullSlots   = 5
+	timeout     = time.Second
+	downFor     = 10 * time.Second
+	fallsOver   = 8 // offers beyond what it bears within fallsWindow
+	fallsWindow = time.Second
+)
+
+// defaultRamp is that of a document that says nothing.
+var defaultRamp = admit.Ramp{Start: contract.DefaultRampStart, Answers: contract.DefaultRampAnswers, Slots: fullSlots}
+
+// fakeEndpoint works on `capacity` requests at full speed and on up to twice as
+// many at a shared speed: that is what it bears. It refuses further ones and
+// falls over when they keep coming. Work warms it.
+type fakeEndpoint struct {
+	coldCapacity float64
+	warmingWork  int
+	doesShed     bool
+
+	now      time.Duration
+	done     int
+	inFlight []*fakeRequest
+	beyond   []time.Duration
+	downTill time.Duration
+	falls    int
+}
+
+type fakeRequest struct {
+	number uint64
+	begun  time.Duration
+	left   float64
+}
+
+func (e *fakeEndpoint) capacity() float64 {
+	warmth := min(1, float64(e.done)/float64(e.warmingWork))
+	return e.coldCapacity + (fullSlots-e.coldCapacity)*warmth
+}
+
+// begin offers a request; false means that the endpoint sheds it.
+func (e *fakeEndpoint) begin(number uint64, work time.Duration) bool {
+	if float64(len(e.inFlight)+1) > 2*e.capacity() {
+		e.beyond = append(e.beyond, e.now)
+		if n := len(e.beyond); n >= fallsOver && e.now-e.beyond[n-fallsOver] < fallsWindow && e.now >= e.downTill {
+			e.falls++
+			e.done = 0
+			e.downTill = e.now + downFor
+		}
+		if e.doesShed {
+			return false
+		}
+	}
+	e.inFlight = append(e.inFlight, &fakeRequest{number: number, begun: e.now, left: float64(work / tick)})
+	return true
+}
+
+// step returns the requests that end within a tick: answered, then timed out.
+func (e *fakeEndpoint) step() (answered, timedOut []*fakeRequest) {
+	e.now += tick
+	speed := min(1, e.capacity()/float64(max(1, len(e.inFlight))))
+	if e.now < e.downTill {
+		speed = 0
+	}
+	kept := e.inFlight[:0]
+	for _, r := range e.inFlight {
+		r.left -= speed
+		switch {
+		case r.left <= 0:
+			e.done++
+			answered = append(answered, r)
+		case e.now-r.begun >= timeout:
+			timedOut = append(timedOut, r)
+		default:
+			kept = append(kept, r)
+		}
+	}
+	e.inFlight = kept
+	return answered, timedOut
+}
+
+// policy is what the limit and the naive versions have in common.
+type policy interface {
+	Slots(now time.Time) int
+	Begin() uint64
+	End(now time.Time, request uint64, outcome admit.Outcome, latency time.Duration, inFlight int)
+}
+
+// naive ignores what it observes and follows a rule of its own.
+type naive struct {
+	begun uint64
+	slots func(now time.Time) int
+}
+
+func (n *naive) Slots(now time.Time) int { return n.slots(now) }
+func (n *naive) Begin() uint64           { n.begun++; return n.begun }
+func (n *naive) End(time.Time, uint64, admit.Outcome, time.Duration, int) {
+}
+
+func fullAtOnce() policy {
+	return &naive{slots: func(time.Time) int { return fullSlots }}
+}
+
+// fixedRamp raises the limit by one every stepTime whatever happens.
+func fixedRamp(stepTime time.Duration) policy {
+	return &naive{slots: func(now time.Time) int {
+		return min(fullSlots, 1+int(now.Sub(time.Time{})/stepTime))
+	}}
+}
+
+// trustsReports allows what the endpoint itself reported a while ago.
+func trustsReports(e *fakeEndpoint, lag time.Duration) policy {
+	var reports []float64
+	return &naive{slots: func(now time.Time) int {
+		at := int(now.Sub(time.Time{}) / tick)
+		for len(reports) <= at {
+			reports = append(reports, e.capacity())
+		}
+		return int(reports[max(0, at-int(lag/tick))])
+	}}
+}
+
+type result struct {
+	beyondInStart int
+	beyondInTurn  int
+	falls         int
+	answered      int
+	// full is when the limit first stood at all slots; turnedFull the same after the turn.
+	full time.Duration
+}
+
+// drive offers as much work as the policy allows for a minute. With turnAt the
+// endpoint turns cold then, without a word.
+func drive(e *fakeEndpoint, p policy, turnAt time.Duration, seed uint64) result {
+	random := rand.New(rand.NewPCG(seed, seed))
+	var r result
+	for e.now < time.Minute {
+		now := time.Time{}.Add(e.now)
+		if turnAt > 0 && e.now == turnAt {
+			r.beyondInStart = len(e.beyond)
+			e.done = 0
+		}
+		for len(e.inFlight) < p.Slots(now) {
+			number := p.Begin()
+			if !e.begin(number, work(random)) {
+				p.End(now, number, admit.OutcomeShed, tick, len(e.inFlight)+1)
+				break
+			}
+		}
+		before := len(e.inFlight)
+		answered, timedOut := e.step()
+		now = time.Time{}.Add(e.now)
+		for _, request := range answered {
+			r.answered++
+			p.End(now, request.number, admit.OutcomeAnswered, e.now-request.begun, before)
+		}
+		for _, request := range timedOut {
+			p.End(now, request.number, admit.OutcomeTimedOut, e.now-request.begun, before)
+		}
+		if r.full == 0 && p.Slots(now) == fullSlots {
+			r.full = e.now
+		}
+	}
+	r.falls = e.falls
+	r.beyondInTurn = len(e.beyond) - r.beyondInStart
+	if turnAt == 0 {
+		r.beyondInStart, r.beyondInTurn = len(e.beyond), 0
+	}
+	return r
+}
+
+// work is 20 ms on average; a request in ten is much longer.
+func work(random *rand.Rand) time.Duration {
+	if random.IntN(10) == 0 {
+		return time.Duration(40+random.IntN(40)) * time.Millisecond
+	}
+	return time.Duration(10+random.IntN(10)) * time.Millisecond
+}
+
+func TestLimitOffersOnlyWhatAColdEndpointBears(t *testing.T) {
+	// turnedBeyond is how many requests may be offered beyond what the endpoint
+	// bears before its turn is noticed: two for each slot, since the answers
+	// that show it must have been worked on after the turn.
+	const turnedBeyond = 2 * fullSlots
+	endpoints := map[string]fakeEndpoint{
+		"sheds, warms fast":   {coldCapacity: 1, warmingWork: 200, doesShed: true},
+		"sheds, warms slowly": {coldCapacity: 1, warmingWork: 1000, doesShed: true},
+		"slows only":          {coldCapacity: 1, warmingWork: 500},
+		"slows, warms slowly": {coldCapacity: 1, warmingWork: 1000},
+	}
+	for name, kind := range endpoints {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for seed := range uint64(20) {
+				start := kind
+				r := drive(&start, admit.NewLimit(defaultRamp), 0, seed)
+				g.Expect(r.beyondInStart).To(BeZero(), "offered beyond what it bears at the start, seed %d", seed)
+				g.Expect(r.falls).To(BeZero(), "seed %d", seed)
+				g.Expect(r.full).To(BeNumerically(">", 0), "full use, seed %d", seed)
+				turned := kind
+				r = drive(&turned, admit.NewLimit(defaultRamp), 30*time.Second, seed)
+				g.Expect(r.beyondInTurn).To(BeNumerically("<=", turnedBeyond), "after the turn, seed %d", seed)
+				g.Expect(r.falls).To(BeZero(), "seed %d", seed)
+			}
+			versions := map[string]func(*fakeEndpoint) policy{
+				"full at once":             func(*fakeEndpoint) policy { return fullAtOnce() },
+				"fixed ramp of 2 s a slot": func(*fakeEndpoint) policy { return fixedRamp(2 * time.Second) },
+				"trusts lagging reports":   func(e *fakeEndpoint) policy { return trustsReports(e, 3*time.Second) },
+			}
+			for version, newPolicy := range versions {
+				turned := kind
+				r := drive(&turned, newPolicy(&turned), 30*time.Second, 1)
+				g.Expect(r.falls).To(BeNumerically(">", 0), version)
+			}
+		})
+	}
+}
+
+func TestLimitReachesFullUseBeforeASafeFixedRamp(t *testing.T) {
+	g := NewWithT(t)
+	slow := fakeEndpoint{coldCapacity: 1, warmingWork: 1000, doesShed: true}
+	fast := fakeEndpoint{coldCapacity: 1, warmingWork: 200, doesShed: true}
+	// The fixed ramp must suit the slowest endpoint of the service: the least
+	// step, in half seconds, that offers it nothing beyond what it bears.
+	var safe time.Duration
+	for safe = 500 * time.Millisecond; ; safe += 500 * time.Millisecond {
+		e := slow
+		if drive(&e, fixedRamp(safe), 0, 1).beyondInStart == 0 {
+			break
+		}
+	}
+	for name, kind := range map[string]fakeEndpoint{"fast": fast, "slow": slow} {
+		a, b := kind, kind
+		limit := drive(&a, admit.NewLimit(defaultRamp), 0, 1)
+		ramp := drive(&b, fixedRamp(safe), 0, 1)
+		t.Logf("%s endpoint: full use after %v, fixed ramp of %v a slot %v; answered %d and %d in a minute",
+			name, limit.full, safe, ramp.full, limit.answered, ramp.answered)
+		if name == "fast" {
+			g.Expect(limit.full).To(BeNumerically("<", ramp.full))
+		}
+	}
+}
+
+func TestLimitPausesAnEndpointThatAnswersNothing(t *testing.T) {
+	g := NewWithT(t)
+	limit := admit.NewLimit(defaultRamp)
+	offered := 0
+	for now := (time.Time{}); now.Before(time.Time{}.Add(time.Minute)); now = now.Add(tick) {
+		for limit.Slots(now) > 0 {
+			offered++
+			limit.End(now, limit.Begin(), admit.OutcomeFailed, tick, 1)
+		}
+	}
+	// A naive limit of 1 would have offered 60,000; the pause allows one in 2 s.
+	g.Expect(offered).To(BeNumerically("<=", 40))
+}
--- a/internal/admit/limiter.go
+++ b/internal/admit/limiter.go
@@ -1,9 +1,11 @@
-// Package admit decides how much work an endpoint is given.
+// Package admit decides how much work an endpoint is given: how many requests
+// at a time, and which new flows.
 package admit
 
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/zeebo/errs"
 )
@@ -14,6 +16,9 @@
 // ErrQueueFull refuses a request that was not run.
 var ErrQueueFull = Error.New("every slot is taken and the queue is full")
 
+// ErrSuspended refuses a request that was not run.
+var ErrSuspended = Error.New("the endpoint takes no requests now")
+
 // Outcome is what became of a request that held a slot.
 type Outcome uint8
 
@@ -28,54 +33,107 @@
 	OutcomeCancelled
 )
 
-// Limiter gives out the slots of one endpoint, in the order of arrival. It is
-// safe for concurrent use.
+// Limiter gives out the slots of one endpoint, in the order of arrival, up to
+// its Limit. It is safe for concurrent use.
 type Limiter struct {
+	// onChange is called without the lock when the endpoint turns warm or cold.
+	onChange func(isWarm bool)
+
 	mu      sync.Mutex
-	slots   int
+	limit   *Limit
 	queue   int
 	taken   int
-	waiters []chan struct{}
+	waiters []chan uint64
+	timer   *time.Timer
+	wasWarm bool
+	// isSuspended refuses every request until Reset.
+	isSuspended bool
 }
 
-// NewLimiter returns a limiter with the given number of slots and places to wait.
-func NewLimiter(slots, queue int) *Limiter {
-	return &Limiter{slots: slots, queue: queue}
+// NewLimiter returns the limiter of a cold endpoint. queue is the number of
+// places to wait; onChange, if any, is told when the endpoint turns warm or cold.
+func NewLimiter(ramp Ramp, queue int, onChange func(isWarm bool)) *Limiter {
+	limit := NewLimit(ramp)
+	return &Limiter{limit: limit, queue: queue, onChange: onChange, wasWarm: limit.IsWarm()}
 }
 
 // SetLimits changes the limits. Slots that are taken stay taken.
-func (l *Limiter) SetLimits(slots, queue int) {
+func (l *Limiter) SetLimits(ramp Ramp, queue int) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.slots, l.queue = slots, queue
+	l.queue = queue
+	l.limit.SetRamp(ramp)
 	l.wakeLocked()
+	l.unlockAndTell()
+}
+
+// Reset treats the endpoint as cold and ends a suspension.
+func (l *Limiter) Reset() {
+	l.mu.Lock()
+	l.isSuspended = false
+	l.limit.Reset()
+	l.unlockAndTell()
+}
+
+// Suspend refuses all requests that wait and all that come until Reset.
+func (l *Limiter) Suspend() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isSuspended = true
+	for _, waiter := range l.waiters {
+		close(waiter)
+	}
+	l.waiters = nil
+}
+
+// unlockAndTell releases the lock and reports a change between warm and cold.
+func (l *Limiter) unlockAndTell() {
+	isWarm := l.limit.IsWarm()
+	isChanged := isWarm != l.wasWarm
+	l.wasWarm = isWarm
+	l.mu.Unlock()
+	if isChanged && l.onChange != nil {
+		l.onChange(isWarm)
+	}
 }
 
 // Acquire waits for a slot. An error means that the request was not run.
 func (l *Limiter) Acquire(ctx context.Context) (*Slot, error) {
 	l.mu.Lock()
-	if l.taken < l.slots && len(l.waiters) == 0 {
-		l.taken++
+	if l.isSuspended {
 		l.mu.Unlock()
-		return &Slot{limiter: l}, nil
+		return nil, ErrSuspended
+	}
+	if l.taken < l.limit.Slots(time.Now()) && len(l.waiters) == 0 {
+		request := l.takeLocked()
+		l.mu.Unlock()
+		return newSlot(l, request), nil
 	}
 	if len(l.waiters) >= l.queue {
 		l.mu.Unlock()
 		return nil, ErrQueueFull
 	}
-	granted := make(chan struct{})
+	granted := make(chan uint64, 1)
 	l.waiters = append(l.waiters, granted)
+	l.wakeLocked()
 	l.mu.Unlock()
 	select {
-	case <-granted:
-		return &Slot{limiter: l}, nil
+	case request, ok := <-granted:
+		if !ok {
+			return nil, ErrSuspended
+		}
+		return newSlot(l, request), nil
 	case <-ctx.Done():
 		l.abandon(granted)
 		return nil, Error.Wrap(ctx.Err())
 	}
 }
 
-func (l *Limiter) abandon(granted chan struct{}) {
+func (l *Limiter) takeLocked() uint64 {
+	l.taken++
+	return l.limit.Begin()
+}
+
+func (l *Limiter) abandon(granted chan uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, waiter := range l.waiters {
@@ -84,38 +142,104 @@
 			return
 		}
 	}
+	if _, isGranted := <-granted; !isGranted {
+		return
+	}
 	// The slot was granted at the same moment.
 	l.taken--
 	l.wakeLocked()
 }
 
 func (l *Limiter) wakeLocked() {
-	for l.taken < l.slots && len(l.waiters) > 0 {
-		l.taken++
-		close(l.waiters[0])
+	now := time.Now()
+	slots := l.limit.Slots(now)
+	for l.taken < slots && len(l.waiters) > 0 {
+		l.waiters[0] <- l.takeLocked()
 		l.waiters = l.waiters[1:]
 	}
+	if len(l.waiters) > 0 && slots == 0 {
+		l.wakeAfterLocked(l.limit.PausedTill().Sub(now))
+	}
 }
 
-// InFlight returns how many slots are taken and how many requests wait.
-func (l *Limiter) InFlight() (taken, waiting int) {
+func (l *Limiter) wakeAfterLocked(delay time.Duration) {
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.timer = time.AfterFunc(delay, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.wakeLocked()
+	})
+}
+
+// Load is the work at an endpoint at one moment.
+type Load struct {
+	// Taken is how many slots are taken.
+	Taken int
+	// Waiting is how many requests wait for a slot.
+	Waiting int
+	// Slots is how many slots may be taken now.
+	Slots int
+	// IsWarm says that all slots of the endpoint may be taken.
+	IsWarm bool
+}
+
+// Load returns the work at the endpoint now.
+func (l *Limiter) Load() Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.taken, len(l.waiters)
+	return Load{Taken: l.taken, Waiting: len(l.waiters), Slots: l.limit.Slots(time.Now()), IsWarm: l.limit.IsWarm()}
+}
+
+// InFlight returns how many slots are taken and how many requests wait.
+func (l *Limiter) InFlight() (taken, waiting int) {
+	load := l.Load()
+	return load.Taken, load.Waiting
 }
 
 // Slot is the right to run one request.
 type Slot struct {
 	limiter *Limiter
-	once    sync.Once
+	request uint64
+	begun   time.Time
+
+	mu         sync.Mutex
+	latency    time.Duration
+	isReleased bool
+}
+
+func newSlot(l *Limiter, request uint64) *Slot {
+	return &Slot{limiter: l, request: request, begun: time.Now()}
+}
+
+// MarkAnswering notes that the answer begins now: the latency that counts ends
+// here. Without it, it ends with the release.
+func (s *Slot) MarkAnswering() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.markLocked()
+}
+
+func (s *Slot) markLocked() {
+	if s.latency == 0 {
+		s.latency = max(1, time.Since(s.begun))
+	}
 }
 
 // Release gives the slot back; calls after the first do nothing.
-func (s *Slot) Release(Outcome) {
-	s.once.Do(func() {
-		s.limiter.mu.Lock()
-		defer s.limiter.mu.Unlock()
-		s.limiter.taken--
-		s.limiter.wakeLocked()
-	})
+func (s *Slot) Release(outcome Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isReleased {
+		return
+	}
+	s.isReleased = true
+	s.markLocked()
+	l := s.limiter
+	l.mu.Lock()
+	l.limit.End(time.Now(), s.request, outcome, s.latency, l.taken)
+	l.taken--
+	l.wakeLocked()
+	l.unlockAndTell()
 }
--- a/internal/contract/document.go
+++ b/internal/contract/document.go
@@ -19,11 +19,13 @@
 const (
 	DefaultSlots          = 5
 	DefaultConnections    = 2000
-	DefaultQueue          = 10
+	DefaultQueue          = 50
 	DefaultRequestTimeout = 30 * time.Second
 	DefaultRampStart      = 1
+	DefaultRampAnswers    = 64
 
 	maxSlots          = 10_000
+	maxRampAnswers    = 1000
 	maxConnections    = 1_000_000
 	maxQueue          = 10_000
 	minRequestTimeout = 10 * time.Millisecond
@@ -54,6 +56,8 @@
 	Connections int
 	// RampStart is how many requests a cold endpoint is given at a time at first.
 	RampStart int
+	// RampAnswers is how many answers of an endpoint decide each raise of its limit.
+	RampAnswers int
 	// NonIdempotent lists the requests that must run at most once.
 	NonIdempotent []Pattern
 	// Streaming lists the requests that hold no slot once their answer has begun.
@@ -91,6 +95,7 @@
 		Slots:          file.Int(sectionEndpoints, "slots", DefaultSlots, 1, maxSlots),
 		Connections:    file.Int(sectionEndpoints, "connections", DefaultConnections, 1, maxConnections),
 		RampStart:      file.Int(sectionRamp, "start", DefaultRampStart, 1, maxSlots),
+		RampAnswers:    file.Int(sectionRamp, "answers", DefaultRampAnswers, 1, maxRampAnswers),
 		NonIdempotent:  readPatterns(file, "non_idempotent"),
 		Streaming:      readPatterns(file, "streaming"),
 		Queue:          file.Int(sectionLimits, "queue", DefaultQueue, 0, maxQueue),
--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -35,12 +37,17 @@
 	metrics  *metrics
 	changed  chan struct{}
 
-	mu         sync.Mutex
-	announced  *Announcement
-	state      wire.Endpoint_State
-	serving    *serving
-	sequence   uint64
-	isDraining bool
+	// connectionIDs counts the connection IDs that the agent has issued.
+	connectionIDs atomic.Uint32
+
+	mu        sync.Mutex
+	life      life
+	serving   *serving
+	published *wire.Endpoint
+	sequence  uint64
+	stopWatch context.CancelFunc
+	// reportedLoad is what the endpoint says; nothing is decided by it.
+	reportedLoad float64
 }
 
 // New prepares the agent role of an instance.
@@ -60,7 +67,7 @@
 	// Where the options are refused, forwarding works with smaller buffers.
 	_ = conn.SetReadBuffer(socketBufferBytes)
 	_ = conn.SetWriteBuffer(socketBufferBytes)
-	return &Agent{
+	a := &Agent{
 		instance: instance,
 		sealer:   sealer,
 		codec:    codec,
@@ -68,7 +75,9 @@
 		paths:    newReturnPaths(),
 		metrics:  newMetrics(instance.Metrics),
 		changed:  make(chan struct{}, 1),
-	}, nil
+	}
+	a.registerGauges(instance.Metrics)
+	return a, nil
 }
 
 // Run serves the endpoint until ctx ends.
@@ -101,10 +110,14 @@
 }
 
 func (a *Agent) followRecords(ctx context.Context) {
+	ticker := time.NewTicker(silenceCheckInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			a.noteSilence(time.Now())
 		case <-a.changed:
 			if err := a.reconcile(); err != nil {
 				a.instance.Log.Error().Err(err).Msg("endpoint not served")
@@ -118,28 +131,36 @@
 func (a *Agent) reconcile() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.announced == nil {
+	defer a.publishLocked()
+	announced := a.life.announced
+	if announced == nil {
 		return nil
 	}
-	service, doc := a.readService(a.announced.Service)
+	service, doc := a.readService(announced.Service)
 	zone := a.readZone()
-	a.publishLocked()
 	if doc == nil || zone == 0 {
 		return nil
 	}
 	if !doc.Allows(a.instance.Settings.Agent.Envelope.Addr()) {
+		if a.serving != nil {
+			a.serving.takesFlows.Store(false)
+		}
 		return Error.New("the document of %s does not allow endpoints at %s", doc.Service, a.instance.Settings.Agent.Envelope.Addr())
 	}
 	if a.serving != nil {
 		a.serving.update(doc)
+		a.serving.takesFlows.Store(a.life.takesFlows())
 		return nil
 	}
-	s, err := newServing(a, service, zone, doc, a.announced)
+	if !a.life.takesFlows() {
+		return nil
+	}
+	s, err := newServing(a, service, zone, doc, announced)
 	if err != nil {
 		return err
 	}
 	a.serving = s
-	a.instance.Log.Info().Str("service", doc.Service).Str("endpoint", a.announced.Address).Msg("serving endpoint")
+	a.instance.Log.Info().Str("service", doc.Service).Str("endpoint", announced.Address).Msg("serving endpoint")
 	return nil
 }
 
@@ -173,47 +194,93 @@
 	return uint8(zone.Number)
 }
 
-// setState changes the endpoint's state and publishes it.
-func (a *Agent) setState(state wire.Endpoint_State) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.state == state {
-		return
+// stateLocked is the endpoint's state as it is published.
+func (a *Agent) stateLocked() wire.Endpoint_State {
+	switch {
+	case a.life.phase == phaseGone:
+		return wire.Endpoint_STATE_GONE
+	case a.life.phase == phaseDraining:
+		return wire.Endpoint_STATE_DRAINING
+	case a.serving == nil:
+		return stateAnnounced
+	case a.serving.limiter.Load().IsWarm:
+		return wire.Endpoint_STATE_WARM
+	default:
+		return wire.Endpoint_STATE_COLD
 	}
-	a.state = state
-	a.sequence++
-	a.publishLocked()
 }
 
+// stateAnnounced is published until the document and the zone are known.
+const stateAnnounced = wire.Endpoint_STATE_UNSPECIFIED
+
+var stateNames = map[wire.Endpoint_State]string{
+	stateAnnounced:               "announced",
+	wire.Endpoint_STATE_COLD:     "cold",
+	wire.Endpoint_STATE_WARM:     "warm",
+	wire.Endpoint_STATE_DRAINING: "draining",
+	wire.Endpoint_STATE_GONE:     "gone",
+}
+
+// publishLocked publishes the endpoint when something about it has changed.
 func (a *Agent) publishLocked() {
-	if a.announced == nil {
+	announced := a.life.announced
+	if announced == nil {
 		return
 	}
 	s := a.instance.Settings
-	a.instance.Publish(wire.Record_KIND_ENDPOINT, a.sequence, &wire.Endpoint{
+	endpoint := &wire.Endpoint{
 		Instance: s.Instance,
 		Address:  envelope.PackAddress(s.Agent.Envelope),
-		Service:  a.announced.Service,
+		Service:  announced.Service,
 		Zone:     s.Zone,
-		State:    a.state,
-		Slots:    uint32(a.announced.Slots),
+		State:    a.stateLocked(),
+		Slots:    uint32(announced.Slots),
 		Link:     s.Link.Listen.String(),
-	})
+	}
+	if proto.Equal(endpoint, a.published) {
+		return
+	}
+	a.published = endpoint
+	a.sequence++
+	a.instance.Decisions.Decision("endpoint-state").
+		Str("service", announced.Service).
+		Str("endpoint", announced.Address).
+		Str("state", stateNames[endpoint.State]).
+		Str("reason", a.life.reason).
+		Msg("endpoint state published")
+	a.instance.Publish(wire.Record_KIND_ENDPOINT, a.sequence, endpoint)
 }
 
 // Drain takes no new flows, lets everything in flight end and publishes that
-// the endpoint is gone.
+// the endpoint is gone. The agent takes no announcements afterwards.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
-	a.isDraining = true
-	s := a.serving
+	a.life.isStopping = true
 	a.mu.Unlock()
-	a.setState(wire.Endpoint_STATE_DRAINING)
+	a.drainEndpoint(ctx, "the agent stops")
+	a.letRecordsLeave(ctx)
+}
+
+// drainEndpoint drains the endpoint and reports whether nothing was cut.
+func (a *Agent) drainEndpoint(ctx context.Context, reason string) bool {
+	a.mu.Lock()
+	s := a.serving
+	a.life.drain(reason)
 	if s != nil {
-		s.drain(ctx)
+		s.takesFlows.Store(false)
 	}
-	a.setState(wire.Endpoint_STATE_GONE)
-	a.letRecordsLeave(ctx)
+	a.publishLocked()
+	a.mu.Unlock()
+	isEmpty := s == nil || s.drain(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.life.endDrain()
+	a.publishLocked()
+	if a.serving == s && s != nil {
+		a.serving = nil
+		go s.close()
+	}
+	return isEmpty
 }
 
 // leaveDelay gives the last record time to reach the peers.
@@ -235,7 +302,7 @@
 func (a *Agent) Health() error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.isDraining {
+	if a.life.isStopping || a.life.phase == phaseDraining {
 		return Error.New("draining")
 	}
 	return nil
@@ -245,8 +312,15 @@
 func (a *Agent) Details() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.announced == nil {
+	announced := a.life.announced
+	if announced == nil {
 		return []string{"endpoint: none has announced itself"}
 	}
-	return []string{"endpoint: " + a.announced.Address + " of " + a.announced.Service + ", " + a.state.String()}
+	lines := []string{fmt.Sprintf("endpoint: %s of %s, %s", announced.Address, announced.Service, stateNames[a.stateLocked()])}
+	if a.serving == nil {
+		return lines
+	}
+	load := a.serving.limiter.Load()
+	return append(lines, fmt.Sprintf("load: %d flows, %d of %d slots taken, %d requests wait; the endpoint reports a load of %.2f",
+		a.serving.work.flows.Load(), load.Taken, load.Slots, load.Waiting, a.reportedLoad))
 }
--- a/internal/machine/agent/announce.go
+++ b/internal/machine/agent/announce.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"net/netip"
 	"time"
-
-	"sassafrasturn.example/internal/wire"
 )
 
 const (
@@ -24,6 +22,15 @@
 	Address string `json:"address"`
 	// Slots is how many requests the endpoint can work on at a time.
 	Slots int `json:"slots"`
+	// Process is another value in every process of the endpoint, so that a
+	// restart is noticed; it may be left out.
+	Process string `json:"process,omitempty"`
+}
+
+// loadReport is what an endpoint says about its load: POST /v1/load.
+type loadReport struct {
+	// Load is 0 for an idle endpoint and 1 for a full one.
+	Load float64 `json:"load"`
 }
 
 func (n *Announcement) check() error {
@@ -48,6 +55,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/endpoint", a.takeAnnouncement)
 	mux.HandleFunc("POST /v1/drain", a.takeDrain)
+	mux.HandleFunc("POST /v1/load", a.takeLoad)
 	server := &http.Server{Handler: mux, ReadTimeout: announceReadTimeout}
 	context.AfterFunc(ctx, func() { server.Close() })
 	go server.Serve(listener)
@@ -72,33 +80,64 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// announce takes an announcement. An endpoint of another service or at another
+// address is served anew: the flows of the earlier one end.
 func (a *Agent) announce(announcement *Announcement) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.isDraining {
-		return Error.New("the agent is draining")
+	change, err := a.life.announce(time.Now(), announcement)
+	if err != nil {
+		return err
 	}
-	if a.announced != nil {
-		if *a.announced == *announcement {
-			return nil
+	switch change {
+	case changeNone:
+		return nil
+	case changeMoved:
+		a.abandonLocked()
+		a.startWatchLocked(announcement.Address)
+	case changeRestarted:
+		if a.serving != nil {
+			a.serving.resume(announcement.Slots)
 		}
-		return Error.New("endpoint %s of %s has announced itself here", a.announced.Address, a.announced.Service)
 	}
-	a.announced = announcement
-	a.state = wire.Endpoint_STATE_COLD
-	a.sequence++
 	a.signalChange()
 	return nil
 }
 
+// abandonLocked stops serving the earlier endpoint.
+func (a *Agent) abandonLocked() {
+	s := a.serving
+	if s == nil {
+		return
+	}
+	a.serving = nil
+	s.suspend()
+	go s.close()
+}
+
 // takeDrain answers once nothing is in flight any more.
-func (a *Agent) takeDrain(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), a.instance.Settings.ShutdownTimeout)
+func (a *Agent) takeDrain(w http.ResponseWriter, _ *http.Request) {
+	// The drain goes on when the endpoint does not wait for the answer.
+	ctx, cancel := context.WithTimeout(context.Background(), a.instance.Settings.ShutdownTimeout)
 	defer cancel()
-	a.Drain(ctx)
-	if ctx.Err() != nil {
-		http.Error(w, "requests are still in flight", http.StatusGatewayTimeout)
+	if !a.drainEndpoint(ctx, "the endpoint asked to be drained") {
+		http.Error(w, "requests were in flight at the end of shutdown_timeout", http.StatusGatewayTimeout)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// takeLoad notes a load report for status and metrics. Reports lag and
+// mislead, so no limit follows them.
+func (a *Agent) takeLoad(w http.ResponseWriter, r *http.Request) {
+	report := new(loadReport)
+	body := http.MaxBytesReader(w, r.Body, maxAnnouncementSize)
+	if err := json.NewDecoder(body).Decode(report); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.mu.Lock()
+	a.reportedLoad = report.Load
+	a.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/machine/agent/drain.go
@@ -0,0 +1,85 @@
+package agent
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// handshakeGrace bounds how long handshakes that have begun may take to end.
+	handshakeGrace = time.Second
+	// closeGrace is how long callers have to fetch the end of their last answer
+	// and close the connection by themselves.
+	closeGrace = 5 * time.Second
+	drainPoll  = 20 * time.Millisecond
+	// drainSettle is how long a datagram may take from the hunt to the transport.
+	drainSettle = 5 * drainPoll
+)
+
+// drain ends the service of the endpoint without cutting anything: no new
+// flows, the handshakes that have begun come to an end, GOAWAY on every
+// connection, the requests in flight come to an end, and the connections that
+// callers leave open are closed. It reports whether it was done before ctx ended.
+func (s *serving) drain(ctx context.Context) bool {
+	s.takesFlows.Store(false)
+	s.finishHandshakes(ctx)
+	s.hunt.close()
+	goneAway := make(chan struct{})
+	go func() {
+		defer close(goneAway)
+		// Sends GOAWAY; returns when every connection has ended.
+		_ = s.server.Shutdown(ctx)
+	}()
+	isEmpty := s.waitUntilQuiet(ctx)
+	if !isEmpty {
+		s.agent.instance.Log.Warn().
+			Int64("requests", s.work.requests.Load()).
+			Msg("drain ended with requests in flight; raise shutdown_timeout to let them end")
+	}
+	s.server.Close()
+	<-goneAway
+	return isEmpty
+}
+
+// waitUntilQuiet returns once callers have closed every connection, or no
+// request has run for closeGrace. It reports whether no request runs.
+func (s *serving) waitUntilQuiet(ctx context.Context) bool {
+	busy := time.Now()
+	waitUntil(ctx, func() bool {
+		if s.work.requests.Load() > 0 {
+			busy = time.Now()
+			return false
+		}
+		return s.work.flows.Load() == 0 || time.Since(busy) >= closeGrace
+	})
+	return s.work.requests.Load() == 0
+}
+
+func (s *serving) finishHandshakes(ctx context.Context) {
+	grace, cancel := context.WithTimeout(ctx, handshakeGrace)
+	defer cancel()
+	sleep(grace, drainSettle)
+	waitUntil(grace, func() bool { return s.work.handshakes.Load() == 0 })
+}
+
+// waitUntil polls a condition; it reports false when ctx ended first.
+func waitUntil(ctx context.Context, isDone func() bool) bool {
+	for !isDone() {
+		if !sleep(ctx, drainPoll) {
+			return isDone()
+		}
+	}
+	return true
+}
+
+// sleep reports false when ctx ended first.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/machine/agent/gauges.go
@@ -0,0 +1,35 @@
+package agent
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// registerGauges adds the figures that decisions about new work rest on.
+func (a *Agent) registerGauges(registry *prometheus.Registry) {
+	gauge := func(name, help string, read func(s *serving) float64) {
+		options := prometheus.GaugeOpts{Name: "sassafrasturn_agent_" + name, Help: help}
+		registry.MustRegister(prometheus.NewGaugeFunc(options, func() float64 { return a.readServing(read) }))
+	}
+	gauge("open_flows", "QUIC connections that are open.", func(s *serving) float64 { return float64(s.work.flows.Load()) })
+	gauge("slots_taken", "Slots of the endpoint that are taken.", func(s *serving) float64 { return float64(s.limiter.Load().Taken) })
+	gauge("slots_limit", "Slots of the endpoint that may be taken now.", func(s *serving) float64 { return float64(s.limiter.Load().Slots) })
+	gauge("requests_waiting", "Requests that wait for a slot.", func(s *serving) float64 { return float64(s.limiter.Load().Waiting) })
+	gauge("flow_threshold", "Requests for each slot below which new flows are accepted.", func(s *serving) float64 { return s.gate.Threshold() })
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sassafrasturn_agent_reported_load",
+		Help: "Load that the endpoint reports; nothing is decided by it.",
+	}, func() float64 {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return a.reportedLoad
+	}))
+}
+
+// readServing reads a figure of the endpoint that is being served, or 0.
+func (a *Agent) readServing(read func(s *serving) float64) float64 {
+	a.mu.Lock()
+	s := a.serving
+	a.mu.Unlock()
+	if s == nil {
+		return 0
+	}
+	return read(s)
+}
--- a/internal/machine/agent/hunt.go
+++ b/internal/machine/agent/hunt.go
@@ -3,18 +3,24 @@
 import (
 	"sync"
 	"time"
+
+	"sassafrasturn.example/internal/admit"
 )
 
 // handshakeMemory is how long the choice for a new flow is remembered: the
 // datagrams of one handshake must all have the same fate.
 const handshakeMemory = 10 * time.Second
 
-type huntChoice uint8
+// maxRememberedChoices bounds the memory; a flow beyond it is decided anew with
+// each of its datagrams.
+const maxRememberedChoices = 1 << 16
+
+type huntChoice = admit.FlowChoice
 
 const (
-	huntRefuse huntChoice = iota
-	huntAccept
-	huntHandOn
+	huntRefuse = admit.FlowRefuse
+	huntAccept = admit.FlowAccept
+	huntHandOn = admit.FlowHandOn
 )
 
 // hunt decides for each new flow whether this agent accepts it or hands it on
@@ -23,9 +29,10 @@
 	// admit decides a flow that is new here; isLast says that there is no other candidate.
 	admit func(isLast bool) huntChoice
 
-	mu      sync.Mutex
-	choices map[string]rememberedChoice
-	cleaned time.Time
+	mu       sync.Mutex
+	choices  map[string]rememberedChoice
+	cleaned  time.Time
+	isClosed bool
 }
 
 type rememberedChoice struct {
@@ -41,14 +48,38 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.clean(now)
-	if held, ok := h.choices[string(id)]; ok && (held.choice != huntHandOn || !isLast) {
+	held, ok := h.choices[string(id)]
+	if ok && !h.isStale(held, isLast) {
 		return held.choice
 	}
 	choice := h.admit(isLast)
-	h.choices[string(id)] = rememberedChoice{choice: choice, at: now}
+	if ok || len(h.choices) < maxRememberedChoices {
+		h.choices[string(id)] = rememberedChoice{choice: choice, at: now}
+	}
 	return choice
 }
 
+// isStale reports whether a remembered choice no longer holds: it was a
+// refusal, there is nobody left to hand the flow on to, or the agent has
+// stopped taking handshakes.
+func (h *hunt) isStale(held rememberedChoice, isLast bool) bool {
+	switch held.choice {
+	case huntHandOn:
+		return isLast
+	case huntAccept:
+		return h.isClosed
+	default:
+		return true
+	}
+}
+
+// close forgets the handshakes that have not come to an end.
+func (h *hunt) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.isClosed = true
+}
+
 func (h *hunt) clean(now time.Time) {
 	if now.Sub(h.cleaned) < handshakeMemory/2 {
 		return
--- /dev/null
+++ b/internal/machine/agent/inflight.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+)
+
+// inFlight counts what an endpoint has open.
+type inFlight struct {
+	// flows are the QUIC connections that are open.
+	flows atomic.Int64
+	// handshakes are those of them that the HTTP server does not serve yet.
+	handshakes atomic.Int64
+	// requests are those whose handler runs.
+	requests atomic.Int64
+}
+
+// countFlow is the ConnContext of the transport; ctx ends with the connection.
+func (f *inFlight) countFlow(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
+	f.flows.Add(1)
+	f.handshakes.Add(1)
+	accepted := new(atomic.Bool)
+	context.AfterFunc(ctx, func() {
+		f.flows.Add(-1)
+		if accepted.CompareAndSwap(false, true) {
+			f.handshakes.Add(-1)
+		}
+	})
+	return context.WithValue(ctx, acceptedKey{}, accepted), nil
+}
+
+type acceptedKey struct{}
+
+// endHandshake notes that a connection is served from now on.
+func (f *inFlight) endHandshake(ctx context.Context) {
+	accepted, ok := ctx.Value(acceptedKey{}).(*atomic.Bool)
+	if ok && accepted.CompareAndSwap(false, true) {
+		f.handshakes.Add(-1)
+	}
+}
+
+// countRequests wraps a handler.
+func (f *inFlight) countRequests(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.requests.Add(1)
+		defer f.requests.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
--- a/internal/machine/agent/serving.go
+++ b/internal/machine/agent/serving.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -33,12 +34,19 @@
 	number    uint32
 	zone      uint8
 	hunt      *hunt
+	gate      *admit.FlowGate
 	packets   *packetConn
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	server    *http3.Server
 	limiter   *admit.Limiter
 	doc       atomic.Pointer[contract.Document]
+	work      inFlight
+	// slots are those that the endpoint has announced; 0 for the document's.
+	slots atomic.Int64
+	// takesFlows is false while the endpoint drains, is gone or is not allowed
+	// by the document.
+	takesFlows atomic.Bool
 }
 
 func newServing(a *Agent, number uint32, zone uint8, doc *contract.Document, announced *Announcement) (*serving, error) {
@@ -46,18 +54,51 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &serving{agent: a, number: number, zone: zone, packets: newPacketConn(a, number)}
+	s := &serving{agent: a, number: number, zone: zone, packets: newPacketConn(a, number), gate: admit.NewFlowGate()}
 	s.doc.Store(doc)
-	s.limiter = admit.NewLimiter(doc.Slots, doc.Queue)
+	s.slots.Store(int64(announced.Slots))
+	s.limiter = admit.NewLimiter(s.ramp(doc), doc.Queue, func(bool) { a.signalChange() })
 	s.hunt = newHunt(s.admitFlow)
 	if err := s.listen(certificate); err != nil {
 		return nil, err
 	}
-	s.server = &http3.Server{Handler: newProxy(s, announced)}
-	go s.server.ServeListener(s.listener)
+	s.server = &http3.Server{Handler: s.work.countRequests(newProxy(s, announced))}
+	s.takesFlows.Store(true)
+	go s.accept()
 	return s, nil
 }
 
+// ramp is the document's, with no more slots than the endpoint has announced.
+func (s *serving) ramp(doc *contract.Document) admit.Ramp {
+	slots := doc.Slots
+	if announced := int(s.slots.Load()); announced > 0 {
+		slots = min(slots, announced)
+	}
+	return admit.Ramp{Start: doc.RampStart, Answers: doc.RampAnswers, Slots: slots}
+}
+
+// accept serves connections until the listener is closed. The HTTP server's
+// own loop would leave connections behind whose handshake ends after the drain
+// has begun.
+func (s *serving) accept() {
+	for {
+		conn, err := s.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		s.work.endHandshake(conn.Context())
+		go s.serveConnection(conn)
+	}
+}
+
+func (s *serving) serveConnection(conn *quic.Conn) {
+	// The error says only how the connection ended.
+	err := s.server.ServeQUICConn(conn)
+	if errors.Is(err, http.ErrServerClosed) {
+		conn.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "draining")
+	}
+}
+
 func (s *serving) listen(certificate tls.Certificate) error {
 	// The oldest epoch outlasts a rotation, so that a later incarnation derives the same keys.
 	epoch := s.agent.instance.Keys.Oldest()
@@ -76,6 +117,7 @@
 		ConnectionIDGenerator: newIDGenerator(s),
 		StatelessResetKey:     &reset,
 		TokenGeneratorKey:     &address,
+		ConnContext:           s.work.countFlow,
 	}
 	tlsConfig := http3.ConfigureTLSConfig(&tls.Config{
 		MinVersion:   tls.VersionTLS13,
@@ -90,29 +132,58 @@
 	return Error.Wrap(err)
 }
 
-// admitFlow decides a new flow.
-func (s *serving) admitFlow(bool) huntChoice {
-	s.agent.mu.Lock()
-	isDraining := s.agent.isDraining
-	s.agent.mu.Unlock()
-	if isDraining {
-		return huntHandOn
+// admitFlow decides a new flow from the agent's own counts.
+func (s *serving) admitFlow(isLast bool) huntChoice {
+	doc := s.doc.Load()
+	load := admit.FlowLoad{
+		Flows:       int(s.work.flows.Load()),
+		Connections: doc.Connections,
+		Work:        s.limiter.Load(),
+		FullSlots:   s.ramp(doc).Slots,
+		IsServing:   s.takesFlows.Load(),
+		IsLast:      isLast,
+	}
+	choice, reason := s.gate.Decide(load)
+	s.logFlow(choice, reason, load)
+	return choice
+}
+
+var flowChoiceNames = map[huntChoice]string{huntRefuse: "refuse", huntAccept: "accept", huntHandOn: "hand-on"}
+
+func (s *serving) logFlow(choice huntChoice, reason admit.FlowReason, load admit.FlowLoad) {
+	if choice == huntAccept {
+		s.agent.metrics.accepted.Inc()
 	}
-	s.agent.metrics.accepted.Inc()
-	s.agent.instance.Decisions.Decision("accept").Str("service", s.doc.Load().Service).Msg("new flow accepted")
-	return huntAccept
+	s.agent.instance.Decisions.Decision(flowChoiceNames[choice]).
+		Str("service", s.doc.Load().Service).
+		Str("reason", string(reason)).
+		Int("flows", load.Flows).
+		Int("connections", load.Connections).
+		Int("slots_taken", load.Work.Taken).
+		Int("slots_waiting", load.Work.Waiting).
+		Int("slots_now", load.Work.Slots).
+		Float64("threshold", s.gate.Threshold()).
+		Msg("new flow decided")
 }
 
 func (s *serving) update(doc *contract.Document) {
 	s.doc.Store(doc)
-	s.limiter.SetLimits(doc.Slots, doc.Queue)
+	s.limiter.SetLimits(s.ramp(doc), doc.Queue)
 }
 
-// drain sends GOAWAY and waits for the requests in flight.
-func (s *serving) drain(ctx context.Context) {
-	if err := s.server.Shutdown(ctx); err != nil {
-		s.agent.instance.Log.Warn().Err(err).Msg("drain ended with requests in flight")
-	}
+// suspend takes no flows and refuses requests, since the endpoint is gone.
+func (s *serving) suspend() {
+	s.takesFlows.Store(false)
+	s.limiter.Suspend()
+}
+
+// resume serves the endpoint again, as a cold one.
+func (s *serving) resume(slots int) {
+	s.slots.Store(int64(slots))
+	doc := s.doc.Load()
+	s.limiter.Reset()
+	s.limiter.SetLimits(s.ramp(doc), doc.Queue)
+	s.takesFlows.Store(true)
 }
 
 func (s *serving) close() {
@@ -124,14 +195,17 @@
 
 // idGenerator issues connection IDs that carry the route to this agent.
 type idGenerator struct {
-	codec   *token.Codec
-	route   token.Route
-	counter atomic.Uint32
+	codec *token.Codec
+	route token.Route
+	// counter is the agent's, so that no two connections of a process ever
+	// have an ID in common, whichever endpoint they were of.
+	counter *atomic.Uint32
 }
 
 func newIDGenerator(s *serving) *idGenerator {
 	return &idGenerator{
-		codec: s.agent.codec,
+		codec:   s.agent.codec,
+		counter: &s.agent.connectionIDs,
 		route: token.Route{
 			Agent:       s.agent.instance.Settings.Agent.Envelope,
 			Zone:        s.zone,
--- a/internal/machine/sample/sample.go
+++ b/internal/machine/sample/sample.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -27,8 +28,8 @@
 	Service = "sample"
 	Address = "127.0.0.1:8443"
 
-	slots         = 5
-	retryInterval = 200 * time.Millisecond
+	slots            = 5
+	announceInterval = 500 * time.Millisecond
 )
 
 //go:embed sample.ini
@@ -65,24 +66,27 @@
 	fmt.Fprintf(w, "hello from the sample endpoint, over %s\n", r.Proto)
 }
 
-// introduce submits the sample document and announces the endpoint, trying
-// again until both are taken.
+// introduce submits the sample document and announces the endpoint again and
+// again, so that its agent notices when it is gone.
 func (e *Endpoint) introduce(ctx context.Context, address string) {
+	isExplained := false
 	for ctx.Err() == nil {
 		err := e.submit(ctx)
 		if err == nil {
 			err = e.announce(ctx, address)
 		}
-		if err == nil {
-			break
+		switch {
+		case err != nil && !isExplained:
+			e.instance.Log.Info().Err(err).Msg("sample endpoint not announced yet")
+		case !isExplained:
+			e.explain()
+			isExplained = true
 		}
-		e.instance.Log.Info().Err(err).Msg("sample endpoint not announced yet")
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryInterval):
+		case <-time.After(announceInterval):
 		}
 	}
-	e.explain()
 }
 
 func (e *Endpoint) explain() {
@@ -115,7 +119,14 @@
 
 func (e *Endpoint) announce(ctx context.Context, address string) error {
 	announce := e.instance.Settings.Agent.Announce.String()
-	return Announce(ctx, announce, &agent.Announcement{Service: Service, Address: address, Slots: slots})
+	return Announce(ctx, announce, &agent.Announcement{Service: Service, Address: address, Slots: slots, Process: ProcessName()})
+}
+
+var startedAt = time.Now()
+
+// ProcessName tells this process from all others that an agent may hear of.
+func ProcessName() string {
+	return fmt.Sprintf("%d-%d", os.Getpid(), startedAt.UnixNano())
 }
 
 // Announce tells the agent at the announce address about an endpoint.
