--- a/internal/machine/agent/serving.go
+++ b/internal/machine/agent/serving.go
@@ -37,6 +37,7 @@
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	server    *http3.Server
+	proxy     *proxy
 	limiter   *admit.Limiter
 	doc       atomic.Pointer[contract.Document]
 }
@@ -50,10 +51,13 @@
 	s.doc.Store(doc)
 	s.limiter = admit.NewLimiter(doc.Slots, doc.Queue)
 	s.hunt = newHunt(s.admitFlow)
+	if s.proxy, err = newProxy(s, announced); err != nil {
+		return nil, err
+	}
 	if err := s.listen(certificate); err != nil {
 		return nil, err
 	}
-	s.server = &http3.Server{Handler: newProxy(s, announced)}
+	s.server = &http3.Server{Handler: s.proxy}
 	go s.server.ServeListener(s.listener)
 	return s, nil
 }
