--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -193,9 +193,7 @@
 	if entry.Group != nil {
 		c.refreshPeers()
 	}
-	for _, p := range c.peers {
-		c.sendAppend(p)
-	}
+	c.sendAppends()
 	return entry
 }
 
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -25,12 +25,19 @@
 
 func (c *Core) broadcastAppend() {
 	c.heartbeatAt = c.now + HeartbeatInterval
-	for _, p := range c.peers {
-		c.sendAppend(p)
-	}
+	c.sendAppends()
 	c.changeGroup()
 }
 
+// sendAppends sends to all peers, in the order of the group.
+func (c *Core) sendAppends() {
+	for _, member := range c.log.group().GetMembers() {
+		if p := c.peers[member.Id]; p != nil {
+			c.sendAppend(p)
+		}
+	}
+}
+
 // sendAppend sends entries, or a mere heartbeat while an answer is awaited.
 func (c *Core) sendAppend(p *peer) {
 	isWaiting := c.now < p.waitUntil
@@ -173,9 +180,7 @@
 		return
 	}
 	// Followers learn of the commit at once, not with the next heartbeat.
-	for _, p := range c.peers {
-		c.sendAppend(p)
-	}
+	c.sendAppends()
 }
 
 // quorumValue returns the highest value that a majority of the voters has reached.
--- /dev/null
+++ b/internal/machine/control/model_test.go
@@ -0,0 +1,583 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/catalog"
+	"sassafrasturn.example/internal/consensus"
+	"sassafrasturn.example/internal/journal"
+	"sassafrasturn.example/internal/journal/journaltest"
+	"sassafrasturn.example/internal/wire"
+)
+
+// variant is the product or a naive version of one part of it.
+type variant struct {
+	name string
+	// ignoresVersion: the last write wins.
+	ignoresVersion bool
+	// ignoresSync: votes and entries are answered before they are durable.
+	ignoresSync bool
+	// votesAfterLoss: an instance that has lost its disk comes back as itself.
+	votesAfterLoss bool
+	// ignoresQuorum: a leader counts what it sends as answered, and publishes
+	// leases as long as it holds itself to be the leader.
+	ignoresQuorum bool
+	// forgetsResults: a resend is applied as a new submission.
+	forgetsResults bool
+}
+
+const (
+	modelStep     = 50 * time.Millisecond
+	modelSteps    = 600
+	modelEndSteps = 600
+	modelCompact  = 25
+	modelServices = 2
+	modelVoters   = 3
+	modelLossMin  = 150
+	modelSubmits  = 3 // submissions in a step at most
+)
+
+// modelNode is one control instance with its disk.
+type modelNode struct {
+	id      uint64
+	folder  *journaltest.Folder
+	replica *replica
+	disk    uint64
+	// downUntil, frozenUntil and cutUntil are steps.
+	downUntil, frozenUntil, cutUntil int
+	// cutSince is the time from which no message has reached or left the node.
+	cutSince time.Duration
+	isGone   bool
+	// newest is the newest index that was published for each key.
+	newest map[string]uint64
+}
+
+type modelMessage struct {
+	at int
+	m  *wire.ConsensusMessage
+}
+
+type submission struct {
+	id      string
+	service string
+	from    uint64
+	text    string
+	first   *wire.CommandResult
+}
+
+// model drives replicas through a random schedule and checks the promises
+// from what comes out of them.
+type model struct {
+	variant variant
+	random  *rand.Rand
+	step    int
+	nodes   []*modelNode
+	network []modelMessage
+
+	submissions []*submission
+	documents   map[string]string // by service and version, as published anywhere
+	winners     map[string]string // submission by service and version edited from
+	leaders     map[uint64]uint64
+	leaseTerm   uint64
+	lost        *modelNode
+	repairs     int
+	isHealing   bool
+	violation   string
+	// isStuck: the violation is that something due has not happened.
+	isStuck bool
+}
+
+func newModel(v variant, seed uint64) *model {
+	w := &model{
+		variant: v, random: rand.New(rand.NewPCG(seed, 1)),
+		documents: make(map[string]string), winners: make(map[string]string), leaders: make(map[uint64]uint64),
+	}
+	var members []*wire.ControlMember
+	for id := range uint64(modelVoters) {
+		n := w.addNode(id + 1)
+		members = append(members, &wire.ControlMember{Id: n.id, Disk: n.disk, Voter: true})
+	}
+	first := w.nodes[0]
+	w.handle(first, first.replica.form(w.now(), members))
+	return w
+}
+
+func (w *model) now() time.Duration { return time.Duration(w.step) * modelStep }
+
+func (w *model) fail(format string, args ...any) {
+	if w.violation == "" {
+		w.violation = fmt.Sprintf("step %d: ", w.step) + fmt.Sprintf(format, args...)
+	}
+}
+
+// stuck reports what has not happened although everything was healed.
+func (w *model) stuck(format string, args ...any) {
+	w.isStuck = w.isStuck || w.violation == ""
+	w.fail(format, args...)
+}
+
+func (w *model) addNode(id uint64) *modelNode {
+	n := &modelNode{id: id, folder: w.newFolder(), newest: make(map[string]uint64), cutSince: -1}
+	w.nodes = append(w.nodes, n)
+	w.open(n)
+	return n
+}
+
+func (w *model) newFolder() *journaltest.Folder {
+	folder := journaltest.New(w.random)
+	folder.IsLogSyncIgnored = w.variant.ignoresSync
+	return folder
+}
+
+func (w *model) open(n *modelNode) {
+	out := outputs{
+		send:    func(m *wire.ConsensusMessage) { w.send(n, m) },
+		publish: func(records []*wire.Record) { w.published(n, records) },
+	}
+	r, err := openReplica(n.folder, n.id, w.random, w.now(), out)
+	if err != nil {
+		w.handle(n, err)
+		return
+	}
+	r.compactAfter = modelCompact
+	n.replica, n.disk = r, r.identity.Disk
+}
+
+// handle takes a replica that has failed down; it is restarted later.
+func (w *model) handle(n *modelNode, err error) {
+	if err == nil {
+		return
+	}
+	n.replica = nil
+	n.folder.Restart()
+	n.downUntil = w.step + 1 + w.random.IntN(60)
+}
+
+func (w *model) isCut(n *modelNode) bool { return n.cutUntil > w.step }
+
+func (w *model) send(n *modelNode, m *wire.ConsensusMessage) {
+	if w.variant.ignoresQuorum && m.Kind == wire.ConsensusMessage_KIND_APPEND {
+		w.network = append(w.network, modelMessage{at: w.step + 1, m: &wire.ConsensusMessage{
+			Kind: wire.ConsensusMessage_KIND_APPEND_ANSWER, Group: m.Group, Term: m.Term, SentAt: m.SentAt, Rejected: true,
+			From: m.To, FromDisk: m.ToDisk, To: m.From, ToDisk: m.FromDisk,
+		}})
+	}
+	if w.isCut(n) || !w.isHealing && w.random.IntN(20) == 0 {
+		return
+	}
+	copies := 1
+	if !w.isHealing && w.random.IntN(20) == 0 {
+		copies = 2
+	}
+	for range copies {
+		w.network = append(w.network, modelMessage{at: w.step + 1 + w.random.IntN(3), m: m})
+	}
+}
+
+func (w *model) deliver() {
+	due := w.network
+	w.network = nil
+	for _, message := range due {
+		n := w.node(message.m.To)
+		isOwn := w.variant.ignoresQuorum && message.m.Rejected
+		switch {
+		case message.at > w.step:
+			w.network = append(w.network, message)
+		case n == nil || n.replica == nil || w.isCut(n) && !isOwn:
+		case n.frozenUntil > w.step:
+			w.network = append(w.network, message)
+		default:
+			w.handle(n, n.replica.step(w.now(), message.m))
+		}
+	}
+}
+
+func (w *model) node(id uint64) *modelNode {
+	for _, n := range w.nodes {
+		if n.id == id && !n.isGone {
+			return n
+		}
+	}
+	return nil
+}
+
+// published checks what a node hands to the exchange.
+func (w *model) published(n *modelNode, records []*wire.Record) {
+	for _, record := range records {
+		if record.Major < n.newest[record.Key] {
+			w.fail("node %d published %s of index %d after %d", n.id, record.Key, record.Major, n.newest[record.Key])
+		}
+		n.newest[record.Key] = record.Major
+		service := new(wire.Service)
+		if err := unmarshal(record.Value, service); err != nil {
+			w.fail("record: %v", err)
+		}
+		key := fmt.Sprintf("%s/%d", record.Key, service.Version)
+		if held, ok := w.documents[key]; ok && held != string(service.Document) {
+			w.fail("two documents of %s are in force", key)
+		}
+		w.documents[key] = string(service.Document)
+	}
+}
+
+// leader returns a random node that holds itself to be the leader.
+func (w *model) leader() *modelNode {
+	var leaders []*modelNode
+	for _, n := range w.nodes {
+		if w.isRunning(n) && n.replica.core.Status(w.now()).Role == consensus.Leader {
+			leaders = append(leaders, n)
+		}
+	}
+	if len(leaders) == 0 {
+		return nil
+	}
+	return leaders[w.random.IntN(len(leaders))]
+}
+
+func (w *model) isRunning(n *modelNode) bool {
+	return !n.isGone && n.replica != nil && n.frozenUntil <= w.step
+}
+
+// submit lets operators race from the version that some node has published, or
+// resends an earlier submission.
+func (w *model) submit() {
+	n := w.leader()
+	if n == nil {
+		return
+	}
+	s := w.chooseSubmission()
+	command := &wire.Command{SubmissionId: s.id, Body: &wire.Command_Submit{Submit: &wire.SubmitDocument{Document: []byte(s.text)}}}
+	if refused := catalog.Prepare(command); refused != nil {
+		w.fail("refused: %s", refused.Findings)
+		return
+	}
+	if w.variant.ignoresVersion {
+		command.GetSubmit().EditedFrom = w.versionAt(n, s.service)
+	}
+	if w.variant.forgetsResults {
+		command.SubmissionId = ""
+	}
+	isAnswerLost := w.random.IntN(5) == 0
+	n.replica.propose(w.now(), command, func(result *wire.CommandResult, err error) {
+		if err == nil && !isAnswerLost {
+			w.answered(s, result)
+		}
+	})
+	w.handle(n, n.replica.work(w.now()))
+}
+
+func (w *model) versionAt(n *modelNode, service string) uint64 {
+	for _, record := range n.replica.catalog.Records(0) {
+		value := new(wire.Service)
+		if record.Key == service && unmarshal(record.Value, value) == nil {
+			return value.Version
+		}
+	}
+	return 0
+}
+
+func (w *model) chooseSubmission() *submission {
+	if len(w.submissions) > 0 && w.random.IntN(3) == 0 {
+		recent := w.submissions[max(0, len(w.submissions)-10):]
+		return recent[w.random.IntN(len(recent))]
+	}
+	index := w.random.IntN(modelServices)
+	s := &submission{id: fmt.Sprint("s", len(w.submissions)), service: fmt.Sprint("service-", index)}
+	if reader := w.nodes[w.random.IntN(len(w.nodes))]; reader.replica != nil {
+		s.from = w.versionAt(reader, s.service)
+	}
+	s.text = fmt.Sprintf("# %s\n[service]\nname = %s\naddress = 10.0.0.%d:443\nversion = %d\n[endpoints]\nallow = 10.0.0.0/8\n", s.id, s.service, index+1, s.from)
+	w.submissions = append(w.submissions, s)
+	return s
+}
+
+// answered checks an answer that has reached an operator.
+func (w *model) answered(s *submission, result *wire.CommandResult) {
+	if s.first == nil {
+		s.first = result
+	}
+	if s.first.Outcome != result.Outcome || s.first.Index != result.Index || s.first.Version != result.Version {
+		w.fail("%s was answered %v and then %v", s.id, s.first, result)
+	}
+	if result.Outcome != wire.CommandResult_OUTCOME_ACCEPTED {
+		return
+	}
+	key := fmt.Sprintf("%s/%d", s.service, s.from)
+	if winner, ok := w.winners[key]; ok && winner != s.id {
+		w.fail("%s and %s were both accepted as edits of %s", winner, s.id, key)
+	}
+	w.winners[key] = s.id
+}
+
+// disturb brings about one random fault.
+func (w *model) disturb() {
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	if n.isGone || n.replica == nil {
+		return
+	}
+	switch w.random.IntN(10) {
+	case 0, 1, 2:
+		n.folder.CrashAt = n.folder.Operations + 1 + w.random.IntN(8)
+	case 3:
+		n.folder.FailAt = n.folder.Operations + 1 + w.random.IntN(8)
+		n.folder.Failure = []error{journaltest.ErrFull, journaltest.ErrSync}[w.random.IntN(2)]
+	case 4, 5:
+		n.cutUntil = w.step + 1 + w.random.IntN(80)
+	case 6:
+		n.frozenUntil = w.step + 1 + w.random.IntN(60)
+	case 7:
+		// The whole process is killed between two operations.
+		w.handle(n, journaltest.ErrCrashed)
+	case 8:
+		// Away for hundreds of entries.
+		w.handle(n, journaltest.ErrCrashed)
+		n.downUntil = w.step + modelLossMin
+	case 9:
+		w.loseDisk(n)
+	}
+}
+
+// loseDisk takes one member's disk, also right after the last one was replaced.
+func (w *model) loseDisk(n *modelNode) {
+	if w.lost != nil || w.step > modelSteps-100 || !w.isKnownWithout(n) {
+		return
+	}
+	if w.variant.votesAfterLoss {
+		// The naive instance comes back empty as the member that it was.
+		n.replica = nil
+		n.folder = w.newFolder()
+		n.newest = make(map[string]uint64)
+		_, _, err := journal.Open(n.folder, &wire.DiskIdentity{Id: n.id, Disk: n.disk})
+		w.handle(n, err)
+		return
+	}
+	n.isGone, n.replica = true, nil
+	w.lost = n
+	w.addNode(uint64(len(w.nodes) + 1))
+}
+
+// isKnownWithout reports whether another node knows the group. Before that
+// nothing can have been accepted, and the founder would begin anew.
+func (w *model) isKnownWithout(n *modelNode) bool {
+	for _, other := range w.nodes {
+		if other != n && other.replica != nil && len(other.replica.core.Status(w.now()).Group.GetMembers()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// repair replaces the member whose disk was lost, as an operator would.
+func (w *model) repair() {
+	if w.lost == nil {
+		return
+	}
+	n := w.leader()
+	newest := w.nodes[len(w.nodes)-1]
+	if n == nil || newest.replica == nil {
+		return
+	}
+	status := n.replica.core.Status(w.now())
+	if isIn(status.Group, newest.id) && !isIn(status.Group, w.lost.id) {
+		if status.IsCurrent && status.Commit == status.Last {
+			w.lost = nil
+			w.repairs++
+		}
+		return
+	}
+	member := &wire.ControlMember{Id: newest.id, Disk: newest.disk, Replaces: w.lost.id}
+	n.replica.addMember(w.now(), member, func(*wire.CommandResult, error) {})
+	w.handle(n, n.replica.work(w.now()))
+}
+
+func isIn(group *wire.ControlGroup, id uint64) bool {
+	for _, member := range group.GetMembers() {
+		if member.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *model) advance() {
+	w.step++
+	w.deliver()
+	for _, n := range w.nodes {
+		if n.isGone {
+			continue
+		}
+		if n.replica == nil && n.downUntil <= w.step {
+			w.open(n)
+		}
+		if !w.isRunning(n) {
+			continue
+		}
+		w.handle(n, n.replica.tick(w.now()))
+		w.checkLeader(n)
+	}
+}
+
+func (w *model) checkLeader(n *modelNode) {
+	if !w.isCut(n) {
+		n.cutSince = w.now()
+	}
+	if n.replica == nil {
+		return
+	}
+	status := n.replica.core.Status(w.now())
+	if status.Role != consensus.Leader {
+		return
+	}
+	if held, ok := w.leaders[status.Term]; ok && held != n.id {
+		w.fail("nodes %d and %d both lead in term %d", held, n.id, status.Term)
+	}
+	w.leaders[status.Term] = n.id
+	if n.replica.lease(w.now()) == nil && !w.variant.ignoresQuorum {
+		return
+	}
+	if status.Term < w.leaseTerm {
+		w.fail("a lease of term %d was published after one of term %d", status.Term, w.leaseTerm)
+	}
+	w.leaseTerm = status.Term
+	if cut := w.now() - n.cutSince; cut > consensus.ElectionTimeout {
+		w.fail("node %d published a lease %v after it was cut off", n.id, cut)
+	}
+}
+
+// run plays the schedule, then heals everything and checks that all nodes
+// agree and that nothing acknowledged is lost.
+func (w *model) run() string {
+	for w.step < modelSteps && w.violation == "" {
+		w.advance()
+		for range w.random.IntN(modelSubmits + 1) {
+			w.submit()
+		}
+		if w.random.IntN(40) == 0 {
+			w.disturb()
+		}
+		w.repair()
+	}
+	w.isHealing = true
+	for _, n := range w.nodes {
+		n.cutUntil, n.frozenUntil, n.downUntil = 0, 0, 0
+		n.folder.CrashAt, n.folder.FailAt = 0, 0
+	}
+	for end := w.step + modelEndSteps; w.step < end && w.violation == ""; {
+		w.advance()
+		w.repair()
+	}
+	if w.violation == "" {
+		w.checkEnd()
+	}
+	return w.violation
+}
+
+func (w *model) checkEnd() {
+	n := w.leader()
+	if n == nil {
+		w.stuck("no leader after everything was healed")
+		return
+	}
+	status := n.replica.core.Status(w.now())
+	if w.lost != nil || len(status.Group.Members) != modelVoters {
+		w.stuck("the lost member was not replaced: %v", status.Group)
+	}
+	for _, other := range w.nodes {
+		if other.isGone {
+			continue
+		}
+		if got := other.replica.core.Status(w.now()).Applied; got != status.Applied {
+			w.stuck("node %d has applied %d, the leader %d", other.id, got, status.Applied)
+		}
+		if a, b := w.stateOf(n), w.stateOf(other); a != b {
+			w.fail("nodes %d and %d differ", n.id, other.id)
+		}
+	}
+	for _, s := range w.submissions {
+		if s.first.GetOutcome() != wire.CommandResult_OUTCOME_ACCEPTED {
+			continue
+		}
+		if w.documents[fmt.Sprintf("%s/%d", s.service, s.first.Version)] != s.text {
+			w.fail("%s was accepted as version %d, but is not in force", s.id, s.first.Version)
+		}
+		if got := w.versionAt(n, s.service); got < s.first.Version {
+			w.fail("%s was accepted as version %d, but the version is %d at the end", s.id, s.first.Version, got)
+		}
+	}
+}
+
+func (w *model) stateOf(n *modelNode) string {
+	state, err := n.replica.catalog.Snapshot()
+	if err != nil {
+		w.fail("snapshot: %v", err)
+	}
+	return string(state)
+}
+
+const (
+	modelSeeds      = 2000
+	modelShortSeeds = 200
+	modelShards     = 4
+)
+
+// TestModel plays fixed random schedules of faults against the product.
+func TestModel(t *testing.T) {
+	seeds := uint64(modelSeeds)
+	if testing.Short() {
+		seeds = modelShortSeeds
+	}
+	for shard := range uint64(modelShards) {
+		t.Run(fmt.Sprint(shard), func(t *testing.T) {
+			t.Parallel()
+			accepted, repairs, terms := 0, 0, 0
+			for seed := shard; seed < seeds; seed += modelShards {
+				w := newModel(variant{name: "product"}, seed)
+				NewWithT(t).Expect(w.run()).To(BeEmpty(), "seed %d", seed)
+				accepted += len(w.winners)
+				repairs += w.repairs
+				terms += len(w.leaders)
+			}
+			t.Logf("%d accepted documents, %d repairs after a lost disk, %d terms with a leader", accepted, repairs, terms)
+		})
+	}
+}
+
+// TestModelFindsNaiveVersions plays schedules against versions that lack one
+// part, each of which must break a promise that the product keeps with the
+// same seed.
+func TestModelFindsNaiveVersions(t *testing.T) {
+	variants := []variant{
+		{name: "last write wins", ignoresVersion: true},
+		{name: "answers before the sync", ignoresSync: true},
+		{name: "votes under the old identity after a lost disk", votesAfterLoss: true},
+		{name: "no check-quorum", ignoresQuorum: true},
+		{name: "resend is a new submission", forgetsResults: true},
+	}
+	const seedsToTry = 100
+	for _, v := range variants {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			for seed := range uint64(seedsToTry) {
+				naive := newModel(v, seed)
+				if naive.run() == "" || naive.isStuck {
+					continue
+				}
+				t.Logf("seed %d: %s", seed, naive.violation)
+				g.Expect(newModel(variant{name: "product"}, seed).run()).To(BeEmpty())
+				return
+			}
+			t.Errorf("the version broke no promise in %d schedules", seedsToTry)
+		})
+	}
+}
+
+func unmarshal(data []byte, message proto.Message) error {
+	return proto.Unmarshal(data, message)
+}
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -54,14 +54,18 @@
 	waiting map[uint64]waiter
 	// published is the log index up to which changes have been published.
 	published uint64
-	// sinceSnapshot counts the entries that were applied after the snapshot.
+	// sinceSnapshot counts the entries that were applied after the snapshot;
+	// at compactAfter a new snapshot is taken.
 	sinceSnapshot int
+	compactAfter  int
 
 	leaseSequence uint64
 	leaseAt       time.Duration
 }
 
-// openReplica restores a replica from its data folder and publishes its state.
+// openReplica restores a replica from its data folder. It publishes the state
+// only once all that was committed before the restart is applied again, so that
+// nothing older is seen than before.
 func openReplica(folder journal.Folder, id uint64, random *rand.Rand, now time.Duration, out outputs) (*replica, error) {
 	fresh := &wire.DiskIdentity{Id: id, Disk: random.Uint64() | 1}
 	j, contents, err := journal.Open(folder, fresh)
@@ -70,7 +74,7 @@
 	}
 	r := &replica{
 		identity: contents.Identity, rand: random, outputs: out,
-		journal: j, waiting: make(map[uint64]waiter), leaseAt: now,
+		journal: j, waiting: make(map[uint64]waiter), leaseAt: now, compactAfter: snapshotEntries,
 	}
 	if err := r.checkIdentity(id, contents); err != nil {
 		return nil, err
@@ -103,7 +107,6 @@
 	r.catalog = c
 	config := consensus.Config{ID: r.identity.Id, Disk: r.identity.Disk, Rand: r.rand}
 	r.core = consensus.New(config, stored, now)
-	r.publish(r.core.Status(now).Applied)
 	return nil
 }
 
@@ -120,7 +123,10 @@
 	if err := r.journal.Replace(stored.Snapshot, stored.State, nil); err != nil {
 		return err
 	}
-	return r.restore(stored, now)
+	if err := r.restore(stored, now); err != nil {
+		return err
+	}
+	return r.work(now)
 }
 
 func (r *replica) tick(now time.Duration) error {
@@ -271,7 +277,7 @@
 
 // compact replaces the log by a snapshot when it has grown long.
 func (r *replica) compact(status consensus.Status) error {
-	if r.sinceSnapshot == 0 || r.sinceSnapshot < snapshotEntries && r.journal.LogBytes() < snapshotLogBytes {
+	if r.sinceSnapshot == 0 || r.sinceSnapshot < r.compactAfter && r.journal.LogBytes() < snapshotLogBytes {
 		return nil
 	}
 	state, err := r.catalog.Snapshot()
