--- a/internal/machine/control/model_test.go
+++ b/internal/machine/control/model_test.go
@@ -33,14 +33,20 @@
 }
 
 const (
-	modelStep     = 50 * time.Millisecond
-	modelSteps    = 600
+	modelStep  = 50 * time.Millisecond
+	modelSteps = 250
+	// modelSubmits is how many submissions a step brings at most.
+	modelSubmits = 1
+	// One schedule in so many is long, so that members miss hundreds of entries.
+	modelLongOne     = 21
+	modelLongSteps   = 800
+	modelLongSubmits = 3
+	// modelEndSteps bounds the time in which everything must settle.
 	modelEndSteps = 600
 	modelCompact  = 25
 	modelServices = 2
 	modelVoters   = 3
-	modelLossMin  = 150
-	modelSubmits  = 3 // submissions in a step at most
+	modelAway     = 150
 )
 
 // modelNode is one control instance with its disk.
@@ -77,8 +83,11 @@
 	variant variant
 	random  *rand.Rand
 	step    int
-	nodes   []*modelNode
-	network []modelMessage
+	// steps is the length of the schedule, submits how many submissions a step
+	// brings at most.
+	steps, submits int
+	nodes          []*modelNode
+	network        []modelMessage
 
 	submissions []*submission
 	documents   map[string]string // by service and version, as published anywhere
@@ -95,9 +104,12 @@
 
 func newModel(v variant, seed uint64) *model {
 	w := &model{
-		variant: v, random: rand.New(rand.NewPCG(seed, 1)),
+		variant: v, random: rand.New(rand.NewPCG(seed, 1)), steps: modelSteps, submits: modelSubmits,
 		documents: make(map[string]string), winners: make(map[string]string), leaders: make(map[uint64]uint64),
 	}
+	if seed%modelLongOne == 0 {
+		w.steps, w.submits = modelLongSteps, modelLongSubmits
+	}
 	var members []*wire.ControlMember
 	for id := range uint64(modelVoters) {
 		n := w.addNode(id + 1)
@@ -337,7 +349,7 @@
 	case 8:
 		// Away for hundreds of entries.
 		w.handle(n, journaltest.ErrCrashed)
-		n.downUntil = w.step + modelLossMin
+		n.downUntil = w.step + modelAway
 	case 9:
 		w.loseDisk(n)
 	}
@@ -345,7 +357,7 @@
 
 // loseDisk takes one member's disk, also right after the last one was replaced.
 func (w *model) loseDisk(n *modelNode) {
-	if w.lost != nil || w.step > modelSteps-100 || !w.isKnownWithout(n) {
+	if w.lost != nil || w.step > w.steps-100 || !w.isKnownWithout(n) {
 		return
 	}
 	if w.variant.votesAfterLoss {
@@ -453,12 +465,12 @@
 // run plays the schedule, then heals everything and checks that all nodes
 // agree and that nothing acknowledged is lost.
 func (w *model) run() string {
-	for w.step < modelSteps && w.violation == "" {
+	for w.step < w.steps && w.violation == "" {
 		w.advance()
-		for range w.random.IntN(modelSubmits + 1) {
+		for range w.random.IntN(w.submits + 1) {
 			w.submit()
 		}
-		if w.random.IntN(40) == 0 {
+		if w.random.IntN(30) == 0 {
 			w.disturb()
 		}
 		w.repair()
@@ -468,7 +480,7 @@
 		n.cutUntil, n.frozenUntil, n.downUntil = 0, 0, 0
 		n.folder.CrashAt, n.folder.FailAt = 0, 0
 	}
-	for end := w.step + modelEndSteps; w.step < end && w.violation == ""; {
+	for end := w.step + modelEndSteps; w.step < end && w.violation == "" && !w.isSettled(); {
 		w.advance()
 		w.repair()
 	}
@@ -478,6 +490,21 @@
 	return w.violation
 }
 
+// isSettled reports whether the repair is done and all nodes have applied the same.
+func (w *model) isSettled() bool {
+	n := w.leader()
+	if n == nil || w.lost != nil {
+		return false
+	}
+	status := n.replica.core.Status(w.now())
+	for _, other := range w.nodes {
+		if !other.isGone && (other.replica == nil || other.replica.core.Status(w.now()).Applied != status.Applied) {
+			return false
+		}
+	}
+	return status.IsCurrent && status.Applied == status.Last
+}
+
 func (w *model) checkEnd() {
 	n := w.leader()
 	if n == nil {
@@ -492,8 +519,9 @@
 		if other.isGone {
 			continue
 		}
-		if got := other.replica.core.Status(w.now()).Applied; got != status.Applied {
-			w.stuck("node %d has applied %d, the leader %d", other.id, got, status.Applied)
+		if other.replica == nil || other.replica.core.Status(w.now()).Applied != status.Applied {
+			w.stuck("node %d has not applied what the leader has", other.id)
+			return
 		}
 		if a, b := w.stateOf(n), w.stateOf(other); a != b {
 			w.fail("nodes %d and %d differ", n.id, other.id)
@@ -559,7 +587,7 @@
 		{name: "no check-quorum", ignoresQuorum: true},
 		{name: "resend is a new submission", forgetsResults: true},
 	}
-	const seedsToTry = 100
+	const seedsToTry = 200
 	for _, v := range variants {
 		t.Run(v.name, func(t *testing.T) {
 			t.Parallel()
