--- a/cmd/sassafrasturnctl/connection.go
+++ b/cmd/sassafrasturnctl/connection.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	callTimeout  = 10 * time.Second
-	maxRedirects = 3
+	callTimeout    = 10 * time.Second
+	attemptTimeout = 4 * time.Second
+	maxRedirects   = 3
 )
 
 var errNoControl = errors.New("no control instance is named; pass -control ip:port")
@@ -61,6 +62,9 @@
 
 // callFollowing follows redirects to the instance that leads.
 func callFollowing(ctx context.Context, dialer *link.Dialer, address string, request *wire.Request) (*wire.Response, error) {
+	// An instance that does not answer leaves time for the next one.
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	for range maxRedirects {
 		response, err := dialer.Call(ctx, address, request)
 		if err != nil {
--- a/cmd/sassafrasturnctl/documents.go
+++ b/cmd/sassafrasturnctl/documents.go
@@ -8,6 +8,7 @@
 	"os"
 	"sort"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 	"google.golang.org/protobuf/proto"
@@ -20,6 +21,7 @@
 type submitCommand struct {
 	connection *connectionFlags
 	id         string
+	isWaiting  bool
 }
 
 // Name returns the name of the command.
@@ -30,15 +32,18 @@
 
 // Usage describes the command.
 func (*submitCommand) Usage() string {
-	return `submit [-id SUBMISSION] FILE
+	return `submit [-id SUBMISSION] [-wait] FILE
   Submits the service document in FILE. Its version key must name the version
   that it was edited from. Sending again with the same -id gives the first answer.
+  With -wait, waits until all instances have the document in force, and fails
+  when some do not confirm.
 `
 }
 
 // SetFlags declares the flags.
 func (c *submitCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&c.id, "id", "", "submission ID; a random one when empty")
+	flags.BoolVar(&c.isWaiting, "wait", false, "wait until the document is in force at all instances")
 }
 
 // Execute submits the document.
@@ -54,25 +59,50 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	if c.id == "" {
-		c.id = rand.Text()
-	}
 	result, err := c.connection.propose(ctx, &wire.Command{
 		SubmissionId: c.id,
-		Body:         &wire.Command_Submit{Submit: &wire.SubmitDocument{Document: data}},
+		Body:         &wire.Command_Submit{Submit: &wire.SubmitDocument{Document: data, File: flags.Arg(0)}},
 	})
 	if err != nil {
-		return fail(fmt.Errorf("%w; to send it again safely, pass -id %s", err, c.id))
+		return fail(err)
+	}
+	return c.connection.report(ctx, result, c.isWaiting)
+}
+
+// report prints the result of a submission and waits when told to.
+func (f *connectionFlags) report(ctx context.Context, result *wire.CommandResult, isWaiting bool) subcommands.ExitStatus {
+	status := reportSubmission(result)
+	if status != subcommands.ExitSuccess || !isWaiting {
+		return status
+	}
+	if err := f.waitInForce(ctx, result.Index); err != nil {
+		return fail(err)
 	}
-	return reportSubmission(result)
+	return subcommands.ExitSuccess
 }
 
+const proposeRetryInterval = 200 * time.Millisecond
+
+// propose sends a command until it is answered or the time is up. Sending
+// again is safe, because a submission ID is applied once.
 func (f *connectionFlags) propose(ctx context.Context, command *wire.Command) (*wire.CommandResult, error) {
-	response, err := f.call(ctx, &wire.Request{Body: &wire.Request_Command{Command: command}})
-	if err != nil {
-		return nil, err
+	if command.SubmissionId == "" {
+		command.SubmissionId = rand.Text()
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.totalTimeout)
+	defer cancel()
+	request := &wire.Request{Body: &wire.Request_Command{Command: command}}
+	for {
+		response, err := f.call(ctx, request)
+		if err == nil {
+			return response.GetCommand(), nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, fmt.Errorf("%w; to send it again safely, pass -id %s", err, command.SubmissionId)
+		case <-time.After(proposeRetryInterval):
+		}
 	}
-	return response.GetCommand(), nil
 }
 
 func reportSubmission(result *wire.CommandResult) subcommands.ExitStatus {
@@ -114,7 +144,7 @@
 	}
 	sort.Slice(records, func(a, b int) bool { return records[a].Key < records[b].Key })
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVICE\tVERSION\tADDRESS\tINDEX")
+	fmt.Fprintln(table, "SERVICE\tVERSION\tADDRESS\tINDEX\tSTATE")
 	for _, record := range records {
 		service := new(wire.Service)
 		if err := proto.Unmarshal(record.Value, service); err != nil {
@@ -124,7 +154,11 @@
 		if doc, err := contract.Parse(record.Key, service.Document); err == nil {
 			address = doc.Address.String()
 		}
-		fmt.Fprintf(table, "%s\t%d\t%s\t%d\n", record.Key, service.Version, address, record.Major)
+		state := "in force"
+		if service.Withdrawn {
+			address, state = "-", "withdrawn"
+		}
+		fmt.Fprintf(table, "%s\t%d\t%s\t%d\t%s\n", record.Key, service.Version, address, record.Major, state)
 	}
 	table.Flush()
 	return subcommands.ExitSuccess
@@ -167,6 +201,9 @@
 			return fail(err)
 		}
 		fmt.Fprintf(os.Stderr, "version %d\n", service.Version)
+		if service.Withdrawn {
+			fmt.Fprintln(os.Stderr, "withdrawn; this was its last document")
+		}
 		os.Stdout.Write(service.Document)
 		return subcommands.ExitSuccess
 	}
--- /dev/null
+++ b/cmd/sassafrasturnctl/wait.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	// waitTimeout bounds the wait for all instances to confirm.
+	waitTimeout = 10 * time.Second
+	// waitParallel is how many instances are asked at a time.
+	waitParallel     = 32
+	waitPollInterval = 100 * time.Millisecond
+	// maxListed bounds the unconfirmed instances that are named.
+	maxListed = 20
+)
+
+// target is an instance that must confirm.
+type target struct {
+	instance string
+	link     string
+}
+
+// waitInForce waits until all known balancers and agents have applied the log
+// up to index and reports by count who has and who has not.
+func (f *connectionFlags) waitInForce(ctx context.Context, index uint64) error {
+	targets, err := f.targets(ctx)
+	if err != nil {
+		return err
+	}
+	client, _, err := link.LoadTLS(f.certificate, f.key, f.authority)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
+	defer cancel()
+	started := time.Now()
+	missing := awaitAll(targets, func(t target) error { return awaitIndex(ctx, &link.Dialer{TLS: client}, t.link, index) })
+	confirmed := len(targets) - len(missing)
+	fmt.Printf("in force at %d of %d instances after %v\n", confirmed, len(targets), time.Since(started).Round(time.Millisecond))
+	if len(missing) == 0 {
+		return nil
+	}
+	for _, line := range missing[:min(len(missing), maxListed)] {
+		fmt.Fprintln(os.Stderr, "not confirmed:", line)
+	}
+	return fmt.Errorf("%d of %d instances have not confirmed; the change is accepted and reaches them when they can be reached", len(missing), len(targets))
+}
+
+// targets lists the balancers and agents that have published themselves.
+func (f *connectionFlags) targets(ctx context.Context) ([]target, error) {
+	records, err := f.list(ctx, wire.Record_KIND_BALANCER, wire.Record_KIND_ENDPOINT)
+	if err != nil {
+		return nil, err
+	}
+	byLink := make(map[string]target)
+	for _, record := range records {
+		if t := targetOf(record); t.link != "" {
+			byLink[t.link] = t
+		}
+	}
+	var targets []target
+	for _, t := range byLink {
+		targets = append(targets, t)
+	}
+	return targets, nil
+}
+
+func targetOf(record *wire.Record) target {
+	if record.Kind == wire.Record_KIND_BALANCER {
+		balancer := new(wire.Balancer)
+		if proto.Unmarshal(record.Value, balancer) != nil {
+			return target{}
+		}
+		return target{instance: balancer.Instance, link: balancer.Link}
+	}
+	endpoint := new(wire.Endpoint)
+	if proto.Unmarshal(record.Value, endpoint) != nil || endpoint.State == wire.Endpoint_STATE_GONE {
+		return target{}
+	}
+	return target{instance: endpoint.Instance, link: endpoint.Link}
+}
+
+// awaitAll asks all targets, waitParallel at a time, and returns a line for
+// each that has not confirmed.
+func awaitAll(targets []target, await func(target) error) []string {
+	var mu sync.Mutex
+	var missing []string
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, waitParallel)
+	for _, t := range targets {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			if err := await(t); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				missing = append(missing, fmt.Sprintf("%s (%s): %v", t.instance, t.link, err))
+			}
+		})
+	}
+	wait.Wait()
+	slices.Sort(missing)
+	return missing
+}
+
+// awaitIndex asks one instance until it has applied the index.
+func awaitIndex(ctx context.Context, dialer *link.Dialer, address string, index uint64) error {
+	var lastErr error
+	for ctx.Err() == nil {
+		response, err := dialer.Call(ctx, address, &wire.Request{Body: &wire.Request_Status{Status: &wire.StatusRequest{}}})
+		if err == nil {
+			applied := response.GetStatus().GetAppliedIndex()
+			if applied >= index {
+				return nil
+			}
+			err = fmt.Errorf("it has applied index %d", applied)
+		}
+		lastErr = err
+		select {
+		case <-ctx.Done():
+		case <-time.After(waitPollInterval):
+		}
+	}
+	if lastErr == nil {
+		lastErr = fmt.Errorf("it was not asked in time")
+	}
+	return lastErr
+}
--- a/cmd/sassafrasturnctl/zone.go
+++ b/cmd/sassafrasturnctl/zone.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"flag"
 	"fmt"
@@ -19,6 +18,8 @@
 // zoneCommand takes availability zones out of service and back.
 type zoneCommand struct {
 	connection *connectionFlags
+	id         string
+	isWaiting  bool
 }
 
 // Name returns the name of the command.
@@ -30,15 +31,20 @@
 // Usage describes the command.
 func (*zoneCommand) Usage() string {
 	return `zone list
-zone out ZONE
-zone in ZONE
+zone [-id SUBMISSION] [-wait] out ZONE
+zone [-id SUBMISSION] [-wait] in ZONE
   Lists the availability zones, takes one out of service or brings it back.
-  Flows that end in a zone that is taken out are given up.
+  Flows that end in a zone that is taken out are given up. With -wait, waits
+  until all instances have the change in force, and fails when some do not
+  confirm.
 `
 }
 
-// SetFlags declares no flags.
-func (*zoneCommand) SetFlags(*flag.FlagSet) {}
+// SetFlags declares the flags.
+func (c *zoneCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.id, "id", "", "submission ID; a random one when empty")
+	flags.BoolVar(&c.isWaiting, "wait", false, "wait until the change is in force at all instances")
+}
 
 // Execute changes or lists zones.
 func (c *zoneCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -55,7 +61,7 @@
 
 func (c *zoneCommand) set(ctx context.Context, name string, isOut bool) subcommands.ExitStatus {
 	result, err := c.connection.propose(ctx, &wire.Command{
-		SubmissionId: rand.Text(),
+		SubmissionId: c.id,
 		Body:         &wire.Command_SetZone{SetZone: &wire.SetZone{Name: name, Out: isOut}},
 	})
 	if err != nil {
@@ -65,6 +71,12 @@
 		return fail(errors.New(result.GetFindings()))
 	}
 	fmt.Printf("zone %s: %s, in force from index %d\n", name, zoneState(isOut), result.Index)
+	if !c.isWaiting {
+		return subcommands.ExitSuccess
+	}
+	if err := c.connection.waitInForce(ctx, result.Index); err != nil {
+		return fail(err)
+	}
 	return subcommands.ExitSuccess
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -89,11 +89,10 @@
 	if submit == nil {
 		return nil
 	}
-	file := submit.File
-	if file == "" {
-		file = "document"
+	if submit.File == "" {
+		submit.File = "document"
 	}
-	doc, err := contract.Parse(file, submit.Document)
+	doc, err := contract.Parse(submit.File, submit.Document)
 	if err != nil {
 		return invalid(0, "%s", err)
 	}
--- a/internal/machine/control/serve.go
+++ b/internal/machine/control/serve.go
@@ -13,9 +13,9 @@
 
 const (
 	// proposalTimeout bounds the wait for the result of a proposal.
-	proposalTimeout = 5 * time.Second
+	proposalTimeout = 2500 * time.Millisecond
 	// leaderTimeout bounds the wait for a leader to be known.
-	leaderTimeout      = 3 * time.Second
+	leaderTimeout      = 1500 * time.Millisecond
 	leaderPollInterval = 50 * time.Millisecond
 )
 
