--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,205 @@
+package catalog_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/catalog"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	accepted = wire.CommandResult_OUTCOME_ACCEPTED
+	conflict = wire.CommandResult_OUTCOME_CONFLICT
+	invalid  = wire.CommandResult_OUTCOME_INVALID
+)
+
+func submit(id, service, address string, version int) *wire.Command {
+	text := fmt.Sprintf("[service]\nname = %s\naddress = %s\nversion = %d\n[endpoints]\nallow = 10.0.0.0/8\n", service, address, version)
+	return &wire.Command{SubmissionId: id, Body: &wire.Command_Submit{Submit: &wire.SubmitDocument{Document: []byte(text), File: service + ".ini"}}}
+}
+
+func withdraw(id, service string, version uint64) *wire.Command {
+	return &wire.Command{SubmissionId: id, Body: &wire.Command_Withdraw{Withdraw: &wire.WithdrawService{Service: service, Version: version}}}
+}
+
+func register(name string) *wire.Command {
+	return &wire.Command{Body: &wire.Command_RegisterZone{RegisterZone: &wire.RegisterZone{Name: name}}}
+}
+
+func setZone(id, name string, isOut bool) *wire.Command {
+	return &wire.Command{SubmissionId: id, Body: &wire.Command_SetZone{SetZone: &wire.SetZone{Name: name, Out: isOut}}}
+}
+
+// life is a sequence of commands with the expected answers.
+var life = []struct {
+	command *wire.Command
+	outcome wire.CommandResult_Outcome
+	index   uint64
+	version uint64
+}{
+	{submit("a", "one", "10.0.0.1:443", 0), accepted, 1, 1},
+	{submit("b", "one", "10.0.0.1:443", 0), conflict, 2, 1},
+	{submit("a", "one", "10.0.0.1:443", 0), accepted, 1, 1}, // a resend
+	{submit("c", "two", "10.0.0.1:443", 0), invalid, 4, 0},  // address taken
+	{submit("d", "two", "10.0.0.2:443", 3), invalid, 5, 0},  // edited from nothing
+	{submit("e", "two", "10.0.0.2:443", 0), accepted, 6, 1},
+	{submit("f", "one", "10.0.0.3:443", 1), accepted, 7, 2},
+	{submit("g", "two", "10.0.0.1:443", 1), accepted, 8, 2}, // address freed
+	{withdraw("h", "one", 1), conflict, 9, 2},
+	{withdraw("i", "one", 2), accepted, 10, 3},
+	{submit("j", "two", "10.0.0.3:443", 2), accepted, 11, 3}, // address freed
+	{submit("k", "one", "10.0.0.4:443", 2), conflict, 12, 3},
+	{submit("l", "one", "10.0.0.4:443", 3), accepted, 13, 4}, // brought back
+	{withdraw("m", "none", 1), invalid, 14, 0},
+	{setZone("n", "a", true), invalid, 15, 0},
+	{register("a"), accepted, 16, 0},
+	{register("a"), accepted, 16, 0},
+	{setZone("o", "a", true), accepted, 18, 0},
+	{setZone("p", "a", true), accepted, 18, 0}, // no change
+	{setZone("o", "a", true), accepted, 18, 0},
+}
+
+func apply(g *WithT, c *catalog.Catalog, index uint64, command *wire.Command) *wire.CommandResult {
+	command = proto.CloneOf(command)
+	g.Expect(catalog.Prepare(command)).To(BeNil())
+	result, err := c.Apply(index, command)
+	g.Expect(err).NotTo(HaveOccurred())
+	return result
+}
+
+// TestLife applies the commands, once as they are and once with a snapshot and
+// restore after each; both must give the same answers and the same state.
+func TestLife(t *testing.T) {
+	for _, isRestored := range []bool{false, true} {
+		t.Run(fmt.Sprint("restored ", isRestored), func(t *testing.T) {
+			g := NewWithT(t)
+			c := catalog.New()
+			for i, step := range life {
+				result := apply(g, c, uint64(i+1), step.command)
+				place := fmt.Sprintf("step %d: %v", i, result)
+				g.Expect(result.Outcome).To(Equal(step.outcome), place)
+				g.Expect(result.Index).To(Equal(step.index), place)
+				g.Expect(result.Version).To(Equal(step.version), place)
+				if isRestored {
+					state, err := c.Snapshot()
+					g.Expect(err).NotTo(HaveOccurred())
+					c, err = catalog.Restore(state)
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+			}
+			g.Expect(c.ZoneIndex()).To(BeEquivalentTo(18))
+			g.Expect(services(g, c)).To(Equal(map[string]uint32{"one": 1, "two": 2}))
+		})
+	}
+}
+
+func services(g *WithT, c *catalog.Catalog) map[string]uint32 {
+	numbers := make(map[string]uint32)
+	for _, record := range c.Records(0) {
+		if record.Kind == wire.Record_KIND_SERVICE {
+			service := new(wire.Service)
+			g.Expect(proto.Unmarshal(record.Value, service)).To(Succeed())
+			numbers[record.Key] = service.Number
+		}
+	}
+	return numbers
+}
+
+func TestWithdrawnServiceIsPublished(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	apply(g, c, 1, life[0].command)
+	apply(g, c, 2, withdraw("w", "one", 1))
+	records := c.Records(1)
+	g.Expect(records).To(HaveLen(1))
+	service := new(wire.Service)
+	g.Expect(proto.Unmarshal(records[0].Value, service)).To(Succeed())
+	g.Expect(service.Withdrawn).To(BeTrue())
+	g.Expect(service.Version).To(BeEquivalentTo(2))
+}
+
+// TestApplyDoesNotReadDocuments applies what an instance with another program
+// has read from a document that this program would refuse.
+func TestApplyDoesNotReadDocuments(t *testing.T) {
+	g := NewWithT(t)
+	command := &wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitDocument{
+		Document: []byte("[future]\n"), File: "f", Service: "one", Address: "10.0.0.1:443",
+	}}}
+	result, err := catalog.New().Apply(1, command)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(result.Outcome).To(Equal(accepted))
+}
+
+// TestUnknownCommandStops: skipping it would let instances differ.
+func TestUnknownCommandStops(t *testing.T) {
+	g := NewWithT(t)
+	_, err := catalog.New().Apply(1, &wire.Command{})
+	g.Expect(catalog.ErrUnknownCommand.Has(err)).To(BeTrue())
+}
+
+func TestFindingsNameTheFile(t *testing.T) {
+	g := NewWithT(t)
+	command := submit("a", "Bad Name", "10.0.0.1:443", 0)
+	g.Expect(catalog.Prepare(command).Findings).To(HavePrefix("Bad Name.ini: [service] name"))
+	c := catalog.New()
+	apply(g, c, 1, life[0].command)
+	g.Expect(apply(g, c, 2, life[1].command).Findings).To(HavePrefix("one.ini: [service] version"))
+}
+
+// TestRememberedResultsAreBounded keeps the newest results, and documents only
+// up to their bound.
+func TestRememberedResultsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	const size = 60 << 10
+	first := submit("first", "one", "10.0.0.1:443", 0)
+	document := first.GetSubmit()
+	document.Document = append(document.Document, "# "+string(make([]byte, size))...)
+	g.Expect(c.Apply(1, &wire.Command{SubmissionId: "first", Body: &wire.Command_Submit{Submit: &wire.SubmitDocument{
+		Document: document.Document, File: "one.ini", Service: "one", Address: "10.0.0.1:443",
+	}}})).NotTo(BeNil())
+	for i := range catalog.MaxRemembered {
+		apply(g, c, uint64(i+2), submit(fmt.Sprint(i), "one", "10.0.0.1:443", 0))
+	}
+	g.Expect(c.Remembered("first")).To(BeNil())
+	g.Expect(c.Remembered("0").Outcome).To(Equal(conflict))
+	g.Expect(c.Remembered("0").Document).To(BeEmpty())
+	newest := c.Remembered(fmt.Sprint(catalog.MaxRemembered - 1))
+	g.Expect(newest.Document).To(Equal(document.Document))
+	state, err := c.Snapshot()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(state)).To(BeNumerically("<", catalog.MaxRememberedBytes+2<<20))
+}
+
+// BenchmarkApply replaces documents among 640 services, against one service.
+func BenchmarkApply(b *testing.B) {
+	for _, count := range []int{1, 640} {
+		b.Run(fmt.Sprint(count, " services"), func(b *testing.B) {
+			c := catalog.New()
+			index := uint64(0)
+			put := func(i int, version uint64) {
+				index++
+				command := &wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitDocument{
+					Document: make([]byte, 1024), Service: fmt.Sprint("service-", i),
+					Address: fmt.Sprintf("10.0.%d.%d:443", i/250, i%250), EditedFrom: version,
+				}}}
+				if _, err := c.Apply(index, command); err != nil {
+					b.Fatal(err)
+				}
+				c.Records(index - 1)
+			}
+			for i := range count {
+				put(i, 0)
+			}
+			version := uint64(1)
+			for b.Loop() {
+				put(0, version)
+				version++
+			}
+		})
+	}
+}
--- a/internal/machine/control/model_test.go
+++ b/internal/machine/control/model_test.go
@@ -205,7 +205,8 @@
 		case n.frozenUntil > w.step:
 			w.network = append(w.network, message)
 		default:
-			w.handle(n, n.replica.step(w.now(), message.m))
+			n.replica.core.Step(w.now(), message.m)
+			w.handle(n, n.replica.work(w.now()))
 		}
 	}
 }
