Make the model schedules harsher

Cause: mutations of the product (a lease before the leader has applied all that is committed, among others) passed the model test: it had too few elections and no cuts between two members only.

--- a/internal/machine/control/model_test.go
+++ b/internal/machine/control/model_test.go
@@ -34,19 +34,27 @@
 
 const (
 	modelStep  = 50 * time.Millisecond
-	modelSteps = 250
+	modelSteps = 500
 	// modelSubmits is how many submissions a step brings at most.
 	modelSubmits = 1
 	// One schedule in so many is long, so that members miss hundreds of entries.
 	modelLongOne     = 21
-	modelLongSteps   = 800
+	modelLongSteps   = 1000
 	modelLongSubmits = 3
 	// modelEndSteps bounds the time in which everything must settle.
 	modelEndSteps = 600
 	modelCompact  = 25
 	modelServices = 2
-	modelVoters   = 3
-	modelAway     = 150
+	// Schedules with an odd seed have the larger group.
+	modelVoters    = 3
+	modelVotersOdd = 5
+	// modelFault bounds the steps that a fault lasts, and modelFaultOne says
+	// in how many steps there is one.
+	modelFault    = 24
+	modelFaultOne = 20
+	// modelAwayPart is the part of a schedule for which a member is away.
+	modelAwayPart = 4
+	modelLossOne  = 20 // one message in so many is lost, and one doubled
 )
 
 // modelNode is one control instance with its disk.
@@ -60,6 +68,8 @@
 	// cutSince is the time from which no message has reached or left the node.
 	cutSince time.Duration
 	isGone   bool
+	// isLost: the node runs under its old ID with an empty disk.
+	isLost bool
 	// newest is the newest index that was published for each key.
 	newest map[string]uint64
 }
@@ -86,18 +96,23 @@
 	// steps is the length of the schedule, submits how many submissions a step
 	// brings at most.
 	steps, submits int
+	voters         int
 	nodes          []*modelNode
 	network        []modelMessage
+	// cutLinks holds, by the two ends, the step until which no message passes.
+	cutLinks map[[2]uint64]int
 
 	submissions []*submission
 	documents   map[string]string // by service and version, as published anywhere
 	winners     map[string]string // submission by service and version edited from
 	leaders     map[uint64]uint64
 	leaseTerm   uint64
-	lost        *modelNode
-	repairs     int
-	isHealing   bool
-	violation   string
+	// acknowledged is the newest log index that an operator knows to be accepted.
+	acknowledged uint64
+	lost         *modelNode
+	repairs      int
+	isHealing    bool
+	violation    string
 	// isStuck: the violation is that something due has not happened.
 	isStuck bool
 }
@@ -106,12 +121,16 @@
 	w := &model{
 		variant: v, random: rand.New(rand.NewPCG(seed, 1)), steps: modelSteps, submits: modelSubmits,
 		documents: make(map[string]string), winners: make(map[string]string), leaders: make(map[uint64]uint64),
+		cutLinks: make(map[[2]uint64]int), voters: modelVoters,
 	}
 	if seed%modelLongOne == 0 {
 		w.steps, w.submits = modelLongSteps, modelLongSubmits
 	}
+	if seed%2 == 1 {
+		w.voters = modelVotersOdd
+	}
 	var members []*wire.ControlMember
-	for id := range uint64(modelVoters) {
+	for id := range uint64(w.voters) {
 		n := w.addNode(id + 1)
 		members = append(members, &wire.ControlMember{Id: n.id, Disk: n.disk, Voter: true})
 	}
@@ -168,7 +187,7 @@
 	}
 	n.replica = nil
 	n.folder.Restart()
-	n.downUntil = w.step + 1 + w.random.IntN(60)
+	n.downUntil = w.step + 1 + w.random.IntN(modelFault)
 }
 
 func (w *model) isCut(n *modelNode) bool { return n.cutUntil > w.step }
@@ -180,11 +199,11 @@
 			From: m.To, FromDisk: m.ToDisk, To: m.From, ToDisk: m.FromDisk,
 		}})
 	}
-	if w.isCut(n) || !w.isHealing && w.random.IntN(20) == 0 {
+	if w.isCut(n) || w.cutLinks[[2]uint64{min(n.id, m.To), max(n.id, m.To)}] > w.step || !w.isHealing && w.random.IntN(modelLossOne) == 0 {
 		return
 	}
 	copies := 1
-	if !w.isHealing && w.random.IntN(20) == 0 {
+	if !w.isHealing && w.random.IntN(modelLossOne) == 0 {
 		copies = 2
 	}
 	for range copies {
@@ -326,31 +345,38 @@
 		w.fail("%s and %s were both accepted as edits of %s", winner, s.id, key)
 	}
 	w.winners[key] = s.id
+	w.acknowledged = max(w.acknowledged, result.Index)
 }
 
 // disturb brings about one random fault.
 func (w *model) disturb() {
 	n := w.nodes[w.random.IntN(len(w.nodes))]
+	if leader := w.leader(); leader != nil && w.random.IntN(2) == 0 {
+		n = leader
+	}
 	if n.isGone || n.replica == nil {
 		return
 	}
-	switch w.random.IntN(10) {
+	switch w.random.IntN(14) {
+	case 10, 11, 12, 13:
+		other := w.nodes[w.random.IntN(len(w.nodes))]
+		w.cutLinks[[2]uint64{min(n.id, other.id), max(n.id, other.id)}] = w.step + 2*w.random.IntN(modelFault)
 	case 0, 1, 2:
 		n.folder.CrashAt = n.folder.Operations + 1 + w.random.IntN(8)
 	case 3:
 		n.folder.FailAt = n.folder.Operations + 1 + w.random.IntN(8)
 		n.folder.Failure = []error{journaltest.ErrFull, journaltest.ErrSync}[w.random.IntN(2)]
 	case 4, 5:
-		n.cutUntil = w.step + 1 + w.random.IntN(80)
+		n.cutUntil = w.step + 1 + w.random.IntN(modelFault)
 	case 6:
-		n.frozenUntil = w.step + 1 + w.random.IntN(60)
+		n.frozenUntil = w.step + 1 + w.random.IntN(modelFault)
 	case 7:
 		// The whole process is killed between two operations.
 		w.handle(n, journaltest.ErrCrashed)
 	case 8:
 		// Away for hundreds of entries.
 		w.handle(n, journaltest.ErrCrashed)
-		n.downUntil = w.step + modelAway
+		n.downUntil = w.step + w.steps/modelAwayPart
 	case 9:
 		w.loseDisk(n)
 	}
@@ -370,7 +396,9 @@
 		w.handle(n, err)
 		return
 	}
-	n.isGone, n.replica = true, nil
+	n.isLost, n.replica = true, nil
+	n.folder = w.newFolder()
+	n.newest = make(map[string]uint64)
 	w.lost = n
 	w.addNode(uint64(len(w.nodes) + 1))
 }
@@ -379,7 +407,7 @@
 // nothing can have been accepted, and the founder would begin anew.
 func (w *model) isKnownWithout(n *modelNode) bool {
 	for _, other := range w.nodes {
-		if other != n && other.replica != nil && len(other.replica.core.Status(w.now()).Group.GetMembers()) > 0 {
+		if other != n && !other.isLost && other.replica != nil && len(other.replica.core.Status(w.now()).Group.GetMembers()) > 0 {
 			return true
 		}
 	}
@@ -399,6 +427,7 @@
 	status := n.replica.core.Status(w.now())
 	if isIn(status.Group, newest.id) && !isIn(status.Group, w.lost.id) {
 		if status.IsCurrent && status.Commit == status.Last {
+			w.lost.isGone = true
 			w.lost = nil
 			w.repairs++
 		}
@@ -451,9 +480,13 @@
 		w.fail("nodes %d and %d both lead in term %d", held, n.id, status.Term)
 	}
 	w.leaders[status.Term] = n.id
-	if n.replica.lease(w.now()) == nil && !w.variant.ignoresQuorum {
+	lease := n.replica.lease(w.now())
+	if lease == nil && !w.variant.ignoresQuorum {
 		return
 	}
+	if lease != nil && lease.Index < w.acknowledged {
+		w.fail("a lease for index %d was published after index %d was acknowledged", lease.Index, w.acknowledged)
+	}
 	if status.Term < w.leaseTerm {
 		w.fail("a lease of term %d was published after one of term %d", status.Term, w.leaseTerm)
 	}
@@ -471,12 +504,13 @@
 		for range w.random.IntN(w.submits + 1) {
 			w.submit()
 		}
-		if w.random.IntN(30) == 0 {
+		if w.random.IntN(modelFaultOne) == 0 {
 			w.disturb()
 		}
 		w.repair()
 	}
 	w.isHealing = true
+	clear(w.cutLinks)
 	for _, n := range w.nodes {
 		n.cutUntil, n.frozenUntil, n.downUntil = 0, 0, 0
 		n.folder.CrashAt, n.folder.FailAt = 0, 0
@@ -499,7 +533,7 @@
 	}
 	status := n.replica.core.Status(w.now())
 	for _, other := range w.nodes {
-		if !other.isGone && (other.replica == nil || other.replica.core.Status(w.now()).Applied != status.Applied) {
+		if !other.isGone && !other.isLost && (other.replica == nil || other.replica.core.Status(w.now()).Applied != status.Applied) {
 			return false
 		}
 	}
@@ -513,11 +547,11 @@
 		return
 	}
 	status := n.replica.core.Status(w.now())
-	if w.lost != nil || len(status.Group.Members) != modelVoters {
+	if w.lost != nil || len(status.Group.Members) != w.voters {
 		w.stuck("the lost member was not replaced: %v", status.Group)
 	}
 	for _, other := range w.nodes {
-		if other.isGone {
+		if other.isGone || other.isLost {
 			continue
 		}
 		if other.replica == nil || other.replica.core.Status(w.now()).Applied != status.Applied {
