Prove flows, reuse, hostile input and zones over real QUIC in memory

Balancers and agents of the product between a fabric in memory and quic-go at both ends: restarts with empty tables, uneven views, narrowed allow list, moved address, rotated keys; ClientHellos split over agents; a reused IP address and port; a new incarnation; forged, tampered and truncated input; a zone out.

--- /dev/null
+++ b/internal/machine/pathtest/world_test.go
@@ -0,0 +1,397 @@
+// Package pathtest tests the way of a datagram through balancers and agents,
+// with real QUIC at both ends and a network in memory between them.
+package pathtest
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/envelope"
+	"sassafrasturn.example/internal/exchange"
+	"sassafrasturn.example/internal/keyring"
+	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/machine/agent"
+	"sassafrasturn.example/internal/machine/balancer"
+	"sassafrasturn.example/internal/settings"
+	"sassafrasturn.example/internal/standin/endpoint"
+	"sassafrasturn.example/internal/wire"
+	"sassafrasturn.example/internal/zone"
+)
+
+const (
+	patience  = 10 * time.Second
+	queueSize = 4096
+)
+
+type packet struct {
+	data []byte
+	from netip.AddrPort
+}
+
+// socket is a UDP socket of the network in memory.
+type socket struct {
+	world   *world
+	address netip.AddrPort
+	send    func(s *socket, p packet, to netip.AddrPort)
+	// peer is the only address that the socket takes datagrams from, when it is set:
+	// callers know their server by the address that they dialed.
+	peer netip.AddrPort
+	// isDead is true once the socket sends nothing any more.
+	isDead  atomic.Bool
+	queue   chan packet
+	closed  chan struct{}
+	once    sync.Once
+	release func()
+}
+
+func (s *socket) ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error) {
+	select {
+	case p := <-s.queue:
+		return copy(buffer, p.data), p.from, nil
+	case <-s.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+}
+
+func (s *socket) WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error) {
+	if s.isDead.Load() {
+		return len(data), nil
+	}
+	s.send(s, packet{data: bytes.Clone(data), from: s.address}, to)
+	return len(data), nil
+}
+
+func (s *socket) deliver(p packet) {
+	if s.peer.IsValid() && p.from != s.peer {
+		return
+	}
+	select {
+	case s.queue <- p:
+	default:
+	}
+}
+
+func (s *socket) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	n, from, err := s.ReadFromUDPAddrPort(buffer)
+	return n, net.UDPAddrFromAddrPort(from), err
+}
+
+func (s *socket) WriteTo(data []byte, to net.Addr) (int, error) {
+	return s.WriteToUDPAddrPort(data, to.(*net.UDPAddr).AddrPort())
+}
+
+func (s *socket) LocalAddr() net.Addr              { return net.UDPAddrFromAddrPort(s.address) }
+func (s *socket) SetDeadline(time.Time) error      { return nil }
+func (s *socket) SetReadDeadline(time.Time) error  { return nil }
+func (s *socket) SetWriteDeadline(time.Time) error { return nil }
+func (s *socket) SetReadBuffer(int) error          { return nil }
+func (s *socket) SetWriteBuffer(int) error         { return nil }
+
+func (s *socket) Close() error {
+	s.once.Do(func() { close(s.closed); s.release() })
+	return nil
+}
+
+// world is a network with balancers, agents and callers.
+type world struct {
+	g Gomega
+	t *testing.T
+
+	mu sync.Mutex
+	// private holds envelope and caller sockets by address.
+	private map[netip.AddrPort]*socket
+	// services holds the service sockets of each balancer.
+	services map[*node]map[netip.AddrPort]*socket
+	// inFabric lists the balancers over which the fabric deals datagrams in turn.
+	inFabric []*node
+	next     int
+	// seen is called with each datagram to an agent.
+	seen func(to netip.AddrPort, message *wire.Envelope)
+
+	sealer  *envelope.Sealer
+	callers atomic.Uint32
+	records []*wire.Record
+}
+
+// node is one instance.
+type node struct {
+	instance *machine.Instance
+	role     machine.Role
+	stop     context.CancelFunc
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{g: NewWithT(t), t: t, private: make(map[netip.AddrPort]*socket), services: make(map[*node]map[netip.AddrPort]*socket)}
+	sealer, err := envelope.NewSealer(w.keys(1, 1, 2))
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.sealer = sealer
+	for i, name := range []string{"a", "b", "c"} {
+		w.setRecord(wire.Record_KIND_ZONE, name, uint64(i+1), &wire.Zone{Number: uint32(i + 1), Name: name})
+	}
+	return w
+}
+
+func (w *world) keys(current keyring.Epoch, epochs ...keyring.Epoch) *keyring.Keyring {
+	secrets := make(map[keyring.Epoch][]byte)
+	for _, epoch := range epochs {
+		secrets[epoch] = bytes.Repeat([]byte{byte(epoch)}, keyring.SecretBytes)
+	}
+	keys, err := keyring.New(current, secrets)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	return keys
+}
+
+// setRecord puts a record of control in force for the nodes started later.
+func (w *world) setRecord(kind wire.Record_Kind, key string, major uint64, value proto.Message) *wire.Record {
+	data, err := proto.Marshal(value)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	record := &wire.Record{Kind: kind, Key: key, Major: major, Value: data}
+	w.records = append(w.records, record)
+	return record
+}
+
+// setDocument puts a document in force for the nodes started later.
+func (w *world) setDocument(name string, number uint32, major uint64, address, former, allow string) *wire.Record {
+	document := fmt.Sprintf("[service]\nname = %s\naddress = %s\nversion = %d\n[endpoints]\nallow = %s\n", name, address, major, allow)
+	return w.setRecord(wire.Record_KIND_SERVICE, name, major, &wire.Service{Number: number, Version: major, Document: []byte(document), FormerAddress: former})
+}
+
+func (w *world) open(address netip.AddrPort, table map[netip.AddrPort]*socket, send func(*socket, packet, netip.AddrPort)) *socket {
+	s := &socket{world: w, address: address, send: send, queue: make(chan packet, queueSize), closed: make(chan struct{})}
+	s.release = func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if table[address] == s {
+			delete(table, address)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	table[address] = s
+	return s
+}
+
+// sendPrivate delivers to envelope and caller sockets.
+func (w *world) sendPrivate(_ *socket, p packet, to netip.AddrPort) {
+	w.mu.Lock()
+	s, seen := w.private[to], w.seen
+	w.mu.Unlock()
+	message := new(wire.Envelope)
+	if seen != nil && w.sealer.Open(p.data, message) == nil {
+		seen(to, message)
+	}
+	if s != nil {
+		s.deliver(p)
+	}
+}
+
+// sendFabric hands a caller's datagram to the balancers in turn.
+func (w *world) sendFabric(_ *socket, p packet, to netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	if len(w.inFabric) == 0 {
+		return
+	}
+	if s := w.services[w.inFabric[w.next%len(w.inFabric)]][to]; s != nil {
+		s.deliver(p)
+	}
+}
+
+func (w *world) newNode(name, zoneName string, s settings.Settings) *node {
+	s.Instance, s.Zone = name, zoneName
+	n := new(node)
+	table := make(map[netip.AddrPort]*socket)
+	n.instance = &machine.Instance{
+		Settings:    &s,
+		Log:         &log.Logger{Level: log.PanicLevel},
+		Keys:        w.keys(1, 1),
+		Store:       exchange.NewStore(),
+		Metrics:     prometheus.NewRegistry(),
+		Lease:       zone.NewHolder(),
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	n.instance.Store.Merge(w.records)
+	n.instance.Lease.SetView(3)
+	n.instance.Lease.Offer(time.Now(), zone.Lease{Term: 1, ZoneIndex: 3, Duration: time.Hour})
+	n.instance.ListenUDP = func(address netip.AddrPort) (machine.Socket, error) {
+		if address == s.Balancer.Envelope || address == s.Agent.Envelope {
+			return w.open(address, w.private, w.sendPrivate), nil
+		}
+		return w.open(address, table, w.sendPrivate), nil
+	}
+	w.mu.Lock()
+	w.services[n] = table
+	w.mu.Unlock()
+	return n
+}
+
+// run runs a role of the node until it is stopped.
+func (w *world) run(n *node, role machine.Role) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.role = role
+	ended := make(chan struct{})
+	n.stop = func() { cancel(); <-ended }
+	w.t.Cleanup(n.stop)
+	go func() {
+		defer close(ended)
+		_ = role.Run(ctx)
+	}()
+}
+
+// kill stops an agent that says nothing to its callers any more.
+func (w *world) kill(n *node) {
+	w.mu.Lock()
+	w.private[n.instance.Settings.Agent.Envelope].isDead.Store(true)
+	w.mu.Unlock()
+	n.stop()
+}
+
+// startBalancer starts a balancer; the endpoints that it knows are merged by the test.
+func (w *world) startBalancer(i int) *node {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7500)
+	n := w.newNode(fmt.Sprintf("balancer-%d", i), "a", settings.Settings{
+		Role:     settings.RoleBalancer,
+		Balancer: settings.Balancer{Delivery: settings.DeliveryServiceAddress, Envelope: address},
+	})
+	role, err := balancer.New(n.instance)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.run(n, role)
+	return n
+}
+
+func (w *world) setFabric(nodes ...*node) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.inFabric = nodes
+}
+
+func agentAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 2, byte(i)}), 7500)
+}
+
+// startAgent starts an agent with an endpoint beside it.
+func (w *world) startAgent(i int, service, zoneName string) *node {
+	name := fmt.Sprintf("%s-agent-%d", service, i)
+	server := httptest.NewServer(endpoint.New(name))
+	w.t.Cleanup(server.Close)
+	announce := freeAddress(w.g)
+	n := w.newNode(name, zoneName, settings.Settings{
+		Role:  settings.RoleAgent,
+		Agent: settings.Agent{Envelope: agentAddress(i), Announce: announce},
+	})
+	role, err := agent.New(n.instance)
+	w.g.Expect(err).NotTo(HaveOccurred())
+	w.run(n, role)
+	text := fmt.Sprintf(`{"service":%q,"address":%q,"slots":50}`, service, strings.TrimPrefix(server.URL, "http://"))
+	w.g.Eventually(func() error {
+		answer, err := http.Post("http://"+announce.String()+"/v1/endpoint", "application/json", strings.NewReader(text))
+		if err == nil {
+			answer.Body.Close()
+		}
+		return err
+	}, patience).Should(Succeed())
+	w.g.Eventually(func() any { return n.endpoint() }, patience).ShouldNot(BeNil())
+	return n
+}
+
+func freeAddress(g Gomega) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// endpoint returns the record by which the agent announces itself.
+func (n *node) endpoint() *wire.Record {
+	return n.instance.Store.Get(wire.Record_KIND_ENDPOINT, n.instance.Settings.Instance)
+}
+
+// tell merges records at the nodes.
+func tell(nodes []*node, records ...*wire.Record) {
+	for _, n := range nodes {
+		n.instance.Store.Merge(records)
+	}
+}
+
+// count sums a metric of the node over the label values.
+func (n *node) count(name, label string) (total float64) {
+	families, _ := n.instance.Metrics.Gather()
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.Metric {
+			if label == "" || metric.Label[0].GetValue() == label {
+				total += metric.Counter.GetValue()
+			}
+		}
+	}
+	return total
+}
+
+// flow is a caller with one connection; dials counts how often it had to open one.
+type flow struct {
+	client *http.Client
+	dials  atomic.Int32
+	conn   atomic.Pointer[quic.Conn]
+	url    string
+}
+
+func (w *world) newFlow(address string) *flow {
+	f := &flow{url: "https://" + address + "/name"}
+	number := w.callers.Add(1)
+	local := w.open(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(number >> 8), byte(number)}), 4000), w.private, w.sendFabric)
+	local.peer = netip.MustParseAddrPort(address)
+	transport := &quic.Transport{Conn: local}
+	rounds := &http3.Transport{
+		TLSClientConfig: &tls.Config{InsecureSkipVerify: true},
+		QUICConfig:      &quic.Config{MaxIdleTimeout: 30 * time.Second, HandshakeIdleTimeout: 2 * time.Second},
+		Dial: func(ctx context.Context, _ string, tlsConfig *tls.Config, config *quic.Config) (*quic.Conn, error) {
+			f.dials.Add(1)
+			conn, err := transport.DialEarly(ctx, net.UDPAddrFromAddrPort(netip.MustParseAddrPort(address)), tlsConfig, config)
+			f.conn.Store(conn)
+			return conn, err
+		},
+	}
+	w.t.Cleanup(func() { rounds.Close(); local.Close(); transport.Close() })
+	f.client = &http.Client{Transport: rounds, Timeout: patience}
+	return f
+}
+
+// get asks the endpoint for its name.
+func (f *flow) get() (string, error) {
+	answer, err := f.client.Get(f.url)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return strings.TrimSpace(string(body)), err
+}
+
+// name returns the name of the endpoint that the flow reaches.
+func (f *flow) name(g Gomega) string {
+	name, err := f.get()
+	g.Expect(err).NotTo(HaveOccurred())
+	return name
+}
