Exchange records by digest over a mesh of few links

Cause: every change was flooded over every link and echoed to its sender, each connect sent the whole state, every instance dialed every configured peer, and agents held everything. At the target size that is 1 MB a connect and 3,700 links on each control instance.

Change: no echo; what a peer shows to know is taken out of its queue; digests in 256 buckets at connect, a total every 3 s, and pulls of what is lacking. Answers to a pull are not flooded: the new total is shown instead. Agents subscribe to their part. Bounds on every record, message and kind; a record outside them is counted and dropped and the link stays, since a newer release may know of more kinds. Tombstones replace records of the same version and are kept 48 h. A message after 3.5 s of silence was written before a freeze and ends the session unread. Instances link to a ring successor and two random balancers that rotate, agents to two by rendezvous hashing; seeds are for the start and for having too few links. An instance raises the incarnation of its records above what peers hold.

--- /dev/null
+++ b/internal/exchange/bench_test.go
@@ -0,0 +1,184 @@
+package exchange
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// fleetSizes are the numbers of agents that costs are measured at; there is a
+// balancer for every five.
+var fleetSizes = []int{100, 1000, 4000}
+
+// simFleet is a cluster at rest: balancers in a mesh, each agent linked to two.
+type simFleet struct {
+	*network
+	balancers, agents int
+}
+
+func newSimFleet(agents int) *simFleet {
+	f := &simFleet{network: newNetwork(agents / 5), balancers: agents / 5, agents: agents}
+	random := seeded()
+	f.connectMesh(random)
+	records := fleet(agents)
+	for _, store := range f.stores {
+		store.Merge(records)
+	}
+	services := max(1, agents*testServices/3100)
+	for i := range agents {
+		own := endpointRecord(i, i%services, 1)
+		store := NewStore()
+		store.Merge([]*wire.Record{own})
+		f.stores = append(f.stores, store)
+		for range agentLinks {
+			f.connect(random.IntN(f.balancers), f.balancers+i, &wire.Subscription{Instance: own.Key, Service: own.Scope})
+		}
+	}
+	f.run(5 * time.Second)
+	return f
+}
+
+// measure reports what d of simulated time costs, besides what act does.
+func (f *simFleet) measure(b *testing.B, d time.Duration, act func()) {
+	bytes, agentBytes := f.bytes, f.agentBytes
+	started := time.Now()
+	act()
+	spent := time.Since(started)
+	bytes, agentBytes = f.bytes-bytes, f.agentBytes-agentBytes
+	seconds := d.Seconds()
+	balancers := float64(f.balancers)
+	// A byte between balancers is sent by one and received by another.
+	b.ReportMetric((2*float64(bytes-agentBytes)+float64(agentBytes))/balancers/seconds, "B/s/balancer")
+	b.ReportMetric(float64(agentBytes)/float64(f.agents)/seconds, "B/s/agent")
+	b.ReportMetric(float64(spent.Microseconds())/balancers/seconds, "µs/s/balancer")
+	b.ReportMetric(0, "ns/op")
+}
+
+func perSize(b *testing.B, run func(b *testing.B, f *simFleet)) {
+	for _, agents := range fleetSizes {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			run(b, newSimFleet(agents))
+		})
+	}
+}
+
+const measured = 6 * time.Second
+
+// BenchmarkIdle is the exchange without any change.
+func BenchmarkIdle(b *testing.B) {
+	perSize(b, func(b *testing.B, f *simFleet) {
+		f.measure(b, measured, func() { f.run(measured) })
+	})
+}
+
+// BenchmarkHotRecord is a record that changes every 500 ms.
+func BenchmarkHotRecord(b *testing.B) {
+	perSize(b, func(b *testing.B, f *simFleet) {
+		f.measure(b, measured, func() {
+			for i := range uint64(measured / (500 * time.Millisecond)) {
+				f.stores[0].Merge([]*wire.Record{hotRecord(i + 2)})
+				f.run(500 * time.Millisecond)
+			}
+		})
+	})
+}
+
+// BenchmarkMemberChange is one endpoint's change each second on top of idling.
+func BenchmarkMemberChange(b *testing.B) {
+	benchmarkChange(b, func(f *simFleet, i int) (*Store, *wire.Record) {
+		return f.stores[f.balancers+i], endpointRecord(i, i%max(1, f.agents*testServices/3100), uint64(i+2))
+	})
+}
+
+// BenchmarkDocumentChange is one document's change each second on top of idling.
+func BenchmarkDocumentChange(b *testing.B) {
+	benchmarkChange(b, func(f *simFleet, i int) (*Store, *wire.Record) {
+		record := &wire.Record{Kind: wire.Record_KIND_SERVICE, Key: "service-0", Major: uint64(10_000 + i), Value: make([]byte, documentBytes)}
+		return f.stores[0], record
+	})
+}
+
+func benchmarkChange(b *testing.B, change func(f *simFleet, i int) (*Store, *wire.Record)) {
+	perSize(b, func(b *testing.B, f *simFleet) {
+		most := 0
+		f.measure(b, measured, func() {
+			for i := range int(measured / time.Second) {
+				store, record := change(f, i)
+				store.Merge([]*wire.Record{record})
+				started := f.now
+				f.stores, store = f.stores[:f.balancers], nil
+				most = max(most, f.roundsUntil(record))
+				f.stores = f.stores[:f.balancers+f.agents]
+				f.run(time.Second - f.now.Sub(started))
+			}
+		})
+		b.ReportMetric(float64(most), "rounds-to-all-balancers")
+	})
+}
+
+// BenchmarkRestart is a balancer that comes back after 400 changes.
+func BenchmarkRestart(b *testing.B) {
+	for _, agents := range fleetSizes {
+		for _, isEmpty := range []bool{false, true} {
+			b.Run(fmt.Sprintf("agents=%d/empty=%v", agents, isEmpty), func(b *testing.B) { benchmarkRestart(b, agents, isEmpty) })
+		}
+	}
+}
+
+func benchmarkRestart(b *testing.B, agents int, isEmpty bool) {
+	records := fleet(agents)
+	n := newNetwork(4)
+	for i, store := range n.stores {
+		if i > 0 || !isEmpty {
+			store.Merge(records)
+		}
+		if i == 0 {
+			continue
+		}
+		for j := range 400 {
+			store.Merge([]*wire.Record{endpointRecord(j%agents, 0, uint64(j+2))})
+		}
+	}
+	for i := range 3 {
+		n.connect(0, i+1, nil)
+	}
+	started := time.Now()
+	rounds := 0
+	for ; n.stores[0].total() != n.stores[1].total(); rounds++ {
+		n.step()
+	}
+	b.ReportMetric(float64(time.Since(started).Microseconds()), "µs")
+	b.ReportMetric(float64(rounds), "rounds")
+	b.ReportMetric(float64(n.bytes), "B")
+	b.ReportMetric(float64(n.records), "records")
+	b.ReportMetric(0, "ns/op")
+}
+
+// BenchmarkStoreMemory is the memory that a store of unshared records takes.
+func BenchmarkStoreMemory(b *testing.B) {
+	for _, agents := range fleetSizes {
+		b.Run(fmt.Sprintf("agents=%d", agents), func(b *testing.B) {
+			before := heapBytes()
+			store := NewStore()
+			records := fleet(agents)
+			count := len(records)
+			store.Merge(records)
+			records = nil
+			after := heapBytes()
+			runtime.KeepAlive(store)
+			b.ReportMetric(float64(after-before), "B/store")
+			b.ReportMetric(float64(after-before)/float64(count), "B/record")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/internal/exchange/digest.go
@@ -0,0 +1,151 @@
+package exchange
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// hashKey is the same on every instance.
+func hashKey(key recordKey) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte{byte(key.kind)})
+	hash.Write([]byte(key.key))
+	return mix(hash.Sum64())
+}
+
+func hashString(text string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(text))
+	return mix(hash.Sum64())
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func bucketOf(hash uint64) int {
+	return int(hash % bucketCount)
+}
+
+func versionSum(hash, major, minor uint64) uint64 {
+	var data [24]byte
+	binary.BigEndian.PutUint64(data[0:], hash)
+	binary.BigEndian.PutUint64(data[8:], major)
+	binary.BigEndian.PutUint64(data[16:], minor)
+	sum := fnv.New64a()
+	sum.Write(data[:])
+	return mix(sum.Sum64())
+}
+
+// digest returns the sums of all buckets.
+func (s *Store) digest() []uint64 {
+	sums := make([]uint64, bucketCount)
+	for i := range s.shards {
+		shard := &s.shards[i]
+		shard.mu.RLock()
+		for j, sum := range shard.sums {
+			sums[j*shardCount+i] = sum
+		}
+		shard.mu.RUnlock()
+	}
+	return sums
+}
+
+// total returns the XOR of all bucket sums.
+func (s *Store) total() uint64 {
+	var total uint64
+	for _, sum := range s.digest() {
+		total ^= sum
+	}
+	return total
+}
+
+// inBuckets returns all records of the buckets, tombstones included.
+func (s *Store) inBuckets(buckets []uint32) []*wire.Record {
+	var wanted [bucketCount]bool
+	var wantedShards [shardCount]bool
+	for _, bucket := range buckets {
+		wanted[bucket%bucketCount] = true
+		wantedShards[bucket%shardCount] = true
+	}
+	var records []*wire.Record
+	for i := range s.shards {
+		if wantedShards[i] {
+			records = s.shards[i].inBuckets(records, &wanted)
+		}
+	}
+	return records
+}
+
+func (s *shard) inBuckets(records []*wire.Record, wanted *[bucketCount]bool) []*wire.Record {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for key, record := range s.records {
+		if wanted[bucketOf(hashKey(key))] {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+func versionsOf(records []*wire.Record) []*wire.Version {
+	versions := make([]*wire.Version, 0, len(records))
+	for _, record := range records {
+		if isDigested(record) {
+			versions = append(versions, &wire.Version{Key: hashKey(keyOf(record)), Major: record.Major, Minor: record.Minor})
+		}
+	}
+	return versions
+}
+
+// newerThan returns the records that the holder of the versions lacks.
+// Tombstones are returned only for what it holds.
+func newerThan(records []*wire.Record, versions []*wire.Version) []*wire.Record {
+	held := make(map[uint64]*wire.Version, len(versions))
+	for _, version := range versions {
+		held[version.Key] = version
+	}
+	var newer []*wire.Record
+	for _, record := range records {
+		version, isHeld := held[hashKey(keyOf(record))]
+		if !isHeld {
+			if !record.Expired {
+				newer = append(newer, record)
+			}
+			continue
+		}
+		if IsNewer(record, &wire.Record{Major: version.Major, Minor: version.Minor}) {
+			newer = append(newer, record)
+		}
+	}
+	return newer
+}
+
+// pullHold is how long a pull keeps others from starting: an instance that
+// has just started would otherwise fetch everything from each of its peers.
+const pullHold = 2 * time.Second
+
+// pullGate lets one large pull run at a time.
+type pullGate struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (g *pullGate) take(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.Before(g.until) {
+		return false
+	}
+	g.until = now.Add(pullHold)
+	return true
+}
--- /dev/null
+++ b/internal/exchange/run.go
@@ -0,0 +1,94 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	// flushDelay gathers changes into one message and lets those that cross
+	// on the link cancel out.
+	flushDelay = 20 * time.Millisecond
+	// collectInterval bounds how late a heartbeat can be.
+	collectInterval = HeartbeatInterval / 4
+	writeTimeout    = 5 * time.Second
+)
+
+// Serve runs a session on the stream until it fails or ctx ends. Both ends
+// call Serve.
+func Serve(ctx context.Context, session *Session, stream net.Conn) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { stream.Close() })
+	defer stop()
+	defer session.Close()
+	go func() {
+		defer cancel()
+		sendAll(ctx, session, stream)
+	}()
+	return receiveAll(session, stream)
+}
+
+func sendAll(ctx context.Context, session *Session, stream net.Conn) {
+	ticker := time.NewTicker(collectInterval)
+	defer ticker.Stop()
+	for {
+		if !sendReady(session, stream) || session.isSilent(time.Now()) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-session.box.wake:
+			if !sleep(ctx, flushDelay) {
+				return
+			}
+		}
+	}
+}
+
+func sendReady(session *Session, stream net.Conn) bool {
+	for _, message := range session.Collect(time.Now()) {
+		if stream.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+			return false
+		}
+		if link.WriteMessage(stream, message) != nil {
+			return false
+		}
+		session.store.traffic.sentMessages.Add(1)
+		session.store.traffic.sentBytes.Add(uint64(link.FrameBytes(proto.Size(message))))
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func receiveAll(session *Session, stream net.Conn) error {
+	for {
+		message := new(wire.Exchange)
+		if err := link.ReadMessage(stream, message); err != nil {
+			return err
+		}
+		session.store.traffic.receivedMessages.Add(1)
+		session.store.traffic.receivedBytes.Add(uint64(link.FrameBytes(proto.Size(message))))
+		if err := session.Receive(time.Now(), message); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/exchange/session.go
+++ b/internal/exchange/session.go
@@ -1,164 +1,412 @@
 package exchange
 
 import (
-	"context"
-	"net"
+	"math/bits"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
 
-	"sassafrasturn.example/internal/link"
 	"sassafrasturn.example/internal/wire"
 )
 
-// outbox collects changed records until the session sends them; of several
-// versions of one record only the newest is kept.
-type outbox struct {
-	mu      sync.Mutex
-	pending map[recordKey]*wire.Record
-	wake    chan struct{}
+// Error is the class of this package's errors.
+var Error = errs.Class("exchange")
+
+const (
+	// HeartbeatInterval is the longest time without a message on a session.
+	HeartbeatInterval = time.Second
+	// silenceTimeout ends a session whose peer is not heard. A message after a
+	// longer gap was written before the gap; it is not taken as news.
+	silenceTimeout = 3500 * time.Millisecond
+	// totalInterval separates comparisons with a peer.
+	totalInterval = 3 * time.Second
+	// largePullBuckets is from how many buckets on a pull needs the pull gate.
+	largePullBuckets = bucketCount / 8
+)
+
+// Session is one end of an exchange with a peer. It does no I/O: Receive takes
+// in messages and Collect returns those to send.
+type Session struct {
+	store  *Store
+	box    *outbox
+	unhook func()
+
+	mu sync.Mutex
+	// own is what this end subscribes to; nil for every record.
+	own *wire.Subscription
+	// peer is what the other end introduced itself with; nil until then.
+	peer     *wire.Hello
+	filter   *filter
+	replies  []*wire.Exchange
+	hello    *wire.Hello
+	lastRead time.Time
+	lastSent time.Time
+	nextSum  time.Time
+}
+
+// NewSession starts the exchange of a store with one peer.
+func NewSession(now time.Time, store *Store, hello *wire.Hello) *Session {
+	s := &Session{store: store, box: newOutbox(), hello: hello, own: hello.Subscription, lastRead: now, lastSent: now, nextSum: now.Add(totalInterval)}
+	s.replies = append(s.replies, s.opening())
+	s.unhook = store.watch(s.onChange)
+	return s
 }
 
-func newOutbox() *outbox {
-	return &outbox{pending: make(map[recordKey]*wire.Record), wake: make(chan struct{}, 1)}
+// opening introduces this end and shows what it holds.
+func (s *Session) opening() *wire.Exchange {
+	message := &wire.Exchange{Hello: s.hello}
+	if s.own != nil {
+		message.Pull = &wire.Pull{Versions: versionsOf(s.store.List())}
+	} else {
+		message.Digest = &wire.Digest{Sums: s.store.digest()}
+	}
+	return message
+}
+
+// Close ends the session.
+func (s *Session) Close() {
+	s.unhook()
 }
 
-func (o *outbox) put(records []*wire.Record) {
-	o.mu.Lock()
+// Peer returns the name of the peer, or "" before it introduced itself, and
+// whether it takes only part of the records.
+func (s *Session) Peer() (instance string, isPartial bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peer.GetInstance(), s.peer.GetSubscription() != nil
+}
+
+// Subscribe changes what this end wants to be sent.
+func (s *Session) Subscribe(subscription *wire.Subscription) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if proto.Equal(s.own, subscription) {
+		return
+	}
+	s.own = subscription
+	s.hello = &wire.Hello{Instance: s.hello.Instance, Subscription: subscription}
+	s.replies = append(s.replies, s.opening())
+	s.box.signal()
+}
+
+// onChange passes changes on. What this instance had asked for is not passed
+// on record by record, since most peers know it: they are shown the new total
+// at once and ask if theirs differs.
+func (s *Session) onChange(changed []*wire.Record, from origin) {
+	if from.session == s {
+		return
+	}
+	s.mu.Lock()
+	if from.isAnswer && s.filter == nil {
+		s.nextSum = time.Time{}
+		s.mu.Unlock()
+		s.box.signal()
+		return
+	}
+	wanted := s.wantedLocked(changed)
+	s.mu.Unlock()
+	s.box.put(wanted)
+}
+
+// wantedLocked returns the records that the peer wants. An end that subscribes
+// to a part only passes on what is its own. Leases are left out: instances ask
+// each other for them, because a record in a buffer does not say how old it is.
+func (s *Session) wantedLocked(records []*wire.Record) []*wire.Record {
+	var wanted []*wire.Record
 	for _, record := range records {
-		if record.Kind == wire.Record_KIND_LEASE {
-			// Instances ask each other for leases: a record in a buffer does not say how old it is.
+		if record.Kind == wire.Record_KIND_LEASE || s.own != nil && record.Key != s.hello.Instance {
 			continue
 		}
-		key := recordKey{kind: record.Kind, key: record.Key}
-		held, ok := o.pending[key]
-		if !ok || IsNewer(record, held) {
-			o.pending[key] = record
+		if s.filter == nil || s.filter.matches(record) {
+			wanted = append(wanted, record)
 		}
 	}
-	o.mu.Unlock()
-	select {
-	case o.wake <- struct{}{}:
-	default:
+	return wanted
+}
+
+// Receive takes in a message. An error ends the session.
+func (s *Session) Receive(now time.Time, message *wire.Exchange) error {
+	if err := s.noteRead(now); err != nil {
+		return err
+	}
+	if len(message.Records) > maxRecordsPerMessage {
+		return Error.New("%d records in one message, at most %d are allowed", len(message.Records), maxRecordsPerMessage)
+	}
+	s.store.noteHeard(now)
+	if message.Hello != nil {
+		if err := s.takeHello(message.Hello); err != nil {
+			return err
+		}
+	}
+	if len(message.Records) > 0 {
+		s.box.forget(message.Records)
+		s.store.merge(now, message.Records, origin{session: s, isAnswer: message.AnswersPull})
+	}
+	s.compare(now, message)
+	return s.answerPull(message.Pull)
+}
+
+func (s *Session) noteRead(now time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gap := now.Sub(s.lastRead)
+	s.lastRead = now
+	if gap > silenceTimeout {
+		return Error.New("a message came after %v of silence, at most %v are allowed", gap, silenceTimeout)
+	}
+	return nil
+}
+
+func (s *Session) takeHello(hello *wire.Hello) error {
+	if hello.Instance == "" || len(hello.Instance) > maxKeyBytes {
+		return Error.New("an introduction with a name of %d bytes, 1 to %d are allowed", len(hello.Instance), maxKeyBytes)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	isFirst := s.peer == nil
+	s.peer = hello
+	s.filter = nil
+	if hello.Subscription != nil {
+		s.filter = newFilter(s.store, hello.Subscription)
+	}
+	if isFirst {
+		s.box.put(s.wantedLocked(s.ownRecords()))
 	}
+	return nil
 }
 
-func (o *outbox) take() []*wire.Record {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	records := make([]*wire.Record, 0, len(o.pending))
-	for key, record := range o.pending {
-		records = append(records, record)
-		delete(o.pending, key)
+// ownRecords are sent without being asked for: an agent shows no digest.
+func (s *Session) ownRecords() []*wire.Record {
+	if s.own == nil {
+		return nil
+	}
+	var records []*wire.Record
+	for kind := range maxKind + 1 {
+		if own := s.store.getAny(recordKey{kind: kind, key: s.hello.Instance}); own != nil {
+			records = append(records, own)
+		}
 	}
 	return records
 }
 
-// maxBatchBytes keeps one Exchange message well under the frame bound.
-const maxBatchBytes = 256 << 10
+// compare looks for differences to what the peer holds and asks for them.
+func (s *Session) compare(now time.Time, message *wire.Exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.own != nil || s.filter != nil {
+		return
+	}
+	if message.HasTotal && message.Total != s.store.total() {
+		s.replyLocked(&wire.Exchange{Digest: &wire.Digest{Sums: s.store.digest()}})
+	}
+	if message.Digest != nil {
+		s.pullLocked(now, message.Digest.Sums)
+	}
+}
 
-// Run exchanges records on the stream until it fails or ctx ends. Both ends
-// call Run; each first sends all that it has, then changes.
-func Run(ctx context.Context, store *Store, stream net.Conn) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := context.AfterFunc(ctx, func() { stream.Close() })
-	defer stop()
+func (s *Session) pullLocked(now time.Time, sums []uint64) {
+	if len(sums) != bucketCount {
+		return
+	}
+	var buckets []uint32
+	for i, sum := range s.store.digest() {
+		if sum != sums[i] {
+			buckets = append(buckets, uint32(i))
+		}
+	}
+	if len(buckets) == 0 || len(buckets) >= largePullBuckets && !s.store.pulls.take(now) {
+		return
+	}
+	versions := versionsOf(s.store.inBuckets(buckets))
+	s.replyLocked(&wire.Exchange{Pull: &wire.Pull{Buckets: buckets, Versions: versions}})
+}
 
-	box := newOutbox()
-	unwatch := store.Watch(box.put)
-	defer unwatch()
-	box.put(store.List())
+// replyLocked queues a message. A peer asks no more often than its messages
+// are answered, so a longer queue than this comes from a peer that misbehaves.
+func (s *Session) replyLocked(message *wire.Exchange) {
+	const maxReplies = 16
+	if len(s.replies) < maxReplies {
+		s.replies = append(s.replies, message)
+	}
+	s.box.signal()
+}
 
-	go func() {
-		defer cancel()
-		sendAll(ctx, box, stream)
-	}()
-	return receiveAll(store, stream)
+func (s *Session) answerPull(pull *wire.Pull) error {
+	if pull == nil {
+		return nil
+	}
+	if len(pull.Versions) > maxVersionsPerPull || len(pull.Buckets) > bucketCount {
+		return Error.New("a pull of %d buckets with %d versions, at most %d and %d are allowed", len(pull.Buckets), len(pull.Versions), bucketCount, maxVersionsPerPull)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var records []*wire.Record
+	if s.filter != nil {
+		records = s.filter.list()
+	} else {
+		records = s.store.inBuckets(pull.Buckets)
+	}
+	s.box.answer(s.wantedLocked(newerThan(records, pull.Versions)))
+	return nil
 }
 
-func sendAll(ctx context.Context, box *outbox, stream net.Conn) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-box.wake:
-		}
-		for _, batch := range batches(box.take()) {
-			if link.WriteMessage(stream, &wire.Exchange{Records: batch}) != nil {
-				return
-			}
-		}
+// Collect returns the messages to send now.
+func (s *Session) Collect(now time.Time) []*wire.Exchange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	messages := s.replies
+	s.replies = nil
+	changes, answers := s.box.take()
+	for _, batch := range batches(changes) {
+		messages = append(messages, &wire.Exchange{Records: batch})
+	}
+	for _, batch := range batches(answers) {
+		messages = append(messages, &wire.Exchange{Records: batch, AnswersPull: true})
+	}
+	s.store.traffic.sentRecords.Add(uint64(len(changes) + len(answers)))
+	if !now.Before(s.nextSum) {
+		s.nextSum = now.Add(totalInterval)
+		messages = append(messages, s.summaryLocked())
+	}
+	if len(messages) == 0 && now.Sub(s.lastSent) >= HeartbeatInterval {
+		messages = append(messages, new(wire.Exchange))
+	}
+	if len(messages) > 0 {
+		s.lastSent = now
 	}
+	return messages
 }
 
-func receiveAll(store *Store, stream net.Conn) error {
-	for {
-		message := new(wire.Exchange)
-		if err := link.ReadMessage(stream, message); err != nil {
-			return err
-		}
-		store.Merge(message.Records)
+// summaryLocked lets the peer find differences that changes did not carry.
+func (s *Session) summaryLocked() *wire.Exchange {
+	if s.own != nil {
+		return &wire.Exchange{Pull: &wire.Pull{Versions: versionsOf(s.store.List())}}
+	}
+	if s.filter != nil {
+		return new(wire.Exchange)
 	}
+	return &wire.Exchange{HasTotal: true, Total: s.store.total()}
 }
 
-func batches(records []*wire.Record) [][]*wire.Record {
-	var result [][]*wire.Record
-	var batch []*wire.Record
-	size := 0
-	for _, record := range records {
-		batch = append(batch, record)
-		size += len(record.Value) + len(record.Key)
-		if size >= maxBatchBytes {
-			result = append(result, batch)
-			batch, size = nil, 0
-		}
+// isSilent reports whether the peer has not been heard for too long.
+func (s *Session) isSilent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.lastRead) > silenceTimeout
+}
+
+// balancerSample is how many balancers an agent is told of.
+const balancerSample = 8
+
+// filter chooses the records that an agent needs.
+type filter struct {
+	store        *Store
+	subscription *wire.Subscription
+	balancers    map[string]bool
+}
+
+func newFilter(store *Store, subscription *wire.Subscription) *filter {
+	f := &filter{store: store, subscription: subscription}
+	f.sample()
+	return f
+}
+
+// sample chooses the balancers by rendezvous hashing, so that every peer of an
+// agent with the same records tells it of the same ones.
+func (f *filter) sample() {
+	var names []string
+	for _, record := range f.store.List(wire.Record_KIND_BALANCER) {
+		names = append(names, record.Key)
+	}
+	f.balancers = make(map[string]bool, balancerSample)
+	for _, name := range Rank(f.subscription.Instance, names, balancerSample) {
+		f.balancers[name] = true
 	}
-	if len(batch) > 0 {
-		result = append(result, batch)
+}
+
+func (f *filter) matches(record *wire.Record) bool {
+	switch record.Kind {
+	case wire.Record_KIND_SERVICE:
+		return record.Key == f.subscription.Service
+	case wire.Record_KIND_ENDPOINT:
+		return record.Key == f.subscription.Instance || record.Scope != "" && record.Scope == f.subscription.Service
+	case wire.Record_KIND_BALANCER:
+		return f.balancers[record.Key]
+	case wire.Record_KIND_VERDICT:
+		return f.isNamed(record)
+	default:
+		return true
 	}
-	return result
 }
 
-// redialInterval separates attempts to reach a peer.
-const redialInterval = 500 * time.Millisecond
+// isNamed reports whether a verdict suspects the subscriber.
+func (f *filter) isNamed(record *wire.Record) bool {
+	verdict := new(wire.Verdict)
+	if proto.Unmarshal(record.Value, verdict) != nil {
+		return false
+	}
+	for _, suspicion := range verdict.Suspicions {
+		if suspicion.Member == f.subscription.Instance {
+			return true
+		}
+	}
+	return false
+}
 
-// Keep holds an exchange with the peer at address until ctx ends, dialing
-// again whenever the link fails.
-func Keep(ctx context.Context, store *Store, dialer *link.Dialer, instance, address string) {
-	for ctx.Err() == nil {
-		exchangeOnce(ctx, store, dialer, instance, address)
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialInterval):
+// list returns every record that the subscriber needs.
+// Verdicts are left out: they are told when they change.
+func (f *filter) list() []*wire.Record {
+	f.sample()
+	kinds := []wire.Record_Kind{wire.Record_KIND_ENDPOINT, wire.Record_KIND_BALANCER, wire.Record_KIND_ZONE}
+	records := f.store.List(kinds...)
+	if document := f.store.Get(wire.Record_KIND_SERVICE, f.subscription.Service); document != nil {
+		records = append(records, document)
+	}
+	wanted := records[:0]
+	for _, record := range records {
+		if f.matches(record) {
+			wanted = append(wanted, record)
 		}
 	}
+	return wanted
 }
 
-func exchangeOnce(ctx context.Context, store *Store, dialer *link.Dialer, instance, address string) {
-	session, err := dialer.Dial(ctx, address)
-	if err != nil {
-		return
+// scored is a name with its rendezvous score.
+type scored struct {
+	score uint64
+	name  string
+}
+
+// Rank orders names by rendezvous hashing for a key and returns the first n.
+func Rank(key string, names []string, n int) []string {
+	best := make([]scored, 0, n+1)
+	hash := hashString(key)
+	for _, name := range names {
+		candidate := scored{score: mix(hash ^ bits.RotateLeft64(hashString(name), 1)), name: name}
+		best = insertScored(best, candidate, n)
 	}
-	defer session.Close()
-	stream, err := open(session, instance)
-	if err != nil {
-		return
+	ranked := make([]string, len(best))
+	for i := range best {
+		ranked[i] = best[i].name
 	}
-	// The error says only how the link ended; Keep dials again whatever it was.
-	_ = Run(ctx, store, stream)
+	return ranked
 }
 
-func open(session *yamux.Session, instance string) (net.Conn, error) {
-	stream, err := session.Open()
-	if err != nil {
-		return nil, err
+func insertScored(best []scored, candidate scored, n int) []scored {
+	at := len(best)
+	for at > 0 && best[at-1].score < candidate.score {
+		at--
+	}
+	if at == n {
+		return best
 	}
-	request := &wire.Request{Body: &wire.Request_Exchange{Exchange: &wire.ExchangeRequest{Instance: instance}}}
-	if err := link.WriteMessage(stream, request); err != nil {
-		stream.Close()
-		return nil, err
+	best = append(best, scored{})
+	copy(best[at+1:], best[at:])
+	best[at] = candidate
+	if len(best) > n {
+		best = best[:n]
 	}
-	return stream, nil
+	return best
 }
--- a/internal/link/frame.go
+++ b/internal/link/frame.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -12,6 +13,11 @@
 
 const lengthBytes = 4
 
+// FrameBytes returns the length on the link of a message of so many bytes.
+func FrameBytes(message int) int {
+	return lengthBytes + message
+}
+
 // WriteMessage writes one message, preceded by its length.
 func WriteMessage(w io.Writer, message proto.Message) error {
 	frame, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, lengthBytes), message)
@@ -38,9 +44,10 @@
 	if length > MaxFrameBytes {
 		return Error.New("frame of %d bytes, at most %d are allowed", length, MaxFrameBytes)
 	}
-	frame := make([]byte, length)
-	if _, err := io.ReadFull(r, frame); err != nil {
-		return Error.Wrap(err)
+	// The buffer grows with what arrives, not with what the header announces.
+	var frame bytes.Buffer
+	if n, err := io.CopyN(&frame, r, int64(length)); err != nil {
+		return Error.New("frame of %d bytes ended after %d: %w", length, n, err)
 	}
-	return Error.Wrap(proto.Unmarshal(frame, message))
+	return Error.Wrap(proto.Unmarshal(frame.Bytes(), message))
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -20,7 +20,7 @@
 
 const (
 	dialTimeout       = 2 * time.Second
-	keepAliveInterval = time.Second
+	keepAliveInterval = 5 * time.Second
 	writeTimeout      = 2 * time.Second
 	acceptBacklog     = 64
 )
@@ -96,71 +96,3 @@
 	}
 	return response, nil
 }
-
-// Handler serves one stream; the request that opened it has been read. The
-// stream is closed when the handler returns.
-type Handler interface {
-	ServeStream(ctx context.Context, request *wire.Request, stream net.Conn)
-}
-
-// Server accepts links.
-type Server struct {
-	// TLS is nil on a cluster without certificates.
-	TLS     *tls.Config
-	Handler Handler
-}
-
-// Serve accepts links until ctx ends.
-func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { listener.Close() })
-	defer stop()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return Error.Wrap(err)
-		}
-		go s.serveConn(ctx, conn)
-	}
-}
-
-func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	if s.TLS != nil {
-		conn = tls.Server(conn, s.TLS)
-	}
-	session, err := yamux.Server(conn, sessionConfig())
-	if err != nil {
-		conn.Close()
-		return
-	}
-	defer session.Close()
-	stop := context.AfterFunc(ctx, func() { session.Close() })
-	defer stop()
-	for {
-		stream, err := session.Accept()
-		if err != nil {
-			return
-		}
-		go s.serveStream(ctx, stream)
-	}
-}
-
-// requestTimeout bounds the wait for the request that opens a stream.
-const requestTimeout = 5 * time.Second
-
-func (s *Server) serveStream(ctx context.Context, stream net.Conn) {
-	defer stream.Close()
-	if stream.SetReadDeadline(time.Now().Add(requestTimeout)) != nil {
-		return
-	}
-	request := new(wire.Request)
-	if err := ReadMessage(stream, request); err != nil {
-		return
-	}
-	if stream.SetReadDeadline(time.Time{}) != nil {
-		return
-	}
-	s.Handler.ServeStream(ctx, request, stream)
-}
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/netip"
 	"os"
@@ -55,10 +54,14 @@
 	ListenUDP func(address netip.AddrPort) (Socket, error)
 	// Lease says whether a balancer may go on by what is known of the zones.
 	Lease *zone.Holder
-	// Incarnation grows with every start of the instance: Unix milliseconds.
+	// Incarnation differs between any two starts of the instance and grows
+	// unless its wall clock went back: Unix milliseconds. Records are published
+	// under PublishedIncarnation.
 	Incarnation uint64
 
-	serverTLS *tls.Config
+	publisher *publisher
+	mesh      *exchange.Mesh
+	server    *link.Server
 	roles     []Role
 }
 
@@ -73,7 +76,8 @@
 		return nil, err
 	}
 	logger := newLogger(s)
-	return &Instance{
+	incarnation := uint64(time.Now().UnixMilli())
+	instance := &Instance{
 		Settings:    s,
 		Log:         logger,
 		Decisions:   decisionlog.New(logger, s.Log.DecisionsPerSecond),
@@ -83,9 +87,29 @@
 		Metrics:     newRegistry(),
 		ListenUDP:   listenUDP,
 		Lease:       zone.NewHolder(),
-		Incarnation: uint64(time.Now().UnixMilli()),
-		serverTLS:   serverTLS,
-	}, nil
+		Incarnation: incarnation,
+		publisher:   newPublisher(incarnation),
+	}
+	instance.server = &link.Server{TLS: serverTLS, Handler: instance}
+	instance.mesh = exchange.NewMesh(instance.meshConfig())
+	registerLinkMetrics(instance.Metrics, instance.Store, instance.mesh, instance.server)
+	return instance, nil
+}
+
+func (i *Instance) meshConfig() exchange.MeshConfig {
+	config := exchange.MeshConfig{
+		Store:      i.Store,
+		Dialer:     i.Dialer,
+		Self:       exchange.Peer{Instance: i.Settings.Instance, Address: i.Settings.Link.Listen.String()},
+		IsPartial:  i.Settings.Role == settings.RoleAgent,
+		KeepsSeeds: i.Settings.Role == settings.RoleControl,
+	}
+	for _, peer := range i.Settings.Cluster.Peers {
+		if peer != i.Settings.Link.Listen {
+			config.Seeds = append(config.Seeds, peer.String())
+		}
+	}
+	return config
 }
 
 func newLogger(s *settings.Settings) *log.Logger {
@@ -111,9 +135,11 @@
 	// The links outlive the roles, so that draining can still be published.
 	linkCtx, stopLinks := context.WithCancel(context.Background())
 	defer stopLinks()
-	server := &link.Server{TLS: i.serverTLS, Handler: i}
-	go server.Serve(linkCtx, listener)
-	i.joinPeers(linkCtx)
+	go i.server.Serve(linkCtx, listener)
+	stopWatch := i.Store.Watch(i.checkContested)
+	defer stopWatch()
+	go i.defend(linkCtx)
+	go i.mesh.Run(linkCtx)
 	go i.followKeyFile(linkCtx)
 	i.followLease(linkCtx)
 	if err := i.serveMetrics(linkCtx); err != nil {
@@ -122,15 +148,6 @@
 	return i.runRoles(ctx)
 }
 
-func (i *Instance) joinPeers(ctx context.Context) {
-	for _, peer := range i.Settings.Cluster.Peers {
-		if peer == i.Settings.Link.Listen {
-			continue
-		}
-		go exchange.Keep(ctx, i.Store, i.Dialer, i.Settings.Instance, peer.String())
-	}
-}
-
 func (i *Instance) runRoles(ctx context.Context) error {
 	roleCtx, stopRoles := context.WithCancel(context.Background())
 	defer stopRoles()
@@ -148,11 +165,16 @@
 	case <-ctx.Done():
 	}
 	i.drain()
+	i.withdraw()
 	stopRoles()
+	time.Sleep(leaveDelay)
 	i.Log.Info().Msg("instance stopped")
 	return nil
 }
 
+// leaveDelay gives the last records time to reach the peers.
+const leaveDelay = 100 * time.Millisecond
+
 func (i *Instance) drain() {
 	ctx, cancel := context.WithTimeout(context.Background(), i.Settings.ShutdownTimeout)
 	defer cancel()
@@ -166,7 +188,7 @@
 	switch request.Body.(type) {
 	case *wire.Request_Exchange:
 		// The error says only how the stream ended.
-		_ = exchange.Run(ctx, i.Store, stream)
+		_ = i.mesh.Accept(ctx, stream)
 		return
 	case *wire.Request_Lease:
 		i.answerLease(request.GetLease(), stream)
