--- /dev/null
+++ b/internal/harness/drain_test.go
@@ -0,0 +1,186 @@
+package harness_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/harness"
+	"sassafrasturn.example/internal/measure"
+)
+
+// noNewWorkWithin is from when on a leaving endpoint gets no new work.
+const noNewWorkWithin = 2 * time.Second
+
+var _ = Describe("leaving endpoints and graceful shutdown", func() {
+	It("cuts nothing when agents and a balancer stop under load", func() {
+		cluster := startCluster(twoServices())
+		load := startLoad(cluster)
+		time.Sleep(time.Second)
+		stopping := map[string]*harness.Process{}
+		for _, name := range []string{harness.AgentName("order-desk", 0), harness.AgentName("drawings", 0), harness.BalancerName(0)} {
+			stopping[name] = cluster.Process(name)
+			Expect(stopping[name].Signal(syscall.SIGTERM)).To(Succeed())
+		}
+		time.Sleep(noNewWorkWithin)
+		before := acceptedFlows(cluster, "order-desk")
+		expectViews(cluster, []int{1, 2}, "order-desk", 1)
+		time.Sleep(time.Second)
+		Expect(acceptedFlows(cluster, "order-desk")).To(Equal(before), "new flows at the draining agent after 2 s")
+		load.finish()
+		load.expectEachOrderOnce()
+		for name, process := range stopping {
+			Eventually(process.Done(), 20*time.Second).Should(BeClosed(), name)
+			Expect(process.ExitCode()).To(Equal(0), name)
+		}
+	})
+
+	It("tells an endpoint when it is empty and serves its next process, as a cold one", func() {
+		cluster := startCluster(twoServices())
+		load := startLoad(cluster)
+		time.Sleep(time.Second)
+		endpoint := cluster.Process(harness.EndpointName("order-desk", 0))
+		answer, err := http.Post(strings.Replace(cluster.EndpointURL("order-desk", 0, "/v1/drain"), ":8000/", ":7600/", 1), "", nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.StatusCode).To(Equal(http.StatusNoContent))
+		Expect(answer.Body.Close()).To(Succeed())
+		Expect(endpoint.Kill()).To(Succeed())
+		load.finish()
+		expectViews(cluster, []int{0, 1, 2}, "order-desk", 1)
+		Expect(endpoint.Start()).To(Succeed())
+		expectViews(cluster, []int{0, 1, 2}, "order-desk", 2)
+	})
+})
+
+// acceptedFlows is how many flows the first agent of a service has accepted.
+func acceptedFlows(cluster *harness.Cluster, service string) float64 {
+	count, err := cluster.AgentMetric(service, 0, "sassafrasturn_agent_accepted_flows_total")
+	Expect(err).NotTo(HaveOccurred())
+	return count
+}
+
+// expectViews checks how many endpoints of a service take new flows in the
+// views of the balancers.
+func expectViews(cluster *harness.Cluster, balancers []int, service string, endpoints int) {
+	for _, i := range balancers {
+		Eventually(func() (string, error) { return cluster.BalancerStatus(i) }, noNewWorkWithin).
+			Should(MatchRegexp(`service %s: .* %d endpoints take new flows`, service, endpoints))
+	}
+}
+
+// load is long downloads, boards, and orders on old and new connections.
+type load struct {
+	broken sync.Map
+	long   sync.WaitGroup
+	short  sync.WaitGroup
+	stop   context.CancelFunc
+	orders sync.Map
+	base   *harness.Cluster
+}
+
+func startLoad(cluster *harness.Cluster) *load {
+	const (
+		flows        = 20
+		drawingBytes = 2 << 20
+		events       = 60
+	)
+	drawing := cluster.URL("drawings", fmt.Sprintf("/drawings/%d?pace=40ms", drawingBytes))
+	eventsURL := cluster.URL("order-desk", fmt.Sprintf("/board?every=100ms&count=%d", events))
+	ctx, stop := context.WithCancel(context.Background())
+	l := &load{stop: stop, base: cluster}
+	DeferCleanup(stop)
+	for i := range flows {
+		drawings, board, orders := newClient(), newClient(), newClient()
+		l.long.Go(func() { note(&l.broken, "download", i, measure.Download(ctx, drawings, drawing, drawingBytes)) })
+		l.long.Go(func() { note(&l.broken, "board", i, measure.FollowBoard(ctx, board, eventsURL, events)) })
+		l.short.Go(func() { note(&l.broken, "orders", i, l.order(ctx, orders, i)) })
+	}
+	l.short.Go(func() { note(&l.broken, "new flows", 0, openFlows(ctx, cluster)) })
+	return l
+}
+
+func (l *load) order(ctx context.Context, client *http.Client, caller int) error {
+	for i := 0; ctx.Err() == nil; i++ {
+		id := fmt.Sprintf("%d-%d", caller, i)
+		l.orders.Store(id, true)
+		answer, err := client.Post(l.base.URL("order-desk", "/orders?work=10ms&id="+id), "", nil)
+		if err == nil {
+			err = expectBody(answer, "order "+id)
+		}
+		if err != nil {
+			return fmt.Errorf("order %s: %w", id, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+func openFlows(ctx context.Context, cluster *harness.Cluster) error {
+	for ctx.Err() == nil {
+		client := newClient()
+		answer, err := client.Get(cluster.URL("order-desk", "/name"))
+		if err == nil {
+			err = expectBody(answer, "order-desk-endpoint-")
+		}
+		if err != nil {
+			return err
+		}
+		client.CloseIdleConnections()
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
+func expectBody(answer *http.Response, prefix string) error {
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	if answer.StatusCode != http.StatusOK || !strings.HasPrefix(string(body), prefix) {
+		return fmt.Errorf("answer %s: %s", answer.Status, body)
+	}
+	return nil
+}
+
+// finish waits for the long flows, ends the short ones and fails for what broke.
+func (l *load) finish() {
+	l.long.Wait()
+	l.stop()
+	l.short.Wait()
+	l.broken.Range(func(name, err any) bool {
+		Expect(err).NotTo(HaveOccurred(), name.(string))
+		return true
+	})
+}
+
+// expectEachOrderOnce compares what the endpoints have run with what callers sent.
+func (l *load) expectEachOrderOnce() {
+	runs := map[string]int{}
+	for i := range 2 {
+		answer, err := http.Get(l.base.EndpointURL("order-desk", i, "/runs"))
+		Expect(err).NotTo(HaveOccurred())
+		lines := bufio.NewScanner(answer.Body)
+		for lines.Scan() {
+			var id string
+			var count int
+			_, err := fmt.Sscan(lines.Text(), &id, &count)
+			Expect(err).NotTo(HaveOccurred())
+			runs[id] += count
+		}
+		Expect(answer.Body.Close()).To(Succeed())
+	}
+	l.orders.Range(func(id, _ any) bool {
+		Expect(runs).To(HaveKeyWithValue(id, 1))
+		return true
+	})
+}
--- a/internal/harness/system.go
+++ b/internal/harness/system.go
@@ -1,6 +1,9 @@
 package harness
 
-import "syscall"
+import (
+	"os/exec"
+	"syscall"
+)
 
 // System is what a measurement drives: the product or the naive baseline.
 type System interface {
@@ -60,3 +63,10 @@
 	}
 	return nil
 }
+
+// BalancerStatus returns what a balancer says about itself.
+func (c *Cluster) BalancerStatus(i int) (string, error) {
+	address := c.address(firstBalancerHost+i, linkPort)
+	output, err := exec.Command(c.binaries.Ctl, "-control", address, "status").CombinedOutput()
+	return string(output), Error.Wrap(err)
+}
--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -143,6 +143,9 @@
 	service, doc := a.readService(announced.Service)
 	zone := a.readZone()
 	if doc == nil || zone == 0 {
+		if a.serving != nil {
+			a.serving.takesFlows.Store(false)
+		}
 		return nil
 	}
 	isAllowed := doc.Allows(a.instance.Settings.Agent.Envelope.Addr())
@@ -173,7 +176,7 @@
 		return 0, nil
 	}
 	service := new(wire.Service)
-	if proto.Unmarshal(record.Value, service) != nil {
+	if proto.Unmarshal(record.Value, service) != nil || service.Withdrawn {
 		return 0, nil
 	}
 	doc, err := contract.Parse(name, service.Document)
--- a/internal/machine/balancer/balancer.go
+++ b/internal/machine/balancer/balancer.go
@@ -24,8 +24,13 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("balancer")
 
-// quietPeriod without any datagram ends draining: the fabric has moved on.
-const quietPeriod = time.Second
+const (
+	// quietPeriod without any datagram ends draining: the fabric has moved on.
+	quietPeriod = time.Second
+	// noticePeriod is how long the fabric may take to notice that the health
+	// answer fails. A quiet period within it may be mere chance.
+	noticePeriod = 5 * time.Second
+)
 
 // Balancer is the balancer role of an instance.
 type Balancer struct {
@@ -100,13 +105,14 @@
 	})
 }
 
-// Drain waits until the fabric sends no more datagrams.
+// Drain fails the health answer and forwards until the fabric sends no more
+// datagrams.
 func (b *Balancer) Drain(ctx context.Context) {
 	b.isDraining.Store(true)
-	b.lastDatagram.Store(time.Now().UnixNano())
+	began := time.Now()
 	ticker := time.NewTicker(quietPeriod / 10)
 	defer ticker.Stop()
-	for time.Since(time.Unix(0, b.lastDatagram.Load())) < quietPeriod {
+	for !isDrained(time.Now(), began, time.Unix(0, b.lastDatagram.Load())) {
 		select {
 		case <-ctx.Done():
 			return
@@ -115,6 +121,11 @@
 	}
 }
 
+// isDrained reports whether the fabric has had the time to move on and has done so.
+func isDrained(now, began, lastDatagram time.Time) bool {
+	return now.Sub(began) >= noticePeriod && now.Sub(lastDatagram) >= quietPeriod
+}
+
 // ServeStream knows no requests.
 func (b *Balancer) ServeStream(context.Context, *wire.Request, net.Conn) bool {
 	return false
