--- /dev/null
+++ b/internal/admit/balance_test.go
@@ -0,0 +1,308 @@
+package admit_test
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/admit"
+	"sassafrasturn.example/internal/route"
+)
+
+// The users' sizes: 5 slots and 2,000 connections an endpoint.
+const (
+	modelBalancers   = 4
+	modelSlots       = 5
+	modelConnections = 2000
+	modelOpenFlows   = 1000 // for each endpoint, on average
+	modelUse         = 0.7  // of all slots
+	modelWork        = 50 * time.Millisecond
+	modelFlowLife    = 30 * time.Second
+	modelEnd         = 200 * time.Second
+	modelMeasured    = 60 * time.Second // from here on
+	reportInterval   = time.Second
+)
+
+// modelEndpoint works on one request a slot; others wait in order.
+type modelEndpoint struct {
+	slots   int
+	flows   int
+	taken   int
+	waiting []modelRequest
+	busy    time.Duration
+	gate    *admit.FlowGate
+	// reported is the load that balancers last heard of.
+	reported float64
+}
+
+func (e *modelEndpoint) load() float64 {
+	return float64(e.taken+len(e.waiting)) / float64(e.slots)
+}
+
+type modelRequest struct {
+	came time.Duration
+	work time.Duration
+}
+
+type model struct {
+	seed      uint64
+	random    *rand.Rand
+	endpoints []*modelEndpoint
+	choose    func(m *model, balancer int, id []byte) int
+	events    eventQueue
+	now       time.Duration
+	turns     [modelBalancers]int
+	delays    []time.Duration
+	hops      int
+	flows     int
+	routes    []route.Endpoint
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)        { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func (m *model) after(delay time.Duration, run func()) {
+	heap.Push(&m.events, event{at: m.now + delay, run: run})
+}
+
+func exponential(random *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(random.ExpFloat64() * float64(mean))
+}
+
+// pareto is heavy-tailed: of mean 1 with shape 1.5, cut at 200.
+func pareto(random *rand.Rand) float64 {
+	const shape = 1.5
+	return min(200, (shape-1)/shape/math.Pow(1-random.Float64(), 1/shape))
+}
+
+func newModel(seed uint64, slots []int, choose func(*model, int, []byte) int) *model {
+	m := &model{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), choose: choose}
+	for i, n := range slots {
+		m.endpoints = append(m.endpoints, &modelEndpoint{slots: n, gate: admit.NewFlowGate()})
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7500)
+		m.routes = append(m.routes, route.Endpoint{Agent: address, Zone: 1})
+	}
+	return m
+}
+
+func (m *model) run() {
+	m.arrive()
+	m.report()
+	for m.now < modelEnd {
+		next := heap.Pop(&m.events).(event)
+		m.now = next.at
+		next.run()
+	}
+}
+
+// arrive places a new flow at a balancer that the fabric chooses at random.
+func (m *model) arrive() {
+	perFlow := modelFlowLife / time.Duration(modelOpenFlows*len(m.endpoints))
+	m.after(exponential(m.random, perFlow), m.arrive)
+	id := binary.BigEndian.AppendUint64(nil, m.random.Uint64())
+	e := m.endpoints[m.choose(m, m.random.IntN(modelBalancers), id)]
+	e.flows++
+	m.flows++
+	// A flow has randomness of its own: every policy meets the same load.
+	random := rand.New(rand.NewPCG(m.seed, uint64(m.flows)))
+	end := m.now + time.Duration(pareto(random)*float64(modelFlowLife))
+	m.after(end-m.now, func() { e.flows-- })
+	m.request(e, random, end, pareto(random))
+}
+
+// request lets a flow send requests until its end; rate is its share of the mean.
+func (m *model) request(e *modelEndpoint, random *rand.Rand, end time.Duration, rate float64) {
+	slots := 0
+	for _, e := range m.endpoints {
+		slots += e.slots
+	}
+	perSecond := modelUse * float64(slots) / modelWork.Seconds() / float64(modelOpenFlows*len(m.endpoints))
+	m.after(exponential(random, time.Duration(float64(time.Second)/perSecond/rate)), func() {
+		if m.now >= end {
+			return
+		}
+		m.offer(e, exponential(random, modelWork))
+		m.request(e, random, end, rate)
+	})
+}
+
+func (m *model) offer(e *modelEndpoint, work time.Duration) {
+	request := modelRequest{came: m.now, work: work}
+	if e.taken >= e.slots {
+		e.waiting = append(e.waiting, request)
+		return
+	}
+	m.begin(e, request)
+}
+
+func (m *model) begin(e *modelEndpoint, request modelRequest) {
+	e.taken++
+	if m.now >= modelMeasured {
+		m.delays = append(m.delays, m.now-request.came)
+		e.busy += request.work
+	}
+	m.after(request.work, func() {
+		e.taken--
+		if len(e.waiting) > 0 {
+			next := e.waiting[0]
+			e.waiting = e.waiting[1:]
+			m.begin(e, next)
+		}
+	})
+}
+
+func (m *model) report() {
+	for _, e := range m.endpoints {
+		e.reported = e.load()
+	}
+	m.after(reportInterval, m.report)
+}
+
+// The ways to choose an endpoint.
+
+func plainHash(m *model, _ int, id []byte) int {
+	return int(binary.BigEndian.Uint64(id) % uint64(len(m.endpoints)))
+}
+
+func roundRobin(m *model, balancer int, _ []byte) int {
+	m.turns[balancer]++
+	return m.turns[balancer] % len(m.endpoints)
+}
+
+func staleLeastLoaded(m *model, _ int, _ []byte) int {
+	best := 0
+	for i, e := range m.endpoints {
+		if e.reported < m.endpoints[best].reported {
+			best = i
+		}
+	}
+	return best
+}
+
+// product is the decision of the product: candidates by the balancer, hunting
+// by the agents.
+func product(m *model, _ int, id []byte) int {
+	chosen := route.ChooseCandidates(id, m.routes)
+	candidates := chosen.All()
+	candidates = append(candidates, candidates[0])
+	carried := 0.0
+	for i, candidate := range candidates {
+		at := slices.IndexFunc(m.routes, func(r route.Endpoint) bool { return r.Agent == candidate })
+		e := m.endpoints[at]
+		decision := e.gate.Decide(time.Time{}.Add(m.now), admit.FlowLoad{
+			Flows:       e.flows,
+			Connections: modelConnections,
+			Work:        admit.Load{Taken: e.taken, Waiting: len(e.waiting), Slots: e.slots, IsWarm: true},
+			FullSlots:   modelSlots,
+			IsServing:   true,
+			IsLast:      i == len(candidates)-1,
+			Carried:     carried,
+		})
+		if decision.Choice == admit.FlowAccept {
+			m.hops += i
+			return at
+		}
+		if i == 0 {
+			carried = decision.Load
+		}
+	}
+	panic("the last candidate refused")
+}
+
+// balance is what a run showed.
+type balance struct {
+	// workRatio is the greatest use of an endpoint's slots over the mean.
+	workRatio float64
+	flowRatio float64
+	p99       time.Duration
+	hops      float64
+}
+
+func (m *model) balance() balance {
+	var work, flows []float64
+	for _, e := range m.endpoints {
+		work = append(work, float64(e.busy)/float64(e.slots))
+		flows = append(flows, float64(e.flows))
+	}
+	slices.Sort(m.delays)
+	return balance{
+		workRatio: maxOverMean(work),
+		flowRatio: maxOverMean(flows),
+		p99:       m.delays[len(m.delays)*99/100],
+		hops:      float64(m.hops) / float64(m.flows),
+	}
+}
+
+func maxOverMean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return slices.Max(values) / (sum / float64(len(values)))
+}
+
+// measureBalance averages runs over seeds.
+func measureBalance(slots []int, choose func(*model, int, []byte) int) balance {
+	const seeds = 5
+	var mean balance
+	for seed := range uint64(seeds) {
+		m := newModel(seed, slots, choose)
+		m.run()
+		b := m.balance()
+		mean.workRatio += b.workRatio / seeds
+		mean.flowRatio += b.flowRatio / seeds
+		mean.p99 += b.p99 / seeds
+		mean.hops += b.hops / seeds
+	}
+	return mean
+}
+
+func TestBalanceAgainstNaivePolicies(t *testing.T) {
+	scenarios := map[string][]int{
+		"7 endpoints of 5 slots":               {5, 5, 5, 5, 5, 5, 5},
+		"3 endpoints of 5 slots":               {5, 5, 5},
+		"7 endpoints, one with 2 of its slots": {2, 5, 5, 5, 5, 5, 5},
+	}
+	for name, slots := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			own := measureBalance(slots, product)
+			table := fmt.Sprintf("%-20s work %.2f flows %.2f p99 %v hops %.2f\n", "product", own.workRatio, own.flowRatio, own.p99, own.hops)
+			for _, naive := range []struct {
+				name   string
+				choose func(*model, int, []byte) int
+			}{{"plain hashing", plainHash}, {"round robin", roundRobin}, {"stale least-loaded", staleLeastLoaded}} {
+				b := measureBalance(slots, naive.choose)
+				table += fmt.Sprintf("%-20s work %.2f flows %.2f p99 %v\n", naive.name, b.workRatio, b.flowRatio, b.p99)
+				// With three equal endpoints the differences are those of chance.
+				if len(slots) > 3 {
+					g.Expect(own.p99).To(BeNumerically("<", b.p99), naive.name)
+					g.Expect(own.workRatio).To(BeNumerically("<", b.workRatio), naive.name)
+				}
+			}
+			t.Log("max/mean:\n" + table)
+		})
+	}
+}
--- a/internal/admit/flows.go
+++ b/internal/admit/flows.go
@@ -1,6 +1,10 @@
 package admit
 
-import "sync"
+import (
+	"math"
+	"sync"
+	"time"
+)
 
 // FlowChoice is what is done with a new flow.
 type FlowChoice uint8
@@ -17,12 +21,14 @@
 
 // Reasons of choices.
 const (
-	FlowBelowThreshold FlowReason = "below-threshold"
-	FlowLastCandidate  FlowReason = "last-candidate"
-	FlowAboveThreshold FlowReason = "above-threshold"
-	FlowHardLimit      FlowReason = "hard-limit"
-	FlowNoSlots        FlowReason = "no-slots"
-	FlowNotServing     FlowReason = "not-serving"
+	FlowLittleWork    FlowReason = "little-work"
+	FlowLessLoaded    FlowReason = "less-loaded"
+	FlowMoreLoaded    FlowReason = "more-loaded"
+	FlowCompare       FlowReason = "compare"
+	FlowLastCandidate FlowReason = "last-candidate"
+	FlowHardLimit     FlowReason = "hard-limit"
+	FlowNoSlots       FlowReason = "no-slots"
+	FlowNotServing    FlowReason = "not-serving"
 )
 
 // FlowLoad is what an agent counts itself when a new flow is offered.
@@ -32,101 +38,112 @@
 	Connections int
 	// Work is the load of the endpoint's slots.
 	Work Load
-	// FullSlots is how many slots the endpoint has when it is warm.
+	// FullSlots is how many slots the document gives an endpoint.
 	FullSlots int
 	// IsServing is false while the endpoint drains or is gone.
 	IsServing bool
 	// IsLast says that there is no further candidate.
 	IsLast bool
+	// Carried is the load of the first candidate, which has handed the flow
+	// on; 0 at the first candidate.
+	Carried float64
+}
+
+// FlowDecision is what is done with a new flow, and why.
+type FlowDecision struct {
+	Choice FlowChoice
+	Reason FlowReason
+	// Load is the agent's load that was compared.
+	Load float64
 }
 
 const (
-	// thresholdWindow is how many offers stand between two moves of the threshold.
-	thresholdWindow = 16
-	// Between these shares of accepted offers the threshold stays.
-	minAcceptShare = 0.4
-	maxAcceptShare = 0.6
-	// firstThreshold and its bounds are in requests at the endpoint for each
-	// slot that it may take.
-	firstThreshold = 1.0
-	thresholdStep  = 0.2
-	minThreshold   = 0.2
-	maxThreshold   = 4.0
+	// useTime is over how long the use of the slots is averaged: a flow
+	// outlives a moment's queue.
+	useTime = time.Second
+	// flowWeight is what a flow counts for against the use of the slots: both
+	// are shares of what the endpoint can hold.
+	flowWeight = 3.0
+	// littleUse is the share of the slots in use below which a flow is accepted
+	// without asking anybody.
+	littleUse = 0.3
 )
 
-// FlowGate decides new flows by service hunting: it accepts below a threshold
-// of the agent's own work, hands on otherwise, and moves the threshold so that
-// about half of the offers are accepted. It is safe for concurrent use.
+// FlowGate decides new flows by service hunting. The first candidate accepts
+// only with little work; otherwise it hands the flow on together with its load,
+// and the next candidate that is no more loaded accepts. It comes back to the
+// first when there is none. It is safe for concurrent use.
 type FlowGate struct {
-	mu        sync.Mutex
-	threshold float64
-	offers    int
-	accepted  int
+	mu  sync.Mutex
+	use float64
+	at  time.Time
 }
 
 // NewFlowGate returns a gate.
 func NewFlowGate() *FlowGate {
-	return &FlowGate{threshold: firstThreshold}
+	return new(FlowGate)
 }
 
 // Decide decides one new flow.
-func (g *FlowGate) Decide(load FlowLoad) (FlowChoice, FlowReason) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
+func (g *FlowGate) Decide(now time.Time, load FlowLoad) FlowDecision {
+	if load.Work.Slots == 0 || !load.IsServing {
+		return decideClosed(load)
+	}
+	use := g.average(now, load)
+	own := use + flowWeight*load.flowShare()
 	switch {
-	case !load.IsServing:
-		return handOn(load, FlowNotServing)
 	case load.Flows >= load.Connections:
-		return handOn(load, FlowHardLimit)
+		return handOn(load, FlowHardLimit, own)
 	case load.IsLast:
-		return FlowAccept, FlowLastCandidate
-	case load.Work.Slots == 0:
-		return FlowHandOn, FlowNoSlots
-	}
-	isAccepted := load.work() < g.threshold
-	g.count(isAccepted)
-	if isAccepted {
-		return FlowAccept, FlowBelowThreshold
+		return FlowDecision{FlowAccept, FlowLastCandidate, own}
+	case use < littleUse:
+		return FlowDecision{FlowAccept, FlowLittleWork, own}
+	case load.Carried == 0:
+		return handOn(load, FlowCompare, own)
+	case own <= load.Carried:
+		return FlowDecision{FlowAccept, FlowLessLoaded, own}
+	default:
+		return handOn(load, FlowMoreLoaded, own)
 	}
-	return FlowHandOn, FlowAboveThreshold
 }
 
-func handOn(load FlowLoad, reason FlowReason) (FlowChoice, FlowReason) {
-	if load.IsLast {
-		return FlowRefuse, reason
+// ClosedLoad is the load of an endpoint that takes no flows now.
+const ClosedLoad = 1000.0
+
+func decideClosed(load FlowLoad) FlowDecision {
+	if !load.IsServing {
+		return handOn(load, FlowNotServing, ClosedLoad)
+	}
+	if load.IsLast && load.Flows < load.Connections {
+		return FlowDecision{FlowAccept, FlowLastCandidate, ClosedLoad}
 	}
-	return FlowHandOn, reason
+	return handOn(load, FlowNoSlots, ClosedLoad)
 }
 
-// work is the load in requests for each slot that may be taken. Open flows
-// count as the share of the connections that they fill.
-func (l FlowLoad) work() float64 {
-	requests := float64(l.Work.Taken+l.Work.Waiting) / float64(l.Work.Slots)
-	flows := float64(l.Flows) / float64(l.Connections) * float64(l.FullSlots) / float64(l.Work.Slots)
-	return requests + flows
+// average follows the use of the slots.
+func (g *FlowGate) average(now time.Time, load FlowLoad) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	use := float64(load.Work.Taken+load.Work.Waiting) / float64(load.Work.Slots)
+	if g.at.IsZero() {
+		g.use = use
+	}
+	share := 1 - math.Exp(-float64(now.Sub(g.at))/float64(useTime))
+	g.use += share * (use - g.use)
+	g.at = now
+	return g.use
 }
 
-func (g *FlowGate) count(isAccepted bool) {
-	g.offers++
-	if isAccepted {
-		g.accepted++
-	}
-	if g.offers < thresholdWindow {
-		return
-	}
-	share := float64(g.accepted) / float64(g.offers)
-	switch {
-	case share < minAcceptShare:
-		g.threshold = min(g.threshold+thresholdStep, maxThreshold)
-	case share > maxAcceptShare:
-		g.threshold = max(g.threshold-thresholdStep, minThreshold)
+func handOn(load FlowLoad, reason FlowReason, own float64) FlowDecision {
+	if load.IsLast {
+		return FlowDecision{FlowRefuse, reason, own}
 	}
-	g.offers, g.accepted = 0, 0
+	return FlowDecision{FlowHandOn, reason, own}
 }
 
-// Threshold returns the threshold in requests for each slot.
-func (g *FlowGate) Threshold() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.threshold
+// flowShare is the share of the connections that the open flows fill, of those
+// that the slots which may be taken now are worth.
+func (l FlowLoad) flowShare() float64 {
+	worth := float64(l.Connections) * float64(l.Work.Slots) / float64(l.FullSlots)
+	return float64(l.Flows) / worth
 }
--- a/internal/machine/agent/gauges.go
+++ b/internal/machine/agent/gauges.go
@@ -12,7 +12,6 @@
 	gauge("slots_taken", "Slots of the endpoint that are taken.", func(s *serving) float64 { return float64(s.limiter.Load().Taken) })
 	gauge("slots_limit", "Slots of the endpoint that may be taken now.", func(s *serving) float64 { return float64(s.limiter.Load().Slots) })
 	gauge("requests_waiting", "Requests that wait for a slot.", func(s *serving) float64 { return float64(s.limiter.Load().Waiting) })
-	gauge("flow_threshold", "Requests for each slot below which new flows are accepted.", func(s *serving) float64 { return s.gate.Threshold() })
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "sassafrasturn_agent_reported_load",
 		Help: "Load that the endpoint reports; nothing is decided by it.",
--- a/internal/machine/agent/hunt.go
+++ b/internal/machine/agent/hunt.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"sassafrasturn.example/internal/admit"
+	"sassafrasturn.example/internal/envelope"
+	"sassafrasturn.example/internal/wire"
 )
 
 // handshakeMemory is how long the choice for a new flow is remembered: the
@@ -26,8 +28,8 @@
 // hunt decides for each new flow whether this agent accepts it or hands it on
 // to the next candidate, and remembers the choice.
 type hunt struct {
-	// admit decides a flow that is new here; isLast says that there is no other candidate.
-	admit func(isLast bool) huntChoice
+	// admit decides a flow that is new here.
+	admit func(offer huntOffer) admit.FlowDecision
 
 	mu       sync.Mutex
 	choices  map[string]rememberedChoice
@@ -35,35 +37,43 @@
 	isClosed bool
 }
 
+// huntOffer is how a new flow is offered.
+type huntOffer struct {
+	// isLast says that there is no other candidate.
+	isLast bool
+	// carried is the load of the first candidate, 0 at itself.
+	carried float64
+}
+
 type rememberedChoice struct {
-	choice huntChoice
-	at     time.Time
+	decision admit.FlowDecision
+	at       time.Time
 }
 
-func newHunt(admit func(isLast bool) huntChoice) *hunt {
-	return &hunt{admit: admit, choices: make(map[string]rememberedChoice)}
+func newHunt(decide func(offer huntOffer) admit.FlowDecision) *hunt {
+	return &hunt{admit: decide, choices: make(map[string]rememberedChoice)}
 }
 
-func (h *hunt) decide(now time.Time, id []byte, isLast bool) huntChoice {
+func (h *hunt) decide(now time.Time, id []byte, offer huntOffer) admit.FlowDecision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.clean(now)
 	held, ok := h.choices[string(id)]
-	if ok && !h.isStale(held, isLast) {
-		return held.choice
+	if ok && !h.isStale(held.decision.Choice, offer.isLast) {
+		return held.decision
 	}
-	choice := h.admit(isLast)
+	decision := h.admit(offer)
 	if ok || len(h.choices) < maxRememberedChoices {
-		h.choices[string(id)] = rememberedChoice{choice: choice, at: now}
+		h.choices[string(id)] = rememberedChoice{decision: decision, at: now}
 	}
-	return choice
+	return decision
 }
 
 // isStale reports whether a remembered choice no longer holds: it was a
 // refusal, there is nobody left to hand the flow on to, or the agent has
 // stopped taking handshakes.
-func (h *hunt) isStale(held rememberedChoice, isLast bool) bool {
-	switch held.choice {
+func (h *hunt) isStale(held huntChoice, isLast bool) bool {
+	switch held {
 	case huntHandOn:
 		return isLast
 	case huntAccept:
@@ -91,3 +101,22 @@
 		}
 	}
 }
+
+// loadUnit is the load of 1 as envelopes carry it.
+const loadUnit = 1000
+
+func offerOf(message *wire.Envelope) huntOffer {
+	return huntOffer{isLast: len(message.Candidates) == 0, carried: float64(message.Load) / loadUnit}
+}
+
+// carryLoad lets the load of the first candidate travel with a flow that it
+// hands on, and makes it the last candidate too, unless it takes no flows.
+func (a *Agent) carryLoad(message *wire.Envelope, load float64) {
+	if message.Load > 0 || len(message.Candidates) == 0 {
+		return
+	}
+	message.Load = uint32(max(1, load*loadUnit))
+	if load < admit.ClosedLoad {
+		message.Candidates = append(message.Candidates, envelope.PackAddress(a.instance.Settings.Agent.Envelope))
+	}
+}
--- a/internal/machine/agent/receive.go
+++ b/internal/machine/agent/receive.go
@@ -112,16 +112,17 @@
 		return false
 	}
 	message.Candidates = a.guard.Load().withoutZonesOut(message.Candidates)
-	isLast := len(message.Candidates) == 0
 	if !s.doc.Load().Allows(a.instance.Settings.Agent.Envelope.Addr()) {
 		// Established flows go on; the document gives this endpoint no new ones.
 		a.handOnOrDrop(balancer, message, dropNotAllowed)
 		return false
 	}
-	switch s.hunt.decide(time.Now(), packet.Destination, isLast) {
+	decision := s.hunt.decide(time.Now(), packet.Destination, offerOf(message))
+	switch decision.Choice {
 	case huntAccept:
 		return true
 	case huntHandOn:
+		a.carryLoad(message, decision.Load)
 		a.handOnOrDrop(balancer, message, dropRefused)
 	default:
 		a.drop(dropRefused)
--- a/internal/machine/agent/serving.go
+++ b/internal/machine/agent/serving.go
@@ -133,36 +133,38 @@
 }
 
 // admitFlow decides a new flow from the agent's own counts.
-func (s *serving) admitFlow(isLast bool) huntChoice {
+func (s *serving) admitFlow(offer huntOffer) admit.FlowDecision {
 	doc := s.doc.Load()
 	load := admit.FlowLoad{
 		Flows:       int(s.work.flows.Load()),
 		Connections: doc.Connections,
 		Work:        s.limiter.Load(),
-		FullSlots:   s.ramp(doc).Slots,
+		FullSlots:   doc.Slots,
 		IsServing:   s.takesFlows.Load(),
-		IsLast:      isLast,
+		IsLast:      offer.isLast,
+		Carried:     offer.carried,
 	}
-	choice, reason := s.gate.Decide(load)
-	s.logFlow(choice, reason, load)
-	return choice
+	decision := s.gate.Decide(time.Now(), load)
+	s.logFlow(decision, load)
+	return decision
 }
 
 var flowChoiceNames = map[huntChoice]string{huntRefuse: "refuse", huntAccept: "accept", huntHandOn: "hand-on"}
 
-func (s *serving) logFlow(choice huntChoice, reason admit.FlowReason, load admit.FlowLoad) {
-	if choice == huntAccept {
+func (s *serving) logFlow(decision admit.FlowDecision, load admit.FlowLoad) {
+	if decision.Choice == huntAccept {
 		s.agent.metrics.accepted.Inc()
 	}
-	s.agent.instance.Decisions.Decision(flowChoiceNames[choice]).
+	s.agent.instance.Decisions.Decision(flowChoiceNames[decision.Choice]).
 		Str("service", s.doc.Load().Service).
-		Str("reason", string(reason)).
+		Str("reason", string(decision.Reason)).
 		Int("flows", load.Flows).
 		Int("connections", load.Connections).
 		Int("slots_taken", load.Work.Taken).
 		Int("slots_waiting", load.Work.Waiting).
 		Int("slots_now", load.Work.Slots).
-		Float64("threshold", s.gate.Threshold()).
+		Float64("load", decision.Load).
+		Float64("carried", load.Carried).
 		Msg("new flow decided")
 }
 
