Add idempotency keys, the ledger of their outcomes and the retry budget

The owner of a key is fixed before the request is sent, so no shared ledger is needed. A key only moves forward, and a request that is refused as not run leaves its key void. Ruled out: a cache of answers by key that evicts; it lets an evicted or refused key run later.

--- /dev/null
+++ b/internal/once/ledger_test.go
@@ -0,0 +1,222 @@
+package once
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// naiveLedger keeps the last answers by key, as a cache of answers does: a
+// request runs whenever the cache holds nothing about its key.
+type naiveLedger struct {
+	size  int
+	order []ID
+	known map[ID]bool
+}
+
+func (n *naiveLedger) begin(id ID) bool {
+	if n.known[id] {
+		return false
+	}
+	n.known[id] = true
+	n.order = append(n.order, id)
+	if len(n.order) > n.size {
+		delete(n.known, n.order[0])
+		n.order = n.order[1:]
+	}
+	return true
+}
+
+func (n *naiveLedger) refuse(id ID) {
+	delete(n.known, id)
+}
+
+// schedule drives a ledger with random attempts, questions, refusals, ends and
+// leaps of time. It returns what it saw from outside: how often each key ran
+// and whether a key ran after it had been refused as not run.
+type schedule struct {
+	runs     map[ID]int
+	refused  map[ID]bool
+	doubles  int
+	untruths int
+}
+
+func (s *schedule) ran(id ID) {
+	s.runs[id]++
+	if s.runs[id] > 1 {
+		s.doubles++
+	}
+	if s.refused[id] {
+		s.untruths++
+	}
+}
+
+func (s *schedule) notRun(id ID) {
+	s.refused[id] = true
+	if s.runs[id] > 0 {
+		s.untruths++
+	}
+}
+
+var testLimits = Limits{KeyLife: 20 * time.Second, Retention: 10 * time.Second, Runs: 8, Voids: 8, AnswerBytes: 100, TotalBytes: 300}
+
+const (
+	scheduleSteps = 400
+	scheduleKeys  = 30
+)
+
+func runSchedule(seed uint64, drive func(s *schedule, now time.Duration, random *rand.Rand, id ID, expires time.Duration)) *schedule {
+	random := rand.New(rand.NewPCG(seed, 0))
+	s := &schedule{runs: make(map[ID]int), refused: make(map[ID]bool)}
+	now := time.Duration(0)
+	for range scheduleSteps {
+		now += time.Duration(random.IntN(1500)) * time.Millisecond
+		number := random.IntN(scheduleKeys)
+		issued := time.Duration(number) * 10 * time.Second
+		if now < issued {
+			continue
+		}
+		drive(s, now, random, ID{byte(number)}, issued+testLimits.KeyLife)
+	}
+	return s
+}
+
+func driveLedger() func(s *schedule, now time.Duration, random *rand.Rand, id ID, expires time.Duration) {
+	ledger := NewLedger(testLimits)
+	running := make(map[ID]bool)
+	return func(s *schedule, now time.Duration, random *rand.Rand, id ID, expires time.Duration) {
+		if running[id] && random.IntN(2) == 0 {
+			delete(running, id)
+			endRun(ledger, s, now, random, id)
+			return
+		}
+		if random.IntN(4) == 0 {
+			if ledger.Settle(now, id, expires, Content{}).State == StateVoid {
+				s.notRun(id)
+			}
+			return
+		}
+		result, hasStarted := ledger.Begin(now, id, expires, Content{})
+		if hasStarted {
+			running[id] = true
+		}
+		if result.State == StateVoid {
+			s.notRun(id)
+		}
+	}
+}
+
+// endRun runs the request, or refuses it before it has run.
+func endRun(ledger *Ledger, s *schedule, now time.Duration, random *rand.Rand, id ID) {
+	if random.IntN(4) == 0 {
+		ledger.Void(now, id)
+		s.notRun(id)
+		return
+	}
+	s.ran(id)
+	switch random.IntN(3) {
+	case 0:
+		ledger.Lose(now, id)
+	default:
+		ledger.Finish(now, id, &Answer{Body: make([]byte, random.IntN(120))})
+	}
+}
+
+func driveNaive() func(s *schedule, now time.Duration, random *rand.Rand, id ID, expires time.Duration) {
+	naive := &naiveLedger{size: testLimits.Runs, known: make(map[ID]bool)}
+	return func(s *schedule, _ time.Duration, random *rand.Rand, id ID, _ time.Duration) {
+		if !naive.begin(id) {
+			return
+		}
+		if random.IntN(4) == 0 {
+			naive.refuse(id)
+			s.notRun(id)
+			return
+		}
+		s.ran(id)
+	}
+}
+
+func TestNoKeyRunsTwiceAndNoRefusalIsUntrue(t *testing.T) {
+	const seeds = 2000
+	var product, naive, runs int
+	var naiveUntruths int
+	for seed := range uint64(seeds) {
+		s := runSchedule(seed, driveLedger())
+		product += s.doubles + s.untruths
+		runs += len(s.runs)
+		n := runSchedule(seed, driveNaive())
+		naive += n.doubles
+		naiveUntruths += n.untruths
+	}
+	t.Logf("%d schedules, %d keys ran: ledger %d doubles or untrue refusals; cache of answers %d doubles, %d untrue refusals", seeds, runs, product, naive, naiveUntruths)
+	g := NewWithT(t)
+	g.Expect(runs).To(BeNumerically(">", seeds))
+	g.Expect(naive).To(BeNumerically(">", 0))
+	g.Expect(naiveUntruths).To(BeNumerically(">", 0))
+	g.Expect(product).To(BeZero())
+}
+
+func TestLedgerStates(t *testing.T) {
+	content, other := Content{1}, Content{2}
+	begin := func(l *Ledger, now time.Duration) (State, bool) {
+		result, hasStarted := l.Begin(now, ID{1}, testLimits.KeyLife, content)
+		return result.State, hasStarted
+	}
+	table := []struct {
+		name string
+		do   func(l *Ledger)
+		at   time.Duration
+		want State
+	}{
+		{"running", func(*Ledger) {}, 1, StateRunning},
+		{"finished", func(l *Ledger) { l.Finish(2, ID{1}, &Answer{Body: []byte("x")}) }, 3, StateFinished},
+		{"too large to keep", func(l *Ledger) { l.Finish(2, ID{1}, &Answer{Body: make([]byte, 101)}) }, 3, StateNotKept},
+		{"lost", func(l *Ledger) { l.Lose(2, ID{1}) }, 3, StateUnknown},
+		{"refused", func(l *Ledger) { l.Void(2, ID{1}) }, 3, StateVoid},
+		{"first end counts", func(l *Ledger) { l.Lose(2, ID{1}); l.Void(2, ID{1}) }, 3, StateUnknown},
+		{"finished, key expired", func(l *Ledger) { l.Finish(2, ID{1}, &Answer{}) }, testLimits.KeyLife + 1, StateFinished},
+		{"forgotten", func(l *Ledger) { l.Finish(2, ID{1}, &Answer{}) }, time.Hour, StateUnknown},
+		{"runs for longer than its key lives", func(*Ledger) {}, time.Hour, StateRunning},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			ledger := NewLedger(testLimits)
+			_, hasStarted := begin(ledger, 0)
+			g.Expect(hasStarted).To(BeTrue())
+			row.do(ledger)
+			state, hasStarted := begin(ledger, row.at)
+			g.Expect(hasStarted).To(BeFalse())
+			g.Expect(state).To(Equal(row.want))
+		})
+	}
+	t.Run("other content", func(t *testing.T) {
+		ledger := NewLedger(testLimits)
+		begin(ledger, 0)
+		NewWithT(t).Expect(ledger.Settle(1, ID{1}, testLimits.KeyLife, other).State).To(Equal(StateMismatch))
+	})
+}
+
+func TestLedgerStaysWithinItsLimits(t *testing.T) {
+	g := NewWithT(t)
+	ledger := NewLedger(testLimits)
+	for i := range 100 {
+		id := ID{byte(i)}
+		if _, hasStarted := ledger.Begin(0, id, testLimits.KeyLife, Content{}); hasStarted {
+			ledger.Finish(0, id, &Answer{Body: make([]byte, 90)})
+		}
+	}
+	records, bytes := ledger.Usage()
+	g.Expect(records).To(Equal(testLimits.Runs + testLimits.Voids))
+	g.Expect(bytes).To(BeNumerically("<=", testLimits.TotalBytes))
+	// The oldest answer was dropped, but not that its request ran.
+	g.Expect(ledger.Settle(1, ID{0}, testLimits.KeyLife, Content{}).State).To(Equal(StateNotKept))
+	// Without room for the void record nothing is claimed.
+	g.Expect(ledger.Settle(1, ID{99}, testLimits.KeyLife, Content{}).State).To(Equal(StateUnknown))
+	ledger.Settle(time.Hour, ID{200}, time.Hour+1, Content{})
+	records, bytes = ledger.Usage()
+	g.Expect([]int{records, bytes}).To(Equal([]int{1, 0}))
+}
--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,47 @@
+// Package retry bounds retries by a budget, so that retries cannot multiply the
+// load on endpoints that fail.
+package retry
+
+import "sync"
+
+// Budget is a token bucket that successes fill and retries empty. With no
+// successes at all, at most its capacity is retried. It is safe for concurrent
+// use; no time passes in it.
+type Budget struct {
+	mu       sync.Mutex
+	tokens   float64
+	capacity float64
+	share    float64
+}
+
+const (
+	// DefaultShare of a retry that each success allows. Agent and caller
+	// together stay under (1 + DefaultShare)^2 = 1.17 requests at the endpoint
+	// for each one offered, and their capacities on top.
+	DefaultShare = 0.08
+	// DefaultCapacity is how many retries may be saved up.
+	DefaultCapacity = 10
+)
+
+// NewBudget returns a full budget; share is how much of a retry each success allows.
+func NewBudget(share, capacity float64) *Budget {
+	return &Budget{tokens: capacity, capacity: capacity, share: share}
+}
+
+// Succeed notes a request that succeeded.
+func (b *Budget) Succeed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.capacity, b.tokens+b.share)
+}
+
+// Take takes the right to one retry; it reports false when none is left.
+func (b *Budget) Take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,57 @@
+package retry
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// stormFactor is the most that the endpoints may get for each request offered.
+const stormFactor = 1.2
+
+// offered is the length of a storm.
+const offered = 5000
+
+// layers sends requests through a caller and an agent, each of which retries
+// up to tries-1 times where mayRetry allows it, to an endpoint of which every
+// failEvery-th answer succeeds (0: none). It returns the endpoint's requests.
+func layers(succeedEvery, tries int, caller, agent *Budget) int {
+	arrived := 0
+	run := func() bool {
+		arrived++
+		return succeedEvery > 0 && arrived%succeedEvery == 0
+	}
+	through := func(budget *Budget, next func() bool) func() bool {
+		return func() bool {
+			for i := range tries {
+				if i > 0 && budget != nil && !budget.Take() {
+					return false
+				}
+				if next() {
+					if budget != nil {
+						budget.Succeed()
+					}
+					return true
+				}
+			}
+			return false
+		}
+	}
+	request := through(caller, through(agent, run))
+	for range offered {
+		request()
+	}
+	return arrived
+}
+
+func TestRetryStormStaysWithinFactor(t *testing.T) {
+	for _, succeedEvery := range []int{0, 2, 3, 10, 100} {
+		budget := func() *Budget { return NewBudget(DefaultShare, DefaultCapacity) }
+		naive := layers(succeedEvery, 3, nil, nil)
+		bounded := layers(succeedEvery, 3, budget(), budget())
+		t.Logf("one in %d succeeds: %d offered, naive %d, with budgets %d", succeedEvery, offered, naive, bounded)
+		g := NewWithT(t)
+		g.Expect(float64(naive)).To(BeNumerically(">", stormFactor*offered))
+		g.Expect(float64(bounded)).To(BeNumerically("<=", stormFactor*offered))
+	}
+}
--- /dev/null
+++ b/internal/token/idempotency.go
@@ -0,0 +1,163 @@
+package token
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/keyring"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	// MaxIdempotencyKeyBytes bounds the text of an idempotency key.
+	MaxIdempotencyKeyBytes = 512
+
+	macBytes        = 16
+	macKeyBytes     = 32
+	nonceBytes      = 16
+	textPrefix      = "sk1-"
+	purposeIdempKey = "idempotency key"
+)
+
+var (
+	// ErrForeignKey: the text was never issued by an agent.
+	ErrForeignKey = Error.New("not an idempotency key of an agent")
+	// ErrUnprovenKey: the text has the form of an agent's key, but its check fails.
+	ErrUnprovenKey = Error.New("the check of the idempotency key fails")
+)
+
+// KeyID tells the idempotency keys of one ledger apart.
+type KeyID [nonceBytes]byte
+
+// KeyOwner is the agent that issues idempotency keys and runs their requests.
+type KeyOwner struct {
+	// Service is the number of the service.
+	Service uint32
+	// Instance is the name of the agent's instance.
+	Instance string
+	// Link is the link address of the instance.
+	Link string
+	// Incarnation is that of the instance.
+	Incarnation uint64
+	// Ledger is the random number of the agent's ledger. It holds even when
+	// the clock that incarnations are read from was set back.
+	Ledger uint64
+}
+
+// Key is an idempotency key that an agent issued.
+type Key struct {
+	ID    KeyID
+	Owner KeyOwner
+	// Expires is the end of the key's life, counted from the making of the ledger.
+	Expires time.Duration
+}
+
+// KeyCodec issues and checks idempotency keys. It is safe for concurrent use.
+type KeyCodec struct {
+	current keyring.Epoch
+	macKeys map[keyring.Epoch][]byte
+}
+
+// NewKeyCodec makes a codec for all epochs of the keyring.
+func NewKeyCodec(keys *keyring.Keyring) (*KeyCodec, error) {
+	codec := &KeyCodec{current: keys.Current(), macKeys: make(map[keyring.Epoch][]byte)}
+	for _, epoch := range keys.Epochs() {
+		macKey, err := keys.Derive(epoch, purposeIdempKey, macKeyBytes)
+		if err != nil {
+			return nil, err
+		}
+		codec.macKeys[epoch] = macKey
+	}
+	return codec, nil
+}
+
+// NewLedgerNumber returns a random number for a ledger.
+func NewLedgerNumber() uint64 {
+	var number [8]byte
+	// Read never fails.
+	_, _ = rand.Read(number[:])
+	return binary.BigEndian.Uint64(number[:])
+}
+
+// Issue returns the text of a fresh key.
+func (c *KeyCodec) Issue(owner KeyOwner, expires time.Duration) (string, error) {
+	nonce := make([]byte, nonceBytes)
+	// Read never fails.
+	_, _ = rand.Read(nonce)
+	body, err := proto.Marshal(&wire.IdempotencyKey{
+		Service:     owner.Service,
+		Instance:    owner.Instance,
+		Link:        owner.Link,
+		Incarnation: owner.Incarnation,
+		Ledger:      owner.Ledger,
+		ExpiresMs:   uint64(expires.Milliseconds()),
+		Nonce:       nonce,
+	})
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	sealed := append([]byte{byte(c.current)}, body...)
+	sealed = append(sealed, mac(c.macKeys[c.current], sealed)...)
+	text := textPrefix + base64.RawURLEncoding.EncodeToString(sealed)
+	if len(text) > MaxIdempotencyKeyBytes {
+		return "", Error.New("idempotency key of %d bytes, at most %d are allowed; shorten the instance's name", len(text), MaxIdempotencyKeyBytes)
+	}
+	return text, nil
+}
+
+// Parse checks a text and returns the key. The error is ErrForeignKey or ErrUnprovenKey.
+func (c *KeyCodec) Parse(text string) (Key, error) {
+	if !IsAgentKey(text) {
+		return Key{}, ErrForeignKey
+	}
+	if len(text) > MaxIdempotencyKeyBytes {
+		return Key{}, ErrUnprovenKey
+	}
+	// Strict refuses a second text for the same bytes.
+	sealed, err := base64.RawURLEncoding.Strict().DecodeString(text[len(textPrefix):])
+	if err != nil || len(sealed) < 1+macBytes {
+		return Key{}, ErrUnprovenKey
+	}
+	body, sum := sealed[:len(sealed)-macBytes], sealed[len(sealed)-macBytes:]
+	macKey, ok := c.macKeys[keyring.Epoch(sealed[0])]
+	if !ok || !hmac.Equal(sum, mac(macKey, body)) {
+		return Key{}, ErrUnprovenKey
+	}
+	return readKey(body[1:])
+}
+
+func readKey(body []byte) (Key, error) {
+	message := new(wire.IdempotencyKey)
+	if proto.Unmarshal(body, message) != nil || len(message.Nonce) != nonceBytes {
+		return Key{}, ErrUnprovenKey
+	}
+	return Key{
+		ID: KeyID(message.Nonce),
+		Owner: KeyOwner{
+			Service:     message.Service,
+			Instance:    message.Instance,
+			Link:        message.Link,
+			Incarnation: message.Incarnation,
+			Ledger:      message.Ledger,
+		},
+		Expires: time.Duration(message.ExpiresMs) * time.Millisecond,
+	}, nil
+}
+
+func mac(key, body []byte) []byte {
+	hash := hmac.New(sha256.New, key)
+	hash.Write(body)
+	return hash.Sum(nil)[:macBytes]
+}
+
+// IsAgentKey reports whether a text has the form of an agent's key.
+func IsAgentKey(text string) bool {
+	return strings.HasPrefix(text, textPrefix)
+}
