Run listed requests once, refuse with the truth and keep answers apart

The agent now runs a listed request only under its own key, asks the owner of others over a link, and sends each request on a connection of its own, so that a late or double answer has no other request to be taken for. Answers without a length are refused. A path is matched in every reading that an endpoint may have of it. Idempotent requests without a body are retried once, in the budget.

Ruled out: kept connections with a look for surplus bytes before reuse; bytes that arrive after the next request was sent still cross.

serving.go and agent.go change by the lines that hold the proxy and pass on owner questions.

--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -296,9 +296,9 @@
 	}
 }
 
-// ServeStream knows no requests.
-func (a *Agent) ServeStream(context.Context, *wire.Request, net.Conn) bool {
-	return false
+// ServeStream answers questions about idempotency keys.
+func (a *Agent) ServeStream(ctx context.Context, request *wire.Request, stream net.Conn) bool {
+	return a.serveOwner(ctx, request, stream)
 }
 
 // Health fails while the endpoint takes no new work.
--- /dev/null
+++ b/internal/machine/agent/bodies.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"sassafrasturn.example/internal/once"
+)
+
+const (
+	// maxOnceBodyBytes bounds the body of a request that must run at most once.
+	maxOnceBodyBytes = 1 << 20
+	// maxBufferedBytes bounds all bodies that are held at a time.
+	maxBufferedBytes = 16 << 20
+	// bodyTimeout bounds the reading of one such body.
+	bodyTimeout = 10 * time.Second
+)
+
+var (
+	errBodyTooLarge = Error.New("the body is over 1 MiB, which is the limit for requests that must run at most once")
+	errBodiesFull   = Error.New("the agent holds as many bodies as it may; try again later")
+)
+
+// byteBudget bounds bytes that are held at a time. It is safe for concurrent use.
+type byteBudget struct {
+	mu   sync.Mutex
+	left int
+}
+
+func newByteBudget(size int) *byteBudget {
+	return &byteBudget{left: size}
+}
+
+func (b *byteBudget) take(n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.left < n {
+		return false
+	}
+	b.left -= n
+	return true
+}
+
+func (b *byteBudget) give(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.left += n
+}
+
+// readWhole reads the whole body of a request, so that a request which breaks
+// off on its way does not start. The caller gives the returned reserve back.
+func (p *proxy) readWhole(r *http.Request) (body []byte, reserve int, err error) {
+	if r.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	if r.ContentLength > maxOnceBodyBytes {
+		return nil, 0, errBodyTooLarge
+	}
+	reserve = int(r.ContentLength)
+	if reserve < 0 {
+		reserve = maxOnceBodyBytes
+	}
+	if !p.bodies.take(reserve) {
+		return nil, 0, errBodiesFull
+	}
+	// Closing the body ends a read that waits.
+	timer := time.AfterFunc(bodyTimeout, func() { r.Body.Close() })
+	defer timer.Stop()
+	body, err = io.ReadAll(io.LimitReader(r.Body, maxOnceBodyBytes+1))
+	if err == nil && len(body) > maxOnceBodyBytes {
+		err = errBodyTooLarge
+	}
+	if err != nil {
+		p.bodies.give(reserve)
+		return nil, 0, err
+	}
+	return body, reserve, nil
+}
+
+// digest returns the digest of a request's method, target and body.
+func digest(r *http.Request, body []byte) once.Content {
+	hash := sha256.New()
+	var length [8]byte
+	for _, part := range []string{r.Method, r.Host, r.URL.EscapedPath(), r.URL.RawQuery} {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		hash.Write(length[:])
+		hash.Write([]byte(part))
+	}
+	hash.Write(body)
+	return once.Content(hash.Sum(nil))
+}
--- /dev/null
+++ b/internal/machine/agent/owner.go
@@ -0,0 +1,121 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/once"
+	"sassafrasturn.example/internal/token"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	// ownerTimeout bounds one question to the owner of a key.
+	ownerTimeout = 4 * time.Second
+	// ownerWait is how long an owner lets a question wait for a running request.
+	ownerWait = 2 * time.Second
+)
+
+// askOwner asks the agent that issued a key what became of the request. An
+// owner that cannot be asked leaves the outcome unknown.
+func (p *proxy) askOwner(ctx context.Context, key token.Key, text string, content once.Content) once.Result {
+	if p.keys.wasOwned(key) {
+		return once.Result{State: once.StateUnknown}
+	}
+	request := &wire.Request{Body: &wire.Request_Owner{Owner: &wire.OwnerRequest{Key: []byte(text), Content: content[:]}}}
+	for {
+		result := p.askOwnerOnce(ctx, key.Owner.Link, request)
+		p.serving.agent.instance.Decisions.Decision("owner").Str("owner", key.Owner.Instance).Uint8("state", uint8(result.State)).Msg("owner of an idempotency key asked")
+		if result.State != once.StateRunning || ctx.Err() != nil {
+			return result
+		}
+	}
+}
+
+func (p *proxy) askOwnerOnce(ctx context.Context, address string, request *wire.Request) once.Result {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	response, err := p.serving.agent.instance.Dialer.Call(ctx, address, request)
+	if err != nil || response.Error != "" {
+		return once.Result{State: once.StateUnknown}
+	}
+	return readOwnerResponse(response.GetOwner())
+}
+
+// serveOwner answers what this agent knows about a key; it reports false for
+// requests of other kinds.
+func (a *Agent) serveOwner(ctx context.Context, request *wire.Request, stream net.Conn) bool {
+	question := request.GetOwner()
+	if question == nil {
+		return false
+	}
+	a.mu.Lock()
+	s := a.serving
+	a.mu.Unlock()
+	response := new(wire.OwnerResponse)
+	if s != nil {
+		response = s.proxy.answerOwner(ctx, question)
+	}
+	if err := link.WriteMessage(stream, &wire.Response{Body: &wire.Response_Owner{Owner: response}}); err != nil {
+		a.instance.Log.Debug().Err(err).Msg("answer about an idempotency key not sent")
+	}
+	return true
+}
+
+func (p *proxy) answerOwner(ctx context.Context, question *wire.OwnerRequest) *wire.OwnerResponse {
+	key, err := p.keys.codec.Parse(string(question.Key))
+	if err != nil || !p.keys.owns(key) || len(question.Content) != len(once.Content{}) {
+		return new(wire.OwnerResponse)
+	}
+	content := once.Content(question.Content)
+	result := p.keys.settle(key, content)
+	ctx, cancel := context.WithTimeout(ctx, ownerWait)
+	defer cancel()
+	return newOwnerResponse(p.waitForEnd(ctx, key, content, result))
+}
+
+var ownerStates = map[once.State]wire.OwnerResponse_State{
+	once.StateVoid:     wire.OwnerResponse_STATE_VOID,
+	once.StateRunning:  wire.OwnerResponse_STATE_RUNNING,
+	once.StateFinished: wire.OwnerResponse_STATE_FINISHED,
+	once.StateNotKept:  wire.OwnerResponse_STATE_NOT_KEPT,
+	once.StateMismatch: wire.OwnerResponse_STATE_MISMATCH,
+}
+
+func newOwnerResponse(result once.Result) *wire.OwnerResponse {
+	response := &wire.OwnerResponse{State: ownerStates[result.State]}
+	if result.Answer == nil {
+		return response
+	}
+	response.Answer = &wire.Answer{Status: uint32(result.Answer.Status), Body: result.Answer.Body}
+	for name, values := range result.Answer.Header {
+		for _, value := range values {
+			response.Answer.Header = append(response.Answer.Header, &wire.Field{Name: name, Value: value})
+		}
+	}
+	return response
+}
+
+// readOwnerResponse takes every answer that it does not understand for an unknown outcome.
+func readOwnerResponse(response *wire.OwnerResponse) once.Result {
+	for state, onWire := range ownerStates {
+		if onWire == response.GetState() {
+			return once.Result{State: state, Answer: readAnswer(response.GetAnswer())}
+		}
+	}
+	return once.Result{State: once.StateUnknown}
+}
+
+func readAnswer(message *wire.Answer) *once.Answer {
+	if message == nil {
+		return nil
+	}
+	header := make(http.Header)
+	for _, field := range message.Header {
+		header.Add(field.Name, field.Value)
+	}
+	return &once.Answer{Status: int(message.Status), Header: header, Body: message.Body}
+}
--- a/internal/machine/agent/proxy.go
+++ b/internal/machine/agent/proxy.go
@@ -3,110 +3,180 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"net/url"
 
 	"sassafrasturn.example/internal/admit"
+	"sassafrasturn.example/internal/contract"
 	"sassafrasturn.example/internal/problem"
+	"sassafrasturn.example/internal/retry"
 )
 
-// copyBufferBytes is the size of one read of an endpoint's answer.
-const copyBufferBytes = 32 << 10
-
-// hopHeaders belong to one connection and are not passed on, RFC 9110 section 7.6.1.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+// Labels of the request counter.
+const (
+	countAnswered  = "answered"
+	countRefused   = "refused"
+	countFailed    = "failed"
+	countTruncated = "truncated"
+	countReplayed  = "replayed"
+	countRetried   = "retried"
+	countUnknown   = "outcome-unknown"
+)
 
 // proxy passes requests to the endpoint and answers back.
 type proxy struct {
-	serving *serving
-	address string
-	client  *http.Transport
+	serving  *serving
+	upstream *upstream
+	keys     *keyIssuer
+	bodies   *byteBudget
+	budget   *retry.Budget
 }
 
-func newProxy(s *serving, announced *Announcement) *proxy {
-	client := &http.Transport{
-		MaxIdleConnsPerHost: s.doc.Load().Slots,
-		DisableCompression:  true,
+func newProxy(s *serving, announced *Announcement) (*proxy, error) {
+	keys, err := newKeyIssuer(s)
+	if err != nil {
+		return nil, err
 	}
-	return &proxy{serving: s, address: announced.Address, client: client}
+	return &proxy{
+		serving:  s,
+		upstream: newUpstream(announced.Address),
+		keys:     keys,
+		bodies:   newByteBudget(maxBufferedBytes),
+		budget:   retry.NewBudget(retry.DefaultShare, retry.DefaultCapacity),
+	}, nil
 }
 
 // ServeHTTP runs one request at the endpoint.
 func (p *proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	slot, err := p.serving.limiter.Acquire(r.Context())
+	doc := p.serving.doc.Load()
+	call, err := newCall(w, r, doc)
 	if err != nil {
-		p.count("refused")
-		problem.Write(w, http.StatusServiceUnavailable, problem.RanNo, err.Error())
+		p.refuse(w, problem.Refusal{Status: http.StatusBadRequest, Type: problem.TypeBadRequest, Ran: problem.RanNo, Detail: err.Error()})
+		return
+	}
+	defer call.stop()
+	if hasAgentKey(r.Header) || mustRunOnce(doc, r) {
+		p.serveOnce(call)
 		return
 	}
-	answer, err := p.client.RoundTrip(p.outgoing(r.Context(), r))
+	p.serveRepeatable(call)
+}
+
+// call is one request on its way.
+type call struct {
+	w   http.ResponseWriter
+	r   *http.Request
+	doc *contract.Document
+	// ctx ends when the caller goes away or the time until the answer must begin is up.
+	ctx  context.Context
+	stop context.CancelFunc
+}
+
+func newCall(w http.ResponseWriter, r *http.Request, doc *contract.Document) (*call, error) {
+	if err := checkRequest(r); err != nil {
+		return nil, err
+	}
+	timeout, err := timeoutOf(r, doc)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithTimeout(r.Context(), timeout)
+	return &call{w: w, r: r, doc: doc, ctx: ctx, stop: stop}, nil
+}
+
+func (c *call) isStreaming() bool {
+	return c.doc.IsStreaming(c.r.Method, c.r.URL.Path)
+}
+
+// serveRepeatable runs a request that does no harm when it runs twice.
+func (p *proxy) serveRepeatable(c *call) {
+	slot, err := p.serving.limiter.Acquire(c.ctx)
 	if err != nil {
-		slot.Release(admit.OutcomeFailed)
-		p.count("failed")
-		problem.Write(w, http.StatusBadGateway, problem.RanUnknown, "the endpoint did not answer")
+		p.refuse(c.w, refusalOfSlot(err))
 		return
 	}
-	defer answer.Body.Close()
-	if p.serving.doc.Load().IsStreaming(r.Method, r.URL.Path) {
-		slot.Release(admit.OutcomeAnswered)
+	answer, failed := p.sendWithRetry(c)
+	if failed != nil {
+		slot.Release(failed.outcome(c.r.Context()))
+		p.refuse(c.w, failed.refusal())
+		return
 	}
-	defer slot.Release(admit.OutcomeAnswered)
+	defer answer.close()
+	outcome := outcomeOf(answer.StatusCode)
+	if c.isStreaming() {
+		slot.Release(outcome)
+	} else {
+		answer.limitSilence(c.doc.RequestTimeout)
+	}
+	defer slot.Release(outcome)
+	p.passOn(c.w, answer)
+}
+
+// sendWithRetry retries a request that failed before its answer began, once
+// and within the budget, when it is idempotent by its method and has no body.
+func (p *proxy) sendWithRetry(c *call) (*answer, *failure) {
+	body, err := bodyOf(c.r)
+	if err != nil {
+		return nil, &failure{err: err}
+	}
+	sent, failed := p.upstream.send(c.ctx, c.r.Context(), c.outgoing(body))
+	if failed == nil {
+		p.budget.Succeed()
+		return sent, nil
+	}
+	if body != nil || !isIdempotentMethod(c.r.Method) || c.ctx.Err() != nil || !p.budget.Take() {
+		return nil, failed
+	}
+	p.count(countRetried)
+	sent, again := p.upstream.send(c.ctx, c.r.Context(), c.outgoing(nil))
+	if again != nil {
+		again.hasStarted = again.hasStarted || failed.hasStarted
+	}
+	return sent, again
+}
+
+// passOn sends an answer to the caller as it comes.
+func (p *proxy) passOn(w http.ResponseWriter, answer *answer) {
 	copyHeader(w.Header(), answer.Header)
 	w.WriteHeader(answer.StatusCode)
-	if err := copyBody(w, answer.Body); err != nil {
-		p.count("truncated")
+	if err := copyBody(w, answer.body); err != nil {
+		p.count(countTruncated)
 		// Resets the stream: a truncated answer must not look whole.
 		panic(http.ErrAbortHandler)
 	}
-	p.count("answered")
+	p.count(countAnswered)
 }
 
-func (p *proxy) count(outcome string) {
-	p.serving.agent.metrics.requests.WithLabelValues(outcome).Inc()
+func (p *proxy) refuse(w http.ResponseWriter, refusal problem.Refusal) {
+	switch {
+	case refusal.Ran != problem.RanNo:
+		p.count(countUnknown)
+	case refusal.Status == http.StatusBadGateway:
+		p.count(countFailed)
+	default:
+		p.count(countRefused)
+	}
+	refusal.Write(w)
 }
 
-func (p *proxy) outgoing(ctx context.Context, r *http.Request) *http.Request {
-	out := &http.Request{
-		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: p.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery},
-		Host:          r.Host,
-		Header:        make(http.Header),
-		Body:          r.Body,
-		ContentLength: r.ContentLength,
-	}
-	copyHeader(out.Header, r.Header)
-	return out.WithContext(ctx)
+func (p *proxy) count(outcome string) {
+	p.serving.agent.metrics.requests.WithLabelValues(outcome).Inc()
 }
 
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
-	for _, name := range hopHeaders {
-		to.Del(name)
+// refusalOfSlot is for a request that got no slot, so that it did not run.
+func refusalOfSlot(err error) problem.Refusal {
+	refusal := problem.Refusal{Status: http.StatusServiceUnavailable, Type: problem.TypeOverloaded, Ran: problem.RanNo, Detail: err.Error()}
+	if errors.Is(err, context.DeadlineExceeded) {
+		refusal.Status = http.StatusGatewayTimeout
+		refusal.Type = problem.TypeTimeout
+		refusal.Detail = "no slot of the endpoint became free in time; lower the load or allow more time"
 	}
+	return refusal
 }
 
-// copyBody passes an answer on as it comes, so that event streams are not held up.
-func copyBody(w http.ResponseWriter, body io.Reader) error {
-	flusher, _ := w.(http.Flusher)
-	buffer := make([]byte, copyBufferBytes)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return Error.Wrap(writeErr)
-			}
-			if flusher != nil {
-				flusher.Flush()
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return Error.Wrap(err)
-		}
+// outcomeOf tells the limiter what an answer says about the endpoint.
+func outcomeOf(status int) admit.Outcome {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		return admit.OutcomeShed
 	}
+	return admit.OutcomeAnswered
 }
--- /dev/null
+++ b/internal/machine/agent/request.go
@@ -0,0 +1,194 @@
+package agent
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"sassafrasturn.example/internal/contract"
+)
+
+const (
+	// timeoutHeader carries the time until the answer must begin, in
+	// milliseconds. The endpoint gets what is left of it.
+	timeoutHeader = "Request-Timeout"
+	// maxTimeout bounds what a caller may ask for.
+	maxTimeout = time.Hour
+	// maxDecodings bounds how often a path is decoded to find what it may mean.
+	maxDecodings = 4
+)
+
+// hopHeaders belong to one connection and are not passed on, RFC 9110 section 7.6.1.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
+
+// overrideHeaders name another method to some endpoints.
+var overrideHeaders = []string{"X-Http-Method-Override", "X-Http-Method", "X-Method-Override"}
+
+// checkRequest refuses what cannot be passed on to an HTTP/1.1 endpoint.
+func checkRequest(r *http.Request) error {
+	if r.Method != strings.ToUpper(r.Method) {
+		return Error.New("method: found %q, allowed: upper-case letters", r.Method)
+	}
+	if r.Method == http.MethodConnect {
+		return Error.New("method: found CONNECT, allowed: methods that have an answer")
+	}
+	if !strings.HasPrefix(r.URL.Path, "/") && r.URL.Path != "*" {
+		return Error.New("path: found %q, allowed: a path that begins with /", r.URL.Path)
+	}
+	return nil
+}
+
+// timeoutOf returns how long the answer may take to begin: what the caller
+// asks for, or else what the document says.
+func timeoutOf(r *http.Request, doc *contract.Document) (time.Duration, error) {
+	text := r.Header.Get(timeoutHeader)
+	if text == "" {
+		return doc.RequestTimeout, nil
+	}
+	milliseconds, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || milliseconds < 1 {
+		return 0, Error.New("%s: found %q, allowed: a whole number of milliseconds from 1", timeoutHeader, text)
+	}
+	if milliseconds > maxTimeout.Milliseconds() {
+		return maxTimeout, nil
+	}
+	return time.Duration(milliseconds) * time.Millisecond, nil
+}
+
+// isIdempotentMethod follows RFC 9110 section 9.2.2.
+func isIdempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
+
+// mustRunOnce reports whether a pattern of the document covers the request in
+// any way in which an endpoint may read its method and path. Endpoints differ
+// in letter case, repeated and trailing slashes, dot segments, path parameters
+// and repeated decoding; a request must not slip past its pattern by them.
+func mustRunOnce(doc *contract.Document, r *http.Request) bool {
+	if len(doc.NonIdempotent) == 0 {
+		return false
+	}
+	if doc.IsNonIdempotent(r.Method, r.URL.Path) {
+		return true
+	}
+	for _, pattern := range doc.NonIdempotent {
+		if coversMethod(pattern.Method, r) && coversPath(pattern.Path, r.URL) {
+			return true
+		}
+	}
+	return false
+}
+
+func coversMethod(method string, r *http.Request) bool {
+	if method == r.Method || (method == http.MethodGet && r.Method == http.MethodHead) {
+		return true
+	}
+	for _, name := range overrideHeaders {
+		for _, value := range r.Header.Values(name) {
+			if strings.EqualFold(method, strings.TrimSpace(value)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func coversPath(pattern string, target *url.URL) bool {
+	prefix, isPrefix := strings.CutSuffix(strings.ToLower(pattern), "*")
+	for _, reading := range readings(target.Path) {
+		if isPrefix && (strings.HasPrefix(reading, prefix) || strings.HasPrefix(reading+"/", prefix)) {
+			return true
+		}
+		if !isPrefix && reading == plain(prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// readings returns the plain forms of a path, one for each time that it can be decoded.
+func readings(text string) []string {
+	var found []string
+	for range maxDecodings {
+		found = append(found, plain(text), plain(strings.SplitN(text, "?", 2)[0]))
+		decoded, err := url.PathUnescape(text)
+		if err != nil || decoded == text {
+			break
+		}
+		text = decoded
+	}
+	return found
+}
+
+// plain returns a path in lower case, without parameters, dot segments and
+// repeated or trailing slashes.
+func plain(text string) string {
+	text = strings.ToLower(strings.ReplaceAll(text, `\`, "/"))
+	segments := strings.Split(text, "/")
+	for i, segment := range segments {
+		segments[i], _, _ = strings.Cut(segment, ";")
+	}
+	return path.Clean("/" + strings.Join(segments, "/"))
+}
+
+// bodyOf returns the body of a request, nil when there is none.
+func bodyOf(r *http.Request) (io.Reader, error) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > 0 {
+		return r.Body, nil
+	}
+	var first [1]byte
+	_, err := io.ReadFull(r.Body, first[:])
+	if errors.Is(err, io.EOF) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, Error.New("the request broke off: %w", err)
+	}
+	return io.MultiReader(bytes.NewReader(first[:]), r.Body), nil
+}
+
+// outgoing returns the request for the endpoint.
+func (c *call) outgoing(body io.Reader) *http.Request {
+	r := c.r
+	target := &url.URL{Scheme: "http", Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+	out := &http.Request{Method: r.Method, URL: target, Host: r.Host, Header: make(http.Header)}
+	if body != nil {
+		out.Body = io.NopCloser(body)
+		out.ContentLength = r.ContentLength
+	}
+	copyHeader(out.Header, r.Header)
+	out.Header.Del(timeoutHeader)
+	if deadline, ok := c.ctx.Deadline(); ok {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		out.Header.Set(timeoutHeader, strconv.FormatInt(left, 10))
+	}
+	return out
+}
+
+// copyHeader copies the fields that are not bound to one connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, field := range from.Values("Connection") {
+		for _, name := range strings.Split(field, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+}
--- a/internal/machine/agent/serving.go
+++ b/internal/machine/agent/serving.go
@@ -39,6 +39,7 @@
 	transport *quic.Transport
 	listener  *quic.EarlyListener
 	server    *http3.Server
+	proxy     *proxy
 	limiter   *admit.Limiter
 	doc       atomic.Pointer[contract.Document]
 	work      inFlight
@@ -59,10 +60,13 @@
 	s.slots.Store(int64(announced.Slots))
 	s.limiter = admit.NewLimiter(s.ramp(doc), doc.Queue, func(bool) { a.signalChange() })
 	s.hunt = newHunt(s.admitFlow)
+	if s.proxy, err = newProxy(s, announced); err != nil {
+		return nil, err
+	}
 	if err := s.listen(certificate); err != nil {
 		return nil, err
 	}
-	s.server = &http3.Server{Handler: s.work.countRequests(newProxy(s, announced))}
+	s.server = &http3.Server{Handler: s.work.countRequests(s.proxy)}
 	s.takesFlows.Store(true)
 	go s.accept()
 	return s, nil
--- /dev/null
+++ b/internal/machine/agent/upstream_test.go
@@ -0,0 +1,274 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/problem"
+)
+
+// naiveGet is a proxy's usual way to an endpoint: a client that keeps connections.
+func naiveGet(client *http.Client, address, id string) (body string, ok bool) {
+	answer, err := client.Get("http://" + address + "/item?id=" + id)
+	if err != nil {
+		return "", false
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	return string(data), err == nil && answer.StatusCode == http.StatusOK
+}
+
+func productGet(f *proxyFixture, id string) (body string, ok bool) {
+	answer, isReset := f.do(httptest.NewRequest(http.MethodGet, "/item?id="+id, nil), "")
+	return answer.Body.String(), !isReset && answer.Code == http.StatusOK
+}
+
+func item(id string) string { return "the item with the number " + id }
+
+func wholeAnswer(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(item(id)), item(id))
+}
+
+// serveFaulty answers each request of a connection by answer, which gets the
+// request's id and that of the one before, and reports whether to go on.
+func serveFaulty(answer func(conn net.Conn, id, before string) bool) func(conn net.Conn) {
+	return func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		before := ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id := r.URL.Query().Get("id")
+			if !answer(conn, id, before) {
+				return
+			}
+			before = id
+		}
+	}
+}
+
+func TestAnswersAreWholeAndOwn(t *testing.T) {
+	const requests = 6
+	send := func(conn net.Conn, text string) { io.WriteString(conn, text) }
+	table := []struct {
+		name    string
+		answer  func(conn net.Conn, id, before string) bool
+		isNaive bool // whether the naive version hands out a wrong answer
+		isWhole bool // whether the answer is whole, so that the caller must get it
+	}{
+		{"sound", func(conn net.Conn, id, _ string) bool { send(conn, wholeAnswer(id)); return true }, false, true},
+		{"the earlier answer comes again, late", func(conn net.Conn, id, before string) bool {
+			if before != "" {
+				send(conn, wholeAnswer(before))
+			}
+			send(conn, wholeAnswer(id))
+			return true
+		}, true, true},
+		{"every answer twice", func(conn net.Conn, id, _ string) bool { send(conn, wholeAnswer(id)+wholeAnswer(id)); return true }, false, true},
+		{"bytes after the answer", func(conn net.Conn, id, _ string) bool { send(conn, wholeAnswer(id)+"surplus"); return true }, false, true},
+		{"length greater than the body", func(conn net.Conn, id, _ string) bool {
+			send(conn, strings.Replace(wholeAnswer(id), "Content-Length: ", "Content-Length: 1", 1))
+			return false
+		}, false, false},
+		{"chunks cut", func(conn net.Conn, id, _ string) bool {
+			send(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(item(id)), item(id)))
+			return false
+		}, false, false},
+		{"no length, cut", func(conn net.Conn, id, _ string) bool {
+			send(conn, "HTTP/1.1 200 OK\r\n\r\n"+item(id)[:7])
+			return false
+		}, true, false},
+		{"two lengths", func(conn net.Conn, id, _ string) bool {
+			send(conn, strings.Replace(wholeAnswer(id), "\r\n\r\n", "\r\nContent-Length: 3\r\n\r\n", 1))
+			return false
+		}, false, false},
+		{"flood of 1xx answers", func(conn net.Conn, id, _ string) bool {
+			for range 2 * maxAnswerHeaderBytes / 20 {
+				send(conn, "HTTP/1.1 103 Early\r\n\r\n")
+			}
+			send(conn, wholeAnswer(id))
+			return false
+		}, false, false},
+		{"header without end", func(conn net.Conn, _, _ string) bool {
+			send(conn, "HTTP/1.1 200 OK\r\nA: "+strings.Repeat("a", 2*maxAnswerHeaderBytes))
+			return false
+		}, false, false},
+		{"other protocol", func(conn net.Conn, _, _ string) bool {
+			send(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+			return false
+		}, false, false},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			address, _ := startRawEndpoint(t, serveFaulty(row.answer))
+			f := newProxyFixture(t, "a", address)
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			wrong := 0
+			for i := range requests {
+				id := fmt.Sprint(i)
+				if body, ok := naiveGet(client, address, id); ok && body != item(id) {
+					wrong++
+				}
+				body, ok := productGet(f, id)
+				g.Expect(ok).To(Equal(row.isWhole))
+				if ok {
+					g.Expect(body).To(Equal(item(id)))
+				}
+			}
+			if row.isNaive {
+				g.Expect(wrong).To(BeNumerically(">", 0), "wrong answers by a client that keeps connections")
+			}
+		})
+	}
+}
+
+// TestLostAnswerOfAnOrderIsNotReplayed: net/http sends a request with an
+// Idempotency-Key again when a kept connection fails.
+func TestLostAnswerOfAnOrderIsNotReplayed(t *testing.T) {
+	g := NewWithT(t)
+	start := func() (address string, runs map[string]int) {
+		runs = make(map[string]int)
+		var mu sync.Mutex
+		address, _ = startRawEndpoint(t, serveFaulty(func(conn net.Conn, id, before string) bool {
+			mu.Lock()
+			runs[id]++
+			mu.Unlock()
+			if before != "" {
+				return false
+			}
+			io.WriteString(conn, wholeAnswer(id))
+			return true
+		}))
+		return address, runs
+	}
+	address, naiveRuns := start()
+	client := &http.Client{Transport: &http.Transport{}}
+	for _, id := range []string{"1", "2"} {
+		r, err := http.NewRequest(http.MethodPost, "http://"+address+"/orders?id="+id, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		r.Header.Set(keyHeader, `"key"`)
+		if answer, err := client.Do(r); err == nil {
+			io.Copy(io.Discard, answer.Body)
+			answer.Body.Close()
+		}
+	}
+	client.CloseIdleConnections()
+	g.Expect(naiveRuns["2"]).To(Equal(2), "a client that keeps connections runs the order twice")
+
+	address, runs := start()
+	f := newProxyFixture(t, "a", address)
+	for _, id := range []string{"1", "2"} {
+		f.do(httptest.NewRequest(http.MethodPost, "/orders?id="+id, nil), f.fetchKey(t))
+	}
+	g.Expect(runs).To(Equal(map[string]int{"1": 1, "2": 1}))
+}
+
+func TestDeadlineAndCancellationReachTheEndpoint(t *testing.T) {
+	const timeout = "50"
+	for _, isCancelled := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cancelled %t", isCancelled), func(t *testing.T) {
+			g := NewWithT(t)
+			asked, ended := make(chan string, 2), make(chan struct{}, 2)
+			address, accepted := startRawEndpoint(t, func(conn net.Conn) {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				asked <- r.Header.Get(timeoutHeader)
+				io.Copy(io.Discard, conn)
+				ended <- struct{}{}
+			})
+			f := newProxyFixture(t, "a", address)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			r := httptest.NewRequest(http.MethodGet, "/item", nil).WithContext(ctx)
+			if isCancelled {
+				go func() { <-asked; cancel() }()
+			} else {
+				r.Header.Set(timeoutHeader, timeout)
+			}
+			answer, _ := f.do(r, "")
+			g.Expect(ranOf(t, answer)).To(Equal(problem.RanUnknown))
+			<-ended
+			g.Expect(accepted()).To(Equal(1), "no retry after the end of the time")
+			if !isCancelled {
+				g.Expect(answer.Code).To(Equal(http.StatusGatewayTimeout))
+				g.Expect(<-asked).To(MatchRegexp(`^([1-4]?[0-9]|50)$`))
+			}
+		})
+	}
+	for _, bad := range []string{"soon", "-1", "0", "1.5"} {
+		f := newProxyFixture(t, "a", "127.0.0.1:1")
+		r := httptest.NewRequest(http.MethodGet, "/item", nil)
+		r.Header.Set(timeoutHeader, bad)
+		answer, _ := f.do(r, "")
+		NewWithT(t).Expect(answer.Code).To(Equal(http.StatusBadRequest), bad)
+	}
+}
+
+// TestSilentAnswerIsResetAndStreamIsNot: an event stream may be quiet for long.
+func TestSilentAnswerIsResetAndStreamIsNot(t *testing.T) {
+	g := NewWithT(t)
+	const limit = 30 * time.Millisecond
+	address, _ := startRawEndpoint(t, func(conn net.Conn) {
+		defer conn.Close()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf")
+		if r.URL.Path == "/board" {
+			time.Sleep(4 * limit)
+			io.WriteString(conn, "half")
+			return
+		}
+		io.Copy(io.Discard, conn)
+	})
+	f := newProxyFixture(t, "a", address)
+	doc := *f.serving.doc.Load()
+	doc.RequestTimeout = limit
+	f.serving.doc.Store(&doc)
+	_, isReset := f.do(httptest.NewRequest(http.MethodGet, "/item", nil), "")
+	g.Expect(isReset).To(BeTrue())
+	board, isReset := f.do(httptest.NewRequest(http.MethodGet, "/board", nil), "")
+	g.Expect(isReset).To(BeFalse())
+	g.Expect(board.Body.String()).To(Equal("halfhalf"))
+}
+
+// TestAgentRetriesWithinItsBudget counts connections at an endpoint that fails always.
+func TestAgentRetriesWithinItsBudget(t *testing.T) {
+	const offered = 200
+	g := NewWithT(t)
+	address, accepted := startRawEndpoint(t, func(conn net.Conn) {
+		defer conn.Close()
+		// The error does not matter: the connection fails either way.
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+	})
+	f := newProxyFixture(t, "a", address)
+	for range offered {
+		f.do(httptest.NewRequest(http.MethodGet, "/item", nil), "")
+	}
+	g.Expect(accepted()).To(BeNumerically(">", offered), "some are retried")
+	g.Expect(accepted()).To(BeNumerically("<=", offered*6/5))
+	before := accepted()
+	for range offered {
+		f.do(httptest.NewRequest(http.MethodPost, "/search", nil), "")
+	}
+	g.Expect(accepted()-before).To(Equal(offered), "POST is not retried")
+}
