Let the caller fetch keys, resend with them and replace silent connections

A key is asked for by OPTIONS, so that nothing runs on any server meanwhile. A lost answer is asked for again with the same key; a key that the application chose is never replaced. Each connection has a fresh port.

--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,236 @@
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+)
+
+// startServer serves HTTP/3 on loopback.
+func startServer(t *testing.T, config *quic.Config, handler http.Handler) (server *http3.Server, address string, client *tls.Config) {
+	g := NewWithT(t)
+	certificates := httptest.NewTLSServer(nil)
+	t.Cleanup(certificates.Close)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	server = &http3.Server{Handler: handler, QUICConfig: config, TLSConfig: http3.ConfigureTLSConfig(&tls.Config{Certificates: certificates.TLS.Certificates})}
+	go server.Serve(conn)
+	t.Cleanup(func() { server.Close(); conn.Close() })
+	roots := x509.NewCertPool()
+	roots.AddCert(certificates.Certificate())
+	return server, conn.LocalAddr().String(), &tls.Config{RootCAs: roots, ServerName: "example.com"}
+}
+
+// relay passes datagrams between callers and a server. It can lose track of
+// all callers that it knows, while new ones work.
+type relay struct {
+	conn   *net.UDPConn
+	server netip.AddrPort
+
+	mu    sync.Mutex
+	known map[netip.AddrPort]*net.UDPConn
+	lost  map[netip.AddrPort]bool
+}
+
+func startRelay(t *testing.T, server string) *relay {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	r := &relay{conn: conn, server: netip.MustParseAddrPort(server), known: make(map[netip.AddrPort]*net.UDPConn), lost: make(map[netip.AddrPort]bool)}
+	t.Cleanup(func() {
+		conn.Close()
+		r.lose()
+	})
+	go r.run()
+	return r
+}
+
+func (r *relay) run() {
+	buffer := make([]byte, 2048)
+	for {
+		n, from, err := r.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		out := r.known[from]
+		if out == nil && !r.lost[from] {
+			out, _ = net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(r.server))
+			r.known[from] = out
+			go r.back(out, from)
+		}
+		r.mu.Unlock()
+		if out != nil {
+			out.Write(buffer[:n])
+		}
+	}
+}
+
+func (r *relay) back(out *net.UDPConn, to netip.AddrPort) {
+	buffer := make([]byte, 2048)
+	for {
+		n, err := out.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		r.conn.WriteToUDPAddrPort(buffer[:n], to)
+	}
+}
+
+// lose drops everything to and from the callers known so far.
+func (r *relay) lose() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for from, out := range r.known {
+		r.lost[from] = true
+		out.Close()
+		delete(r.known, from)
+	}
+}
+
+// secondsToNotice is the brief's "within seconds" for a connection that went silent.
+const secondsToNotice = 8 * time.Second
+
+// TestSilentConnectionIsReplaced loses the connection's path for good, before a
+// request and while one waits for its answer.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	_, address, config := startServer(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "whole")
+	}))
+	try := func(transport http.RoundTripper, path *relay) error {
+		client := &http.Client{Transport: transport, Timeout: secondsToNotice}
+		url := "https://" + path.conn.LocalAddr().String() + "/"
+		for i := range 2 {
+			answer, err := client.Get(url)
+			if err != nil {
+				return err
+			}
+			body, err := io.ReadAll(answer.Body)
+			answer.Body.Close()
+			if err != nil || string(body) != "whole" {
+				return fmt.Errorf("%q: %w", body, err)
+			}
+			if i == 0 {
+				path.lose()
+			}
+		}
+		return nil
+	}
+	// The naive version is the HTTP/3 transport as it comes.
+	for _, isNaive := range []bool{true, false} {
+		t.Run(fmt.Sprintf("naive %t", isNaive), func(t *testing.T) {
+			t.Parallel()
+			if isNaive {
+				stock := &http3.Transport{TLSClientConfig: config}
+				defer stock.Close()
+				NewWithT(t).Expect(try(stock, startRelay(t, address))).To(HaveOccurred())
+				return
+			}
+			transport := New(config)
+			defer transport.Close()
+			NewWithT(t).Expect(try(transport, startRelay(t, address))).To(Succeed())
+		})
+	}
+}
+
+// TestGoAwayIsFollowed: a request in flight ends on the old connection, the
+// next one goes to a new connection, and the old one is closed afterwards.
+func TestGoAwayIsFollowed(t *testing.T) {
+	g := NewWithT(t)
+	began, release := make(chan struct{}), make(chan struct{})
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			w.(http.Flusher).Flush()
+			close(began)
+			<-release
+		}
+		io.WriteString(w, r.RemoteAddr)
+	})
+	first, address, config := startServer(t, nil, handler)
+	target := startRelay(t, address)
+	transport := New(config)
+	defer transport.Close()
+	client := &http.Client{Transport: transport, Timeout: secondsToNotice}
+	get := func(path string) *http.Response {
+		answer, err := client.Get("https://" + target.conn.LocalAddr().String() + path)
+		g.Expect(err).NotTo(HaveOccurred())
+		return answer
+	}
+	slow := get("/slow")
+	<-began
+	down := make(chan error)
+	go func() { down <- first.Shutdown(t.Context()) }()
+	_, second, _ := startServer(t, nil, handler)
+	target.redirect(second)
+	get("/next").Body.Close()
+	close(release)
+	body, err := io.ReadAll(slow.Body)
+	slow.Body.Close()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(body).NotTo(BeEmpty())
+	g.Expect(<-down).To(Succeed())
+}
+
+// redirect sends the datagrams of new callers to another server.
+func (r *relay) redirect(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server = netip.MustParseAddrPort(server)
+}
+
+func TestCancellationReachesTheServer(t *testing.T) {
+	g := NewWithT(t)
+	began, ended := make(chan string, 1), make(chan struct{})
+	_, address, config := startServer(t, nil, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		began <- r.Header.Get(TimeoutHeader)
+		<-r.Context().Done()
+		close(ended)
+	}))
+	transport := New(config)
+	defer transport.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+address+"/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	var timeout string
+	go func() { timeout = <-began; cancel() }()
+	_, err = transport.RoundTrip(r)
+	var failed *Error
+	g.Expect(errors.As(err, &failed)).To(BeTrue())
+	g.Expect(failed.Ran).To(Equal(RanUnknown))
+	g.Expect(errors.Is(err, context.Canceled)).To(BeTrue())
+	<-ended
+	g.Expect(timeout).To(MatchRegexp("^[0-9]{1,5}$"))
+}
+
+func TestUnreachableServerIsToldNotRun(t *testing.T) {
+	g := NewWithT(t)
+	silent, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer silent.Close()
+	transport := New(&tls.Config{InsecureSkipVerify: true})
+	defer transport.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		r, err := http.NewRequestWithContext(ctx, method, "https://"+silent.LocalAddr().String()+"/", nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = transport.RoundTrip(r)
+		var failed *Error
+		g.Expect(errors.As(err, &failed)).To(BeTrue())
+		g.Expect(failed.Ran).To(Equal(RanNo))
+		g.Expect(failed.Timeout()).To(BeTrue())
+	}
+}
--- /dev/null
+++ b/caller/example_test.go
@@ -0,0 +1,40 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"sassafrasturn.example/caller"
+)
+
+// Sends an order that must run at most once. The transport gets its key.
+func Example() {
+	transport := caller.New(nil)
+	defer transport.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	order := strings.NewReader("one dome skylight")
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://orders.example/orders", order)
+	if err != nil {
+		return
+	}
+	answer, err := (&http.Client{Transport: transport}).Do(request)
+	var failed *caller.Error
+	if errors.As(err, &failed) {
+		fmt.Println("no answer; the order ran:", failed.Ran)
+		return
+	}
+	if err != nil {
+		return
+	}
+	defer answer.Body.Close()
+	if refusal, ok := caller.RefusalOf(answer); ok {
+		fmt.Println("refused:", refusal.Detail, "; the order ran:", refusal.Ran)
+		return
+	}
+	fmt.Println("ordered:", answer.Status)
+}
--- /dev/null
+++ b/caller/exchange_test.go
@@ -0,0 +1,295 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/once"
+	"sassafrasturn.example/internal/problem"
+	"sassafrasturn.example/internal/retry"
+)
+
+var errLost = errors.New("connection lost")
+
+// fakeService is a service whose agents restart, refuse, and lose requests and
+// answers by chance.
+type fakeService struct {
+	random *rand.Rand
+	ledger *once.Ledger
+	// restarts is part of every key, as an incarnation is.
+	restarts int
+	issued   int
+	// isKeyless serves orders without a key, as the naive caller needs.
+	isKeyless bool
+	runs      map[string]int
+}
+
+func (s *fakeService) chance(oneIn int) bool { return s.random.IntN(oneIn) == 0 }
+
+func (s *fakeService) send(r *http.Request) (*http.Response, error) {
+	if s.chance(15) {
+		return nil, errLost
+	}
+	if trace := httptrace.ContextClientTrace(r.Context()); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	if s.chance(15) {
+		return nil, errLost
+	}
+	if s.chance(25) {
+		s.restarts++
+		s.ledger = once.NewLedger(once.DefaultLimits)
+	}
+	w := httptest.NewRecorder()
+	s.serve(w, r)
+	answer := w.Result()
+	if s.chance(8) {
+		return nil, errLost
+	}
+	if s.chance(15) {
+		answer.Body = io.NopCloser(io.MultiReader(strings.NewReader("cu"), brokenReader{}))
+	}
+	return answer, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, errLost }
+
+func (s *fakeService) serve(w http.ResponseWriter, r *http.Request) {
+	key := strings.Trim(r.Header.Get(KeyHeader), `"`)
+	if s.isKeyless {
+		s.run(w, r)
+		return
+	}
+	if key == "" {
+		s.refuse(w, problem.TypeKeyRequired, problem.RanNo)
+		return
+	}
+	var restarts, number int
+	fmt.Sscanf(key, "%d-%d", &restarts, &number)
+	if restarts != s.restarts {
+		s.refuse(w, problem.TypeOutcomeUnknown, problem.RanUnknown)
+		return
+	}
+	id := once.ID{byte(number), byte(number >> 8)}
+	result, hasStarted := s.ledger.Begin(0, id, time.Second, once.Content{})
+	switch {
+	case hasStarted && s.chance(10):
+		s.ledger.Void(0, id)
+		s.refuse(w, problem.TypeOverloaded, problem.RanNo)
+	case hasStarted:
+		recorder := httptest.NewRecorder()
+		s.run(recorder, r)
+		s.ledger.Finish(0, id, &once.Answer{Body: recorder.Body.Bytes()})
+		w.Write(recorder.Body.Bytes())
+	case result.State == once.StateFinished:
+		w.Write(result.Answer.Body)
+	default:
+		s.refuse(w, problem.TypeKeyVoid, problem.RanNo)
+	}
+}
+
+func (s *fakeService) run(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	s.runs[string(body)]++
+	w.Write(append([]byte("done "), body...))
+}
+
+func (s *fakeService) refuse(w http.ResponseWriter, kind problem.Type, ran problem.Ran) {
+	s.issued++
+	w.Header().Set(KeyHeader, fmt.Sprintf(`"%d-%d"`, s.restarts, s.issued))
+	problem.Refusal{Status: http.StatusServiceUnavailable, Type: kind, Ran: ran}.Write(w)
+}
+
+// blindRetry is the naive caller: it sends a request again until it is answered.
+func blindRetry(send func(*http.Request) (*http.Response, error)) func(*http.Request) (*http.Response, error) {
+	return func(r *http.Request) (answer *http.Response, err error) {
+		for range maxAttempts {
+			r.Body, _ = r.GetBody()
+			answer, err = send(r)
+			if err == nil && holdAnswer(answer) == nil {
+				return answer, nil
+			}
+		}
+		return nil, errLost
+	}
+}
+
+type tally struct{ answered, unknown, notRun, doubles, untruths, wrong int }
+
+// placeOrders sends orders and compares what the caller was told with the runs.
+func placeOrders(s *fakeService, orders int, roundTrip func(*http.Request) (*http.Response, error)) tally {
+	var sum tally
+	for i := range orders {
+		order := fmt.Sprint("order ", i)
+		r, _ := http.NewRequest(http.MethodPost, "https://order-desk/orders", bytes.NewBufferString(order))
+		answer, err := roundTrip(r)
+		ran, text := RanYes, ""
+		var failed *Error
+		if errors.As(err, &failed) {
+			ran = failed.Ran
+		} else if refusal, ok := RefusalOf(answer); ok {
+			ran = refusal.Ran
+		} else {
+			data, _ := io.ReadAll(answer.Body)
+			text = string(data)
+		}
+		runs := s.runs[order]
+		switch ran {
+		case RanYes:
+			sum.answered++
+			if text != "done "+order {
+				sum.wrong++
+			}
+		case RanNo:
+			sum.notRun++
+			if runs != 0 {
+				sum.untruths++
+			}
+		default:
+			sum.unknown++
+		}
+		if runs > 1 {
+			sum.doubles++
+		}
+	}
+	return sum
+}
+
+func TestOrdersRunAtMostOnce(t *testing.T) {
+	const seeds, orders = 100, 40
+	var product, naive tally
+	add := func(sum *tally, one tally) {
+		sum.answered += one.answered
+		sum.unknown += one.unknown
+		sum.notRun += one.notRun
+		sum.doubles += one.doubles
+		sum.untruths += one.untruths
+		sum.wrong += one.wrong
+	}
+	newService := func(seed uint64, isKeyless bool) *fakeService {
+		return &fakeService{random: rand.New(rand.NewPCG(seed, 0)), ledger: once.NewLedger(once.DefaultLimits), isKeyless: isKeyless, runs: make(map[string]int)}
+	}
+	for seed := range uint64(seeds) {
+		s := newService(seed, false)
+		transport := newTransport(s.send)
+		transport.sleep = func(context.Context, time.Duration) {}
+		// The budget has a test of its own; here every way is to be taken.
+		transport.budget = retry.NewBudget(1, 1000)
+		add(&product, placeOrders(s, orders, transport.RoundTrip))
+		s = newService(seed, true)
+		add(&naive, placeOrders(s, orders, func(r *http.Request) (*http.Response, error) {
+			answer, err := blindRetry(s.send)(r)
+			if err != nil {
+				return nil, &Error{Ran: RanUnknown, Err: err}
+			}
+			return answer, nil
+		}))
+	}
+	t.Logf("%d orders: product %+v, blind retry %+v", seeds*orders, product, naive)
+	g := NewWithT(t)
+	g.Expect(naive.doubles).To(BeNumerically(">", 0))
+	g.Expect(product.answered).To(BeNumerically(">", seeds*orders*3/4))
+	g.Expect(product.notRun).To(BeNumerically(">", 0))
+	g.Expect([]int{product.doubles, product.untruths, product.wrong}).To(Equal([]int{0, 0, 0}))
+}
+
+// TestKeyOfTheApplicationIsKept: a fresh key in its place would let an order
+// run again after the application itself was restarted.
+func TestKeyOfTheApplicationIsKept(t *testing.T) {
+	g := NewWithT(t)
+	var keys []string
+	transport := newTransport(func(r *http.Request) (*http.Response, error) {
+		keys = append(keys, r.Header.Get(KeyHeader))
+		if len(keys) < 3 {
+			return nil, errLost
+		}
+		w := httptest.NewRecorder()
+		w.Header().Set(KeyHeader, `"fresh"`)
+		problem.Refusal{Status: http.StatusPreconditionRequired, Type: problem.TypeKeyVoid, Ran: problem.RanNo}.Write(w)
+		return w.Result(), nil
+	})
+	transport.sleep = func(context.Context, time.Duration) {}
+	r, _ := http.NewRequest(http.MethodPost, "https://order-desk/orders", strings.NewReader("order"))
+	r.Header.Set(KeyHeader, `"mine"`)
+	answer, err := transport.RoundTrip(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	refusal, ok := RefusalOf(answer)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(refusal.Ran).To(Equal(RanNo))
+	g.Expect(keys).To(Equal([]string{`"mine"`, `"mine"`, `"mine"`}))
+}
+
+// TestRetryStorm sends requests to endpoints that all fail.
+func TestRetryStorm(t *testing.T) {
+	const offered = 500
+	g := NewWithT(t)
+	sent := 0
+	transport := newTransport(func(*http.Request) (*http.Response, error) { sent++; return nil, errLost })
+	transport.sleep = func(context.Context, time.Duration) {}
+	for range offered {
+		r, _ := http.NewRequest(http.MethodGet, "https://drawings/drawings/1", nil)
+		_, err := transport.RoundTrip(r)
+		g.Expect(err).To(MatchError(errLost))
+	}
+	g.Expect(sent).To(BeNumerically(">", offered))
+	g.Expect(sent).To(BeNumerically("<=", offered*6/5))
+}
+
+func TestWhatIsNotRetried(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	unknown := func(r *http.Request) (*http.Response, error) {
+		if r.Method == http.MethodOptions {
+			return httptest.NewRecorder().Result(), nil
+		}
+		httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{})
+		return nil, errLost
+	}
+	table := []struct {
+		name   string
+		method string
+		ctx    context.Context
+		body   io.Reader
+		want   Ran
+	}{
+		{"POST to a server without keys", http.MethodPost, t.Context(), strings.NewReader("x"), RanUnknown},
+		{"a request whose time is up", http.MethodGet, ctx, nil, RanUnknown},
+		{"a body too large to hold", http.MethodPut, t.Context(), io.LimitReader(zeroReader{}, maxHeldBodyBytes+1), RanUnknown},
+	}
+	for _, row := range table {
+		t.Run(row.name, func(t *testing.T) {
+			g := NewWithT(t)
+			sent := 0
+			transport := newTransport(func(r *http.Request) (*http.Response, error) {
+				if r.Method != http.MethodOptions {
+					sent++
+				}
+				return unknown(r)
+			})
+			r, _ := http.NewRequestWithContext(row.ctx, row.method, "https://other/", row.body)
+			_, err := transport.RoundTrip(r)
+			var failed *Error
+			g.Expect(errors.As(err, &failed)).To(BeTrue())
+			g.Expect(failed.Ran).To(Equal(row.want))
+			g.Expect(sent).To(Equal(1))
+		})
+	}
+}
+
+type zeroReader struct{}
+
+func (zeroReader) Read(p []byte) (int, error) { clear(p); return len(p), nil }
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 )
 
 // Ran says whether a refused request ran at an endpoint.
@@ -90,3 +91,12 @@
 	}
 	return details, nil
 }
+
+// typePrefix begins every Type of the system.
+const typePrefix = "urn:sassafrasturn:"
+
+// IsOfSystem reports whether the details were written by the system and not by
+// an endpoint.
+func (d *Details) IsOfSystem() bool {
+	return strings.HasPrefix(string(d.Type), typePrefix)
+}
