--- a/cmd/sassafrasturnctl/documents.go
+++ b/cmd/sassafrasturnctl/documents.go
@@ -55,7 +55,8 @@
 	if err != nil {
 		return fail(err)
 	}
-	if _, err := contract.Parse(flags.Arg(0), data); err != nil {
+	doc, err := contract.Parse(flags.Arg(0), data)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
@@ -66,16 +67,16 @@
 	if err != nil {
 		return fail(err)
 	}
-	return c.connection.report(ctx, result, c.isWaiting)
+	return c.connection.report(ctx, doc.Service, result, c.isWaiting)
 }
 
-// report prints the result of a submission and waits when told to.
-func (f *connectionFlags) report(ctx context.Context, result *wire.CommandResult, isWaiting bool) subcommands.ExitStatus {
+// report prints the result of a submission about the service and waits when told to.
+func (f *connectionFlags) report(ctx context.Context, service string, result *wire.CommandResult, isWaiting bool) subcommands.ExitStatus {
 	status := reportSubmission(result)
 	if status != subcommands.ExitSuccess || !isWaiting {
 		return status
 	}
-	if err := f.waitInForce(ctx, result.Index); err != nil {
+	if err := f.waitInForce(ctx, service, result.Index); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
--- a/cmd/sassafrasturnctl/wait.go
+++ b/cmd/sassafrasturnctl/wait.go
@@ -30,10 +30,12 @@
 	link     string
 }
 
-// waitInForce waits until all known balancers and agents have applied the log
-// up to index and reports by count who has and who has not.
-func (f *connectionFlags) waitInForce(ctx context.Context, index uint64) error {
-	targets, err := f.targets(ctx)
+// waitInForce waits until all known balancers, and the agents that the change
+// concerns, have applied the log up to index and reports by count who has and
+// who has not. An agent takes only the document of its own service; a change of
+// a zone, with an empty service, concerns all agents.
+func (f *connectionFlags) waitInForce(ctx context.Context, service string, index uint64) error {
+	targets, err := f.targets(ctx, service)
 	if err != nil {
 		return err
 	}
@@ -56,15 +58,16 @@
 	return fmt.Errorf("%d of %d instances have not confirmed; the change is accepted and reaches them when they can be reached", len(missing), len(targets))
 }
 
-// targets lists the balancers and agents that have published themselves.
-func (f *connectionFlags) targets(ctx context.Context) ([]target, error) {
+// targets lists the balancers, and the agents of the service or of all services,
+// that have published themselves.
+func (f *connectionFlags) targets(ctx context.Context, service string) ([]target, error) {
 	records, err := f.list(ctx, wire.Record_KIND_BALANCER, wire.Record_KIND_ENDPOINT)
 	if err != nil {
 		return nil, err
 	}
 	byLink := make(map[string]target)
 	for _, record := range records {
-		if t := targetOf(record); t.link != "" {
+		if t := targetOf(record, service); t.link != "" {
 			byLink[t.link] = t
 		}
 	}
@@ -75,7 +78,7 @@
 	return targets, nil
 }
 
-func targetOf(record *wire.Record) target {
+func targetOf(record *wire.Record, service string) target {
 	if record.Kind == wire.Record_KIND_BALANCER {
 		balancer := new(wire.Balancer)
 		if proto.Unmarshal(record.Value, balancer) != nil {
@@ -87,6 +90,9 @@
 	if proto.Unmarshal(record.Value, endpoint) != nil || endpoint.State == wire.Endpoint_STATE_GONE {
 		return target{}
 	}
+	if service != "" && endpoint.Service != service {
+		return target{}
+	}
 	return target{instance: endpoint.Instance, link: endpoint.Link}
 }
 
--- a/cmd/sassafrasturnctl/withdraw.go
+++ b/cmd/sassafrasturnctl/withdraw.go
@@ -51,5 +51,5 @@
 	if err != nil {
 		return fail(err)
 	}
-	return c.connection.report(ctx, result, c.isWaiting)
+	return c.connection.report(ctx, flags.Arg(0), result, c.isWaiting)
 }
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -59,7 +59,7 @@
 	// under PublishedIncarnation.
 	Incarnation uint64
 
-	publisher *publisher
+	publisher publisher
 	mesh      *exchange.Mesh
 	server    *link.Server
 	roles     []Role
@@ -76,7 +76,6 @@
 		return nil, err
 	}
 	logger := newLogger(s)
-	incarnation := uint64(time.Now().UnixMilli())
 	instance := &Instance{
 		Settings:    s,
 		Log:         logger,
@@ -87,8 +86,7 @@
 		Metrics:     newRegistry(),
 		ListenUDP:   listenUDP,
 		Lease:       zone.NewHolder(),
-		Incarnation: incarnation,
-		publisher:   newPublisher(incarnation),
+		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	instance.server = &link.Server{TLS: serverTLS, Handler: instance}
 	instance.mesh = exchange.NewMesh(instance.meshConfig())
--- a/internal/machine/publish.go
+++ b/internal/machine/publish.go
@@ -22,8 +22,14 @@
 	contested   chan struct{}
 }
 
-func newPublisher(incarnation uint64) *publisher {
-	return &publisher{incarnation: incarnation, held: make(map[wire.Record_Kind]*wire.Record), contested: make(chan struct{}, 1)}
+// lock locks the publisher, whose zero value starts with the given incarnation.
+func (p *publisher) lock(incarnation uint64) {
+	p.mu.Lock()
+	if p.held == nil {
+		p.incarnation = incarnation
+		p.held = make(map[wire.Record_Kind]*wire.Record)
+		p.contested = make(chan struct{}, 1)
+	}
 }
 
 // Publish puts a record about this instance into the exchange. sequence must
@@ -38,7 +44,7 @@
 	if endpoint, ok := value.(*wire.Endpoint); ok {
 		record.Scope = endpoint.Service
 	}
-	i.publisher.mu.Lock()
+	i.publisher.lock(i.Incarnation)
 	record.Major = i.publisher.incarnation
 	i.publisher.held[kind] = record
 	i.publisher.mu.Unlock()
@@ -50,14 +56,14 @@
 // starts as Incarnation and is raised above any that peers hold: after its
 // wall clock went back, the instance would else be taken for old news.
 func (i *Instance) PublishedIncarnation() uint64 {
-	i.publisher.mu.Lock()
+	i.publisher.lock(i.Incarnation)
 	defer i.publisher.mu.Unlock()
 	return i.publisher.incarnation
 }
 
 // checkContested looks for records about this instance that it did not publish.
 func (i *Instance) checkContested(changed []*wire.Record) {
-	i.publisher.mu.Lock()
+	i.publisher.lock(i.Incarnation)
 	defer i.publisher.mu.Unlock()
 	for _, record := range changed {
 		if record != nil && record.Key == i.Settings.Instance && i.publisher.isContested(record) {
@@ -89,11 +95,14 @@
 // defend publishes everything again under a higher incarnation whenever peers
 // hold news about this instance that it did not publish.
 func (i *Instance) defend(ctx context.Context) {
+	i.publisher.lock(i.Incarnation)
+	contested := i.publisher.contested
+	i.publisher.mu.Unlock()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-i.publisher.contested:
+		case <-contested:
 		}
 		i.raiseIncarnation()
 		select {
@@ -109,7 +118,7 @@
 	for _, kind := range []wire.Record_Kind{wire.Record_KIND_ENDPOINT, wire.Record_KIND_BALANCER, wire.Record_KIND_VERDICT} {
 		highest = max(highest, i.Store.Newest(kind, i.Settings.Instance))
 	}
-	i.publisher.mu.Lock()
+	i.publisher.lock(i.Incarnation)
 	i.publisher.incarnation = max(i.publisher.incarnation, highest) + 1
 	records := make([]*wire.Record, 0, len(i.publisher.held))
 	for kind, held := range i.publisher.held {
@@ -126,7 +135,7 @@
 // withdraw replaces the balancer and verdict records of an instance that
 // stops by tombstones, so that nobody dials or watches it.
 func (i *Instance) withdraw() {
-	i.publisher.mu.Lock()
+	i.publisher.lock(i.Incarnation)
 	var records []*wire.Record
 	for _, kind := range []wire.Record_Kind{wire.Record_KIND_BALANCER, wire.Record_KIND_VERDICT} {
 		if held, ok := i.publisher.held[kind]; ok {
