Test the consensus core

Cause: guards that random schedules reach too seldom need tests of their own: the lease that a restarted member may have answered, entries of earlier terms, votes of another disk, learners.

Run: go test -race -count=1 ./internal/consensus: passes, 1.0 s.

--- /dev/null
+++ b/internal/consensus/core_test.go
@@ -0,0 +1,304 @@
+package consensus_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/consensus"
+	"sassafrasturn.example/internal/wire"
+)
+
+const step = 10 * time.Millisecond
+
+// group runs cores over a network without delays; members that are cut neither
+// send nor receive, and those that are paused do nothing at all.
+type group struct {
+	t        *testing.T
+	now      time.Duration
+	cores    map[uint64]*consensus.Core
+	isCut    map[uint64]bool
+	isPaused map[uint64]bool
+	applied  map[uint64]int
+	mail     []*wire.ConsensusMessage
+}
+
+func member(id uint64, isVoter bool) *wire.ControlMember {
+	return &wire.ControlMember{Id: id, Disk: 100 + id, Voter: isVoter}
+}
+
+func newCore(id uint64, stored consensus.Stored, now time.Duration) *consensus.Core {
+	config := consensus.Config{ID: id, Disk: 100 + id, Rand: rand.New(rand.NewPCG(id, 1))}
+	return consensus.New(config, stored, now)
+}
+
+// newGroup starts as many voters, which know the group already.
+func newGroup(t *testing.T, voters uint64) *group {
+	g := &group{
+		t: t, cores: make(map[uint64]*consensus.Core), isCut: make(map[uint64]bool),
+		isPaused: make(map[uint64]bool), applied: make(map[uint64]int),
+	}
+	config := &wire.ControlGroup{Number: 1, HighestId: voters}
+	for id := range voters {
+		config.Members = append(config.Members, member(id+1, true))
+	}
+	for id := range voters {
+		g.cores[id+1] = newCore(id+1, consensus.Stored{Snapshot: consensus.FirstSnapshot(config)}, 0)
+	}
+	return g
+}
+
+func (g *group) work(id uint64) {
+	core := g.cores[id]
+	for {
+		ready := core.Ready()
+		if ready.IsEmpty() {
+			return
+		}
+		if !g.isCut[id] {
+			g.mail = append(g.mail, ready.Messages...)
+		}
+		g.applied[id] += len(ready.Committed)
+		core.Advance(ready)
+	}
+}
+
+func (g *group) run(duration time.Duration) {
+	for end := g.now + duration; g.now < end; {
+		g.now += step
+		for id := uint64(1); id <= uint64(len(g.cores)); id++ {
+			if !g.isPaused[id] {
+				g.cores[id].Tick(g.now)
+				g.work(id)
+			}
+		}
+		g.deliver()
+	}
+}
+
+func (g *group) deliver() {
+	for len(g.mail) > 0 {
+		m := g.mail[0]
+		g.mail = g.mail[1:]
+		if g.isCut[m.To] || g.isPaused[m.To] || g.cores[m.To] == nil {
+			continue
+		}
+		g.cores[m.To].Step(g.now, m)
+		g.work(m.To)
+	}
+}
+
+// leader runs until one member that is neither cut nor paused leads.
+func (g *group) leader() uint64 {
+	g.t.Helper()
+	for range 100 {
+		g.run(100 * time.Millisecond)
+		for id, core := range g.cores {
+			if !g.isCut[id] && !g.isPaused[id] && core.Status(g.now).Role == consensus.Leader {
+				return id
+			}
+		}
+	}
+	g.t.Fatal("no leader")
+	return 0
+}
+
+func TestLeaderThatIsCutOffStepsDownInTime(t *testing.T) {
+	g := newGroup(t, 3)
+	leader := g.leader()
+	g.isCut[leader] = true
+	g.run(consensus.ElectionTimeout)
+	_, _, err := g.cores[leader].Propose(g.now, []byte("x"))
+	NewWithT(t).Expect(err).To(MatchError(consensus.ErrNotLeader))
+}
+
+// TestLeaderThatWakesUpKnows freezes the leader: its first action after the
+// freeze must find that it leads no longer, before any message has arrived.
+func TestLeaderThatWakesUpKnows(t *testing.T) {
+	expect := NewWithT(t)
+	g := newGroup(t, 3)
+	leader := g.leader()
+	g.isPaused[leader] = true
+	next := g.leader()
+	expect.Expect(next).NotTo(Equal(leader))
+	_, _, err := g.cores[leader].Propose(g.now, []byte("x"))
+	expect.Expect(err).To(MatchError(consensus.ErrNotLeader))
+}
+
+// TestMemberThatReturnsDoesNotDisturb: pre-vote and the lease keep the leader.
+func TestMemberThatReturnsDoesNotDisturb(t *testing.T) {
+	expect := NewWithT(t)
+	g := newGroup(t, 3)
+	leader := g.leader()
+	other := leader%3 + 1
+	g.isCut[other] = true
+	g.run(10 * consensus.ElectionTimeout)
+	term := g.cores[leader].Status(g.now).Term
+	g.isCut[other] = false
+	g.run(3 * consensus.ElectionTimeout)
+	status := g.cores[leader].Status(g.now)
+	expect.Expect(status.Role).To(Equal(consensus.Leader))
+	expect.Expect(status.Term).To(Equal(term))
+}
+
+func vote(term, index, logTerm uint64, from *wire.ControlMember) *wire.ConsensusMessage {
+	return &wire.ConsensusMessage{
+		Kind: wire.ConsensusMessage_KIND_VOTE, Group: 1, From: from.Id, FromDisk: from.Disk, To: 1, ToDisk: 101,
+		Term: term, Index: index, LogTerm: logTerm,
+	}
+}
+
+// TestVotes covers whom a restarted member gives its vote.
+func TestVotes(t *testing.T) {
+	config := &wire.ControlGroup{Number: 1, Members: []*wire.ControlMember{member(1, true), member(2, true), member(3, true)}}
+	snapshot := &wire.LogSnapshot{Index: 5, Term: 2, Group: config}
+	later := consensus.ElectionTimeout
+	for _, test := range []struct {
+		name      string
+		state     *wire.VoteState
+		at        time.Duration
+		m         *wire.ConsensusMessage
+		isGranted bool
+	}{
+		{"granted", &wire.VoteState{Term: 2}, later, vote(3, 5, 2, member(2, true)), true},
+		{"log too short", &wire.VoteState{Term: 2}, later, vote(3, 4, 2, member(2, true)), false},
+		{"log too old", &wire.VoteState{Term: 2}, later, vote(3, 9, 1, member(2, true)), false},
+		{"voted for another", &wire.VoteState{Term: 3, Vote: 3}, later, vote(3, 5, 2, member(2, true)), false},
+		{"voted for the same", &wire.VoteState{Term: 3, Vote: 2}, later, vote(3, 5, 2, member(2, true)), true},
+		{"a leader may hold a lease from before the restart", &wire.VoteState{Term: 2}, later - 1, vote(3, 5, 2, member(2, true)), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			expect := NewWithT(t)
+			core := newCore(1, consensus.Stored{State: test.state, Snapshot: snapshot}, 0)
+			core.Step(test.at, test.m)
+			ready := core.Ready()
+			isGranted := len(ready.Messages) == 1 && !ready.Messages[0].Rejected
+			expect.Expect(isGranted).To(Equal(test.isGranted))
+			if isGranted && test.state.Vote == 0 {
+				expect.Expect(ready.State.GetVote()).To(Equal(test.m.From))
+			}
+		})
+	}
+}
+
+// TestWipedMemberHasNoVote: messages to and from another disk of the ID do not count.
+func TestWipedMemberHasNoVote(t *testing.T) {
+	expect := NewWithT(t)
+	wiped := consensus.New(consensus.Config{ID: 1, Disk: 999, Rand: rand.New(rand.NewPCG(1, 1))}, consensus.Stored{}, 0)
+	wiped.Step(consensus.ElectionTimeout, vote(3, 5, 2, member(2, true)))
+	expect.Expect(wiped.Ready().IsEmpty()).To(BeTrue())
+
+	candidate := newGroup(t, 3).cores[1]
+	candidate.Tick(step)
+	for _, disk := range []uint64{999, 102} {
+		expect.Expect(candidate.Status(step).Role).To(Equal(consensus.PreCandidate))
+		candidate.Step(step, &wire.ConsensusMessage{
+			Kind: wire.ConsensusMessage_KIND_PRE_VOTE_ANSWER, Group: 1, Term: 1, From: 2, FromDisk: disk, To: 1, ToDisk: 101,
+		})
+	}
+	expect.Expect(candidate.Status(step).Role).To(Equal(consensus.Candidate))
+}
+
+// TestEntryOfAnEarlierTermIsNotCommittedAlone is the case of the Raft paper's
+// figure 8: a majority stores an entry of an earlier term, and yet a later
+// leader may replace it, until an entry of the own term is stored.
+func TestEntryOfAnEarlierTermIsNotCommittedAlone(t *testing.T) {
+	expect := NewWithT(t)
+	config := &wire.ControlGroup{Number: 1, Members: []*wire.ControlMember{member(1, true), member(2, true), member(3, true)}}
+	stored := consensus.Stored{
+		State: &wire.VoteState{Term: 3}, Snapshot: consensus.FirstSnapshot(config),
+		Entries: []*wire.LogEntry{{Index: 2, Term: 2, Command: []byte("x")}},
+	}
+	core := newCore(1, stored, 0)
+	now := 2 * consensus.ElectionTimeout
+	core.Tick(now)
+	answer := func(kind wire.ConsensusMessage_Kind, term, index uint64) {
+		core.Advance(core.Ready())
+		core.Step(now, &wire.ConsensusMessage{
+			Kind: kind, Group: 1, Term: term, Index: index, From: 2, FromDisk: 102, To: 1, ToDisk: 101, SentAt: int64(now),
+		})
+	}
+	answer(wire.ConsensusMessage_KIND_PRE_VOTE_ANSWER, 4, 0)
+	answer(wire.ConsensusMessage_KIND_VOTE_ANSWER, 4, 0)
+	expect.Expect(core.Status(now).Role).To(Equal(consensus.Leader))
+	answer(wire.ConsensusMessage_KIND_APPEND_ANSWER, 4, 2)
+	expect.Expect(core.Status(now).Commit).To(BeEquivalentTo(1))
+	answer(wire.ConsensusMessage_KIND_APPEND_ANSWER, 4, 3)
+	expect.Expect(core.Status(now).Commit).To(BeEquivalentTo(3))
+}
+
+// TestLearnerCountsOnlyAfterItHasCaughtUp adds a member that does not answer,
+// then lets it answer.
+func TestLearnerCountsOnlyAfterItHasCaughtUp(t *testing.T) {
+	expect := NewWithT(t)
+	g := newGroup(t, 3)
+	leader := g.leader()
+	core := g.cores[leader]
+	g.cores[4] = newCore(4, consensus.Stored{}, g.now)
+	g.isPaused[4] = true
+	added := member(4, true)
+	added.Replaces = leader%3 + 1
+	_, _, err := core.ProposeAdd(g.now, added)
+	expect.Expect(err).NotTo(HaveOccurred())
+	_, _, err = core.ProposeRemove(g.now, added.Replaces)
+	expect.Expect(err).To(MatchError(consensus.ErrChanging))
+	g.work(leader)
+	g.run(3 * time.Second)
+	expect.Expect(voters(core, g.now)).To(ConsistOf(uint64(1), uint64(2), uint64(3)))
+
+	// Without the replaced member and the learner, two of three still commit.
+	g.isCut[added.Replaces] = true
+	before := core.Status(g.now).Commit
+	_, _, err = core.Propose(g.now, []byte("x"))
+	expect.Expect(err).NotTo(HaveOccurred())
+	g.work(leader)
+	g.run(100 * time.Millisecond)
+	expect.Expect(core.Status(g.now).Commit).To(BeNumerically(">", before))
+
+	g.isPaused[4] = false
+	g.run(10 * time.Second)
+	expect.Expect(voters(core, g.now)).To(HaveLen(3))
+	expect.Expect(voters(core, g.now)).To(ContainElement(uint64(4)))
+	expect.Expect(voters(core, g.now)).NotTo(ContainElement(added.Replaces))
+	_, _, err = core.ProposeAdd(g.now, member(2, true))
+	expect.Expect(err).To(MatchError(ContainSubstring("not used again")))
+}
+
+func voters(core *consensus.Core, now time.Duration) []uint64 {
+	var ids []uint64
+	for _, m := range core.Status(now).Group.Members {
+		if m.Voter {
+			ids = append(ids, m.Id)
+		}
+	}
+	return ids
+}
+
+// TestMemberThatWasAwayCatchesUp with entries, and with a snapshot when the
+// leader has compacted its log.
+func TestMemberThatWasAwayCatchesUp(t *testing.T) {
+	const missed = 500
+	for _, isCompacted := range []bool{false, true} {
+		expect := NewWithT(t)
+		g := newGroup(t, 3)
+		leader := g.leader()
+		away := leader%3 + 1
+		g.isCut[away] = true
+		for range missed {
+			_, _, err := g.cores[leader].Propose(g.now, make([]byte, 1024))
+			expect.Expect(err).NotTo(HaveOccurred())
+		}
+		g.work(leader)
+		g.run(time.Second)
+		if isCompacted {
+			g.cores[leader].Compact([]byte("state"))
+		}
+		g.isCut[away] = false
+		g.run(5 * time.Second)
+		want := g.cores[leader].Status(g.now).Applied
+		expect.Expect(want).To(BeNumerically(">", missed))
+		expect.Expect(g.cores[away].Status(g.now).Applied).To(Equal(want))
+	}
+}
