--- /dev/null
+++ b/cmd/sassafrasturnctl/wait_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/wire"
+)
+
+// TestAwaitAll counts those that fail, asks a bounded number at a time, and
+// does not let slow ones hold up the others one by one.
+func TestAwaitAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const count, slow = 100, 2 * time.Second
+		var targets []target
+		for i := range count {
+			targets = append(targets, target{instance: fmt.Sprintf("instance-%02d", i), link: "link"})
+		}
+		var running, most atomic.Int32
+		started := time.Now()
+		missing := awaitAll(targets, func(t target) error {
+			most.Store(max(most.Load(), running.Add(1)))
+			defer running.Add(-1)
+			time.Sleep(slow)
+			if t.instance == "instance-07" || t.instance == "instance-42" {
+				return errors.New("no answer")
+			}
+			return nil
+		})
+		g.Expect(missing).To(Equal([]string{"instance-07 (link): no answer", "instance-42 (link): no answer"}))
+		g.Expect(most.Load()).To(BeEquivalentTo(waitParallel))
+		g.Expect(time.Since(started)).To(BeNumerically("<=", (count/waitParallel+1)*slow))
+	})
+}
+
+// statusServer answers with an applied index that grows by one with each request.
+type statusServer struct{ applied atomic.Uint64 }
+
+func (s *statusServer) ServeStream(_ context.Context, _ *wire.Request, stream net.Conn) {
+	status := &wire.StatusResponse{AppliedIndex: s.applied.Add(1)}
+	// A client that has gone needs no answer.
+	_ = link.WriteMessage(stream, &wire.Response{Body: &wire.Response_Status{Status: status}})
+}
+
+func TestAwaitIndexAsksUntilApplied(t *testing.T) {
+	g := NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	handler := new(statusServer)
+	go (&link.Server{Handler: handler}).Serve(t.Context(), listener)
+	address := listener.Addr().String()
+	g.Expect(awaitIndex(t.Context(), &link.Dialer{}, address, 3)).To(Succeed())
+	g.Expect(handler.applied.Load()).To(BeEquivalentTo(3))
+
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	g.Expect(awaitIndex(ended, &link.Dialer{}, address, 1)).NotTo(Succeed())
+}
+
+func TestParseControl(t *testing.T) {
+	for _, test := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"list"}, "list:{}"},
+		{[]string{"add", "4@10.0.0.4:7400"}, `add:{id:4 address:"10.0.0.4:7400"}`},
+		{[]string{"replace", "2", "4@10.0.0.4:7400"}, `add:{id:4 address:"10.0.0.4:7400" replaces:2}`},
+		{[]string{"remove", "3"}, "remove:{id:3}"},
+		{[]string{}, ""},
+		{[]string{"add"}, ""},
+		{[]string{"add", "0@10.0.0.4:7400"}, ""},
+		{[]string{"add", "4"}, ""},
+		{[]string{"replace", "x", "4@10.0.0.4:7400"}, ""},
+		{[]string{"remove", "-1"}, ""},
+	} {
+		t.Run(fmt.Sprint(test.args), func(t *testing.T) {
+			g := NewWithT(t)
+			request, err := parseControl(test.args)
+			g.Expect(err != nil).To(Equal(test.want == ""))
+			if err == nil {
+				// The text form varies in its spaces on purpose.
+				g.Expect(normalize(request.String())).To(Equal(normalize(test.want)))
+			}
+		})
+	}
+}
+
+func normalize(text string) string {
+	return strings.Join(strings.Fields(text), " ")
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -28,6 +28,10 @@
 // oldest results lose theirs first, but keep their outcome and version.
 const MaxRememberedBytes = 8 << 20
 
+// MaxDocumentsBytes bounds all documents together, so that a snapshot fits the
+// journal and a message.
+const MaxDocumentsBytes = 64 << 20
+
 // Error is the class of this package's errors.
 var Error = errs.Class("catalog")
 
@@ -60,7 +64,9 @@
 	zones      map[string]*zone
 	zoneIndex  uint64
 	nextNumber uint32
-	remembered results
+	// documentBytes is the size of all documents.
+	documentBytes int
+	remembered    results
 }
 
 // New returns an empty catalog.
@@ -149,6 +155,9 @@
 	if owner := c.owners[submit.Address]; owner != "" && owner != submit.Service {
 		return invalid(index, "%s: [service] address: found %q, allowed: an address that no other service has; %s has it", submit.File, submit.Address, owner)
 	}
+	if size := c.documentBytes + len(submit.Document); size > MaxDocumentsBytes {
+		return invalid(index, "%s: all documents together have at most %d bytes; withdrawn ones count", submit.File, MaxDocumentsBytes)
+	}
 	if held == nil {
 		if c.nextNumber > token.MaxService {
 			return invalid(index, "all service numbers have been used")
@@ -164,6 +173,7 @@
 	c.owners[submit.Address] = submit.Service
 	held.version++
 	held.index = index
+	c.documentBytes += len(submit.Document) - len(held.document)
 	held.document = submit.Document
 	held.address = submit.Address
 	held.isWithdrawn = false
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -175,6 +175,29 @@
 	g.Expect(len(state)).To(BeNumerically("<", catalog.MaxRememberedBytes+2<<20))
 }
 
+// TestDocumentsAreBoundedTogether fills the catalog up, also over a restart.
+func TestDocumentsAreBoundedTogether(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	const size = 1 << 20
+	put := func(i int) wire.CommandResult_Outcome {
+		result, err := c.Apply(uint64(i+1), &wire.Command{Body: &wire.Command_Submit{Submit: &wire.SubmitDocument{
+			Document: make([]byte, size), Service: fmt.Sprint(i), Address: fmt.Sprintf("10.0.0.%d:443", i),
+		}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		return result.Outcome
+	}
+	for i := range catalog.MaxDocumentsBytes / size {
+		g.Expect(put(i)).To(Equal(accepted))
+	}
+	g.Expect(put(100)).To(Equal(invalid))
+	state, err := c.Snapshot()
+	g.Expect(err).NotTo(HaveOccurred())
+	c, err = catalog.Restore(state)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(put(101)).To(Equal(invalid))
+}
+
 // BenchmarkApply replaces documents among 640 services, against one service.
 func BenchmarkApply(b *testing.B) {
 	for _, count := range []int{1, 640} {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -45,6 +45,7 @@
 			number: s.Number, version: s.Version, index: s.Index,
 			document: s.Document, address: s.Address, isWithdrawn: s.Withdrawn, former: s.FormerAddress,
 		}
+		c.documentBytes += len(s.Document)
 		if !s.Withdrawn {
 			c.owners[s.Address] = s.Name
 		}
--- a/internal/journal/frame.go
+++ b/internal/journal/frame.go
@@ -12,7 +12,7 @@
 const (
 	headerBytes = 12
 	// MaxFrameBytes bounds one frame.
-	MaxFrameBytes = 256 << 20
+	MaxFrameBytes = 128 << 20
 )
 
 var checksums = crc32.MakeTable(crc32.Castagnoli)
--- a/internal/machine/control/transport.go
+++ b/internal/machine/control/transport.go
@@ -19,7 +19,7 @@
 	// frameBytes is the size of the parts that a large message is sent in.
 	frameBytes = 1 << 20
 	// maxMessageBytes bounds a message that is put together from its parts.
-	maxMessageBytes = 256 << 20
+	maxMessageBytes = 128 << 20
 	redialInterval  = 200 * time.Millisecond
 	writeTimeout    = 2 * time.Second
 	// maxSenders bounds the members that messages are sent to.
