--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,7 +17,7 @@
 // group runs cores over a network without delays; members that are cut neither
 // send nor receive, and those that are paused do nothing at all.
 type group struct {
-	t        *testing.T
+	t        testing.TB
 	now      time.Duration
 	cores    map[uint64]*consensus.Core
 	isCut    map[uint64]bool
@@ -30,12 +31,20 @@
 }
 
 func newCore(id uint64, stored consensus.Stored, now time.Duration) *consensus.Core {
-	config := consensus.Config{ID: id, Disk: 100 + id, Rand: rand.New(rand.NewPCG(id, 1))}
+	return newSeededCore(id, 1, stored, now)
+}
+
+func newSeededCore(id, seed uint64, stored consensus.Stored, now time.Duration) *consensus.Core {
+	config := consensus.Config{ID: id, Disk: 100 + id, Rand: rand.New(rand.NewPCG(id, seed))}
 	return consensus.New(config, stored, now)
 }
 
 // newGroup starts as many voters, which know the group already.
-func newGroup(t *testing.T, voters uint64) *group {
+func newGroup(t testing.TB, voters uint64) *group {
+	return newSeededGroup(t, voters, 1)
+}
+
+func newSeededGroup(t testing.TB, voters, seed uint64) *group {
 	g := &group{
 		t: t, cores: make(map[uint64]*consensus.Core), isCut: make(map[uint64]bool),
 		isPaused: make(map[uint64]bool), applied: make(map[uint64]int),
@@ -45,7 +54,7 @@
 		config.Members = append(config.Members, member(id+1, true))
 	}
 	for id := range voters {
-		g.cores[id+1] = newCore(id+1, consensus.Stored{Snapshot: consensus.FirstSnapshot(config)}, 0)
+		g.cores[id+1] = newSeededCore(id+1, seed, consensus.Stored{Snapshot: consensus.FirstSnapshot(config)}, 0)
 	}
 	return g
 }
@@ -302,3 +311,20 @@
 		expect.Expect(g.cores[away].Status(g.now).Applied).To(Equal(want))
 	}
 }
+
+// BenchmarkFailover reports how long a group of three has no leader after the
+// leader has died, over the seeds, in steps of 10 ms and without a network delay.
+func BenchmarkFailover(b *testing.B) {
+	var gaps []time.Duration
+	for b.Loop() {
+		g := newSeededGroup(b, 3, uint64(len(gaps)))
+		g.isCut[g.leader()] = true
+		died := g.now
+		g.leader()
+		gaps = append(gaps, g.now-died)
+	}
+	slices.Sort(gaps)
+	b.ReportMetric(gaps[len(gaps)/2].Seconds(), "s-median")
+	b.ReportMetric(gaps[len(gaps)*99/100].Seconds(), "s-p99")
+	b.ReportMetric(gaps[len(gaps)-1].Seconds(), "s-max")
+}
