--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -99,6 +99,9 @@
 func (a *Agent) close() {
 	a.mu.Lock()
 	s := a.serving
+	if a.stopWatch != nil {
+		a.stopWatch()
+	}
 	a.mu.Unlock()
 	if s != nil {
 		s.close()
--- a/internal/machine/agent/drain.go
+++ b/internal/machine/agent/drain.go
@@ -50,7 +50,7 @@
 			busy = time.Now()
 			return false
 		}
-		return s.work.flows.Load() == 0 || time.Since(busy) >= closeGrace
+		return s.work.flows.Load() == 0 || time.Since(busy) >= s.closeGrace
 	})
 	return s.work.requests.Load() == 0
 }
--- a/internal/machine/agent/serving.go
+++ b/internal/machine/agent/serving.go
@@ -48,6 +48,8 @@
 	// takesFlows is false while the endpoint drains, is gone or is not allowed
 	// by the document.
 	takesFlows atomic.Bool
+	// closeGrace is how long callers have at the end of a drain.
+	closeGrace time.Duration
 }
 
 func newServing(a *Agent, number uint32, zone uint8, doc *contract.Document, announced *Announcement) (*serving, error) {
@@ -55,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &serving{agent: a, number: number, zone: zone, packets: newPacketConn(a, number), gate: admit.NewFlowGate()}
+	s := &serving{agent: a, number: number, zone: zone, packets: newPacketConn(a, number), gate: admit.NewFlowGate(), closeGrace: closeGrace}
 	s.doc.Store(doc)
 	s.slots.Store(int64(announced.Slots))
 	s.limiter = admit.NewLimiter(s.ramp(doc), doc.Queue, func(bool) { a.signalChange() })
