--- a/internal/harness/drain_test.go
+++ b/internal/harness/drain_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -42,6 +46,37 @@
 			Eventually(process.Done(), 20*time.Second).Should(BeClosed(), name)
 			Expect(process.ExitCode()).To(Equal(0), name)
 		}
+		control := cluster.Process(harness.ControlName(0))
+		Expect(control.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(control.Done(), 10*time.Second).Should(BeClosed())
+		Expect(control.ExitCode()).To(Equal(0))
+	})
+
+	It("cuts nothing when a process of role all stops, and exits with 0", func() {
+		folder := GinkgoT().TempDir()
+		address := fmt.Sprintf("127.%d.%d.9", 100+os.Getpid()>>8%100, os.Getpid()%256)
+		text, err := os.ReadFile("../../examples/local.ini")
+		Expect(err).NotTo(HaveOccurred())
+		keys, err := os.ReadFile("../../examples/local.keys")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(filepath.Join(folder, "local.keys"), keys, 0o600)).To(Succeed())
+		settings := filepath.Join(folder, "local.ini")
+		Expect(os.WriteFile(settings, bytes.ReplaceAll(text, []byte("127.0.0.1"), []byte(address)), 0o600)).To(Succeed())
+		command := exec.Command(binaries.Daemon, "run", "--settings", settings)
+		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		Expect(command.Start()).To(Succeed())
+		DeferCleanup(func() { _ = command.Process.Kill() })
+		client := newClient()
+		var answer *http.Response
+		Eventually(func() (err error) {
+			answer, err = client.Get("https://" + address + ":8443/clock")
+			return err
+		}, 20*time.Second).Should(Succeed())
+		Expect(command.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		body, err := io.ReadAll(answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Count(body, []byte("\n"))).To(Equal(30))
+		Expect(command.Wait()).To(Succeed())
 	})
 
 	It("tells an endpoint when it is empty and serves its next process, as a cold one", func() {
--- a/internal/machine/sample/sample.go
+++ b/internal/machine/sample/sample.go
@@ -53,6 +53,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/hello", hello)
+	mux.HandleFunc("/clock", clock)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	context.AfterFunc(ctx, func() { server.Close() })
 	go e.introduce(ctx, listener.Addr().String())
@@ -66,6 +67,27 @@
 	fmt.Fprintf(w, "hello from the sample endpoint, over %s\n", r.Proto)
 }
 
+const (
+	clockTick  = 100 * time.Millisecond
+	clockTicks = 30
+)
+
+// clock streams the time for three seconds, so that one sees that a graceful
+// stop lets it end.
+func clock(w http.ResponseWriter, r *http.Request) {
+	ticker := time.NewTicker(clockTick)
+	defer ticker.Stop()
+	for range clockTicks {
+		fmt.Fprintln(w, time.Now().Format(time.RFC3339Nano))
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // introduce submits the sample document and announces the endpoint again and
 // again, so that its agent notices when it is gone.
 func (e *Endpoint) introduce(ctx context.Context, address string) {
