--- a/internal/admit/balance_test.go
+++ b/internal/admit/balance_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 
 	"sassafrasturn.example/internal/admit"
+	"sassafrasturn.example/internal/contract"
 	"sassafrasturn.example/internal/route"
 )
 
@@ -39,6 +40,8 @@
 	waiting []modelRequest
 	busy    time.Duration
 	gate    *admit.FlowGate
+	// cold is set while the endpoint is brought in.
+	cold *coldStart
 	// reported is the load that balancers last heard of.
 	reported float64
 }
@@ -150,22 +153,67 @@
 
 func (m *model) offer(e *modelEndpoint, work time.Duration) {
 	request := modelRequest{came: m.now, work: work}
-	if e.taken >= e.slots {
+	if e.taken >= m.slotsNow(e) {
+		if e.cold != nil && len(e.waiting) >= contract.DefaultQueue {
+			e.cold.refused++
+			return
+		}
 		e.waiting = append(e.waiting, request)
 		return
 	}
 	m.begin(e, request)
 }
 
+// coldStart is an endpoint that warms with the work that it has done.
+type coldStart struct {
+	limit   policy
+	done    int
+	beyond  int
+	refused int
+}
+
+const coldStartWork = 1000
+
+func (c *coldStart) capacity() float64 {
+	return 1 + (modelSlots-1)*min(1, float64(c.done)/coldStartWork)
+}
+
+func (m *model) slotsNow(e *modelEndpoint) int {
+	if e.cold == nil {
+		return e.slots
+	}
+	return e.cold.limit.Slots(time.Time{}.Add(m.now))
+}
+
+// beginCold stretches the work of an endpoint that is given more than it can
+// work on at full speed, and returns what to do at its end.
+func (m *model) beginCold(e *modelEndpoint, request *modelRequest) func() {
+	c := e.cold
+	if float64(e.taken) > 2*c.capacity() {
+		c.beyond++
+	}
+	request.work = time.Duration(float64(request.work) * max(1, float64(e.taken)/c.capacity()))
+	number, inFlight, work := c.limit.Begin(), e.taken, request.work
+	return func() {
+		c.done++
+		c.limit.End(time.Time{}.Add(m.now), number, admit.OutcomeAnswered, work, inFlight)
+	}
+}
+
 func (m *model) begin(e *modelEndpoint, request modelRequest) {
 	e.taken++
+	end := func() {}
+	if e.cold != nil {
+		end = m.beginCold(e, &request)
+	}
 	if m.now >= modelMeasured {
 		m.delays = append(m.delays, m.now-request.came)
 		e.busy += request.work
 	}
 	m.after(request.work, func() {
 		e.taken--
-		if len(e.waiting) > 0 {
+		end()
+		for len(e.waiting) > 0 && e.taken < m.slotsNow(e) {
 			next := e.waiting[0]
 			e.waiting = e.waiting[1:]
 			m.begin(e, next)
@@ -183,7 +231,7 @@
 // The ways to choose an endpoint.
 
 func plainHash(m *model, _ int, id []byte) int {
-	return int(binary.BigEndian.Uint64(id) % uint64(len(m.endpoints)))
+	return int(binary.BigEndian.Uint64(id) % uint64(len(m.routes)))
 }
 
 func roundRobin(m *model, balancer int, _ []byte) int {
@@ -214,7 +262,7 @@
 		decision := e.gate.Decide(time.Time{}.Add(m.now), admit.FlowLoad{
 			Flows:       e.flows,
 			Connections: modelConnections,
-			Work:        admit.Load{Taken: e.taken, Waiting: len(e.waiting), Slots: e.slots, IsWarm: true},
+			Work:        admit.Load{Taken: e.taken, Waiting: len(e.waiting), Slots: m.slotsNow(e), IsWarm: m.slotsNow(e) == e.slots},
 			FullSlots:   modelSlots,
 			IsServing:   true,
 			IsLast:      i == len(candidates)-1,
@@ -306,3 +354,30 @@
 		})
 	}
 }
+
+// join lets the last of 7 endpoints join cold at 100 s under full load.
+func join(seed uint64, choose func(*model, int, []byte) int, limit policy) *coldStart {
+	m := newModel(seed, []int{5, 5, 5, 5, 5, 5, 5}, choose)
+	newcomer := m.endpoints[6]
+	newcomer.cold = &coldStart{limit: limit}
+	all := m.routes
+	m.routes = all[:6]
+	m.after(modelEnd/2, func() { m.routes = all })
+	m.run()
+	return newcomer.cold
+}
+
+func TestAnEndpointThatJoinsColdIsNotOverrun(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(5) {
+		own := join(seed, product, admit.NewLimit(defaultRamp))
+		naive := join(seed, plainHash, fullAtOnce())
+		mixed := join(seed, plainHash, admit.NewLimit(defaultRamp))
+		t.Logf("seed %d: beyond what it bears, refused, done: product %d %d %d, plain hashing and full slots %d %d %d, plain hashing and the limit %d %d %d",
+			seed, own.beyond, own.refused, own.done, naive.beyond, naive.refused, naive.done, mixed.beyond, mixed.refused, mixed.done)
+		g.Expect(own.beyond).To(BeZero())
+		g.Expect(own.refused).To(BeZero())
+		g.Expect(naive.beyond).To(BeNumerically(">", 0), "plain hashing and full slots")
+		g.Expect(mixed.refused).To(BeNumerically(">", 0), "plain hashing and the limit")
+	}
+}
--- a/internal/admit/flows.go
+++ b/internal/admit/flows.go
@@ -64,9 +64,12 @@
 	// flowWeight is what a flow counts for against the use of the slots: both
 	// are shares of what the endpoint can hold.
 	flowWeight = 3.0
-	// littleUse is the share of the slots in use below which a flow is accepted
-	// without asking anybody.
+	// littleUse is the share of the slots in use below which a warm endpoint
+	// accepts a flow without asking anybody.
 	littleUse = 0.3
+	// coldHeadroom divides the flows that a cold endpoint may take: those that
+	// it has accepted stay, and their requests come later.
+	coldHeadroom = 3.0
 )
 
 // FlowGate decides new flows by service hunting. The first candidate accepts
@@ -96,7 +99,7 @@
 		return handOn(load, FlowHardLimit, own)
 	case load.IsLast:
 		return FlowDecision{FlowAccept, FlowLastCandidate, own}
-	case use < littleUse:
+	case use < littleUse && load.Work.IsWarm:
 		return FlowDecision{FlowAccept, FlowLittleWork, own}
 	case load.Carried == 0:
 		return handOn(load, FlowCompare, own)
@@ -145,5 +148,8 @@
 // that the slots which may be taken now are worth.
 func (l FlowLoad) flowShare() float64 {
 	worth := float64(l.Connections) * float64(l.Work.Slots) / float64(l.FullSlots)
+	if !l.Work.IsWarm {
+		worth /= coldHeadroom
+	}
 	return float64(l.Flows) / worth
 }
--- a/internal/admit/flows_test.go
+++ b/internal/admit/flows_test.go
@@ -10,17 +10,18 @@
 )
 
 func TestFlowGate(t *testing.T) {
-	busy := admit.FlowLoad{Flows: 100, Connections: 2000, FullSlots: 5, Work: admit.Load{Taken: 3, Slots: 5}, IsServing: true}
+	busy := admit.FlowLoad{Flows: 100, Connections: 2000, FullSlots: 5, Work: admit.Load{Taken: 3, Slots: 5, IsWarm: true}, IsServing: true}
 	cases := map[string]struct {
 		change func(l *admit.FlowLoad)
 		choice admit.FlowChoice
 		reason admit.FlowReason
 	}{
 		"idle":                    {func(l *admit.FlowLoad) { l.Work.Taken = 0 }, admit.FlowAccept, admit.FlowLittleWork},
+		"idle and cold":           {func(l *admit.FlowLoad) { l.Work = admit.Load{Slots: 1} }, admit.FlowHandOn, admit.FlowCompare},
 		"first candidate":         {func(*admit.FlowLoad) {}, admit.FlowHandOn, admit.FlowCompare},
 		"less loaded":             {func(l *admit.FlowLoad) { l.Carried = 0.8 }, admit.FlowAccept, admit.FlowLessLoaded},
 		"more loaded":             {func(l *admit.FlowLoad) { l.Carried = 0.7 }, admit.FlowHandOn, admit.FlowMoreLoaded},
-		"cold, with less work":    {func(l *admit.FlowLoad) { l.Work.Taken, l.Work.Slots, l.Carried = 1, 1, 0.8 }, admit.FlowHandOn, admit.FlowMoreLoaded},
+		"cold, with less work":    {func(l *admit.FlowLoad) { l.Work, l.Carried = admit.Load{Taken: 1, Slots: 1}, 0.8 }, admit.FlowHandOn, admit.FlowMoreLoaded},
 		"last":                    {func(l *admit.FlowLoad) { l.IsLast, l.Carried = true, 0.1 }, admit.FlowAccept, admit.FlowLastCandidate},
 		"paused":                  {func(l *admit.FlowLoad) { l.Work.Slots = 0 }, admit.FlowHandOn, admit.FlowNoSlots},
 		"paused, last":            {func(l *admit.FlowLoad) { l.Work.Slots, l.IsLast = 0, true }, admit.FlowAccept, admit.FlowLastCandidate},
