--- a/internal/admit/limit.go
+++ b/internal/admit/limit.go
@@ -41,6 +41,7 @@
 	ramp    Ramp
 	current float64
 
+	// window holds the latencies of answers that came while the limit was in use.
 	window   []time.Duration
 	baseline time.Duration
 	// slowRun counts the last answers in a row that were slow.
@@ -120,12 +121,16 @@
 	if request <= l.cutAt {
 		return
 	}
-	l.window = append(l.window, latency)
 	l.countSlow(latency)
 	if l.slowRun >= cutSamples {
 		l.cutForJump()
 		return
 	}
+	// An unused limit proves nothing about a higher one.
+	if inFlight < int(l.current) {
+		return
+	}
+	l.window = append(l.window, latency)
 	if len(l.window) < l.ramp.Answers {
 		return
 	}
@@ -134,8 +139,7 @@
 	l.learn(median)
 	l.window = l.window[:0]
 	l.cuts, l.pause = 0, 0
-	// An unused limit proves nothing about a higher one.
-	if isFast && inFlight >= int(l.current) {
+	if isFast {
 		l.current = min(l.current+max(1, float64(int(l.current*raiseShare))), float64(l.ramp.Slots))
 	}
 }
--- a/internal/admit/limit_test.go
+++ b/internal/admit/limit_test.go
@@ -266,3 +266,20 @@
 	// A naive limit of 1 would have offered 60,000; the pause allows one in 2 s.
 	g.Expect(offered).To(BeNumerically("<=", 40))
 }
+
+func TestLimitRisesOnlyWhileItIsInUse(t *testing.T) {
+	g := NewWithT(t)
+	limit := admit.NewLimit(admit.Ramp{Start: 2, Answers: 10, Slots: fullSlots})
+	answer := func(inFlight int) {
+		limit.End(time.Time{}, limit.Begin(), admit.OutcomeAnswered, tick, inFlight)
+	}
+	for range 1000 {
+		answer(1)
+	}
+	g.Expect(limit.Slots(time.Time{})).To(Equal(2))
+	// Two at a time use a limit of 2, not one of 3.
+	for i := range 60 {
+		answer(1 + i%2)
+	}
+	g.Expect(limit.Slots(time.Time{})).To(Equal(3))
+}
