Stop the callers of the zone spec when it fails

Cause: after a failed expectation the callers went on and hid it behind an error of the cleanup. Command: go test -count=1 ./internal/harness -args -ginkgo.focus 'gets no packet'

--- a/internal/harness/zone_test.go
+++ b/internal/harness/zone_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"crypto/rand"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -73,15 +72,15 @@
 }
 
 // newFlows opens a flow every 50 ms until done and counts those that failed.
-func newFlows(cluster *harness.Cluster, done <-chan struct{}) (failed map[string]error, reached map[string]int) {
-	failed, reached = make(map[string]error), make(map[string]int)
+func newFlows(cluster *harness.Cluster, done <-chan struct{}) (failed map[string]error) {
+	failed = make(map[string]error)
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for i := 0; ; i++ {
 		select {
 		case <-done:
-			return failed, reached
+			return failed
 		case <-time.After(50 * time.Millisecond):
 		}
 		client := newClient()
@@ -93,8 +92,6 @@
 				failed[fmt.Sprint("flow ", i)] = err
 				return
 			}
-			reached[answer.Header.Get("Endpoint")]++
-			io.Copy(io.Discard, answer.Body)
 			answer.Body.Close()
 		})
 	}
@@ -120,7 +117,9 @@
 		done := make(chan struct{})
 		finished := make(chan struct{})
 		var failed map[string]error
-		go func() { defer close(finished); failed, _ = newFlows(cluster, done) }()
+		go func() { defer close(finished); failed = newFlows(cluster, done) }()
+		stopFlows := sync.OnceFunc(func() { close(done); <-finished })
+		defer stopFlows()
 		time.Sleep(zoneOutBound)
 		before := arrivals(cluster)
 		time.Sleep(zoneWatch)
@@ -128,8 +127,7 @@
 		Expect(frozen.Signal(syscall.SIGCONT)).To(Succeed())
 		time.Sleep(zoneWatch)
 		Expect(arrivals(cluster)).To(Equal(before), "no packet from the balancer that was frozen")
-		close(done)
-		<-finished
+		stopFlows()
 		Expect(failed).To(BeEmpty(), "new flows reach the other zones")
 
 		inZone := 0
