--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -1,16 +1,15 @@
 // Package envelope seals and opens the authenticated envelopes that carry
 // callers' datagrams between balancers and agents over UDP.
 //
-// On the wire an envelope is one byte of format, one byte of key epoch, a tag
-// over the format, the epoch and the message, and the protobuf message.
+// On the wire an envelope is one byte of format, one byte of key epoch, a nonce,
+// an AES-GCM tag over the message, and the protobuf message in the clear: the
+// payload is a QUIC datagram, which is encrypted already.
 package envelope
 
 import (
-	"crypto/hmac"
-	"crypto/sha256"
-	"hash"
+	"crypto/aes"
+	"crypto/cipher"
 	"net/netip"
-	"sync"
 
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
@@ -32,43 +31,52 @@
 const MaxBytes = 65507
 
 const (
-	format      = 1
+	format      = 2
+	nonceStart  = 2
+	nonceBytes  = 12
+	tagStart    = nonceStart + nonceBytes
 	tagBytes    = 16
-	headerBytes = 2 + tagBytes
-	keyBytes    = 32
+	headerBytes = tagStart + tagBytes
+	keyBytes    = 16
 	purpose     = "envelope tag"
 )
 
 // Sealer seals and opens envelopes. It is safe for concurrent use and follows
 // rotations of its keyring.
 type Sealer struct {
-	macs *keyring.Working[*sync.Pool]
+	tags   *keyring.Working[cipher.AEAD]
+	nonces nonceSource
 }
 
 // NewSealer makes a sealer for all epochs of the keyring.
 func NewSealer(keys *keyring.Keyring) (*Sealer, error) {
-	macs, err := keyring.NewWorking(keys, newMACs)
+	tags, err := keyring.NewWorking(keys, newTagger)
 	if err != nil {
 		return nil, err
 	}
-	return &Sealer{macs: macs}, nil
+	return &Sealer{tags: tags}, nil
 }
 
-func newMACs(derive func(purpose string, length int) ([]byte, error)) (*sync.Pool, error) {
+func newTagger(derive func(purpose string, length int) ([]byte, error)) (cipher.AEAD, error) {
 	key, err := derive(purpose, keyBytes)
 	if err != nil {
 		return nil, err
 	}
-	return &sync.Pool{New: func() any { return hmac.New(sha256.New, key) }}, nil
+	block, err := aes.NewCipher(key)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	tagger, err := cipher.NewGCM(block)
+	return tagger, Error.Wrap(err)
 }
 
 // Seal appends the sealed envelope to buffer.
 func (s *Sealer) Seal(buffer []byte, message *wire.Envelope) ([]byte, error) {
 	start := len(buffer)
-	epoch, macs := s.macs.Current()
-	var noTag [tagBytes]byte
+	epoch, tagger := s.tags.Current()
+	var space [headerBytes - nonceStart]byte
 	buffer = append(buffer, format, byte(epoch))
-	buffer = append(buffer, noTag[:]...)
+	buffer = append(buffer, space[:]...)
 	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, message)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -77,7 +85,9 @@
 	if len(sealed) > MaxBytes {
 		return nil, Error.New("envelope of %d bytes, at most %d fit", len(sealed), MaxBytes)
 	}
-	tag(macs, sealed, sealed[2:headerBytes])
+	nonce := sealed[nonceStart:tagStart]
+	s.nonces.next(nonce)
+	tagger.Seal(sealed[tagStart:tagStart], nonce, nil, sealed[headerBytes:])
 	return buffer, nil
 }
 
@@ -86,13 +96,11 @@
 	if len(data) < headerBytes || data[0] != format {
 		return ErrMalformed
 	}
-	macs, ok := s.macs.Of(keyring.Epoch(data[1]))
+	tagger, ok := s.tags.Of(keyring.Epoch(data[1]))
 	if !ok {
 		return ErrForged
 	}
-	var want [tagBytes]byte
-	tag(macs, data, want[:])
-	if !hmac.Equal(want[:], data[2:headerBytes]) {
+	if _, err := tagger.Open(nil, data[nonceStart:tagStart], data[tagStart:headerBytes], data[headerBytes:]); err != nil {
 		return ErrForged
 	}
 	if err := proto.Unmarshal(data[headerBytes:], message); err != nil {
@@ -101,16 +109,6 @@
 	return nil
 }
 
-func tag(pool *sync.Pool, sealed, into []byte) {
-	mac := pool.Get().(hash.Hash)
-	mac.Reset()
-	mac.Write(sealed[:2])
-	mac.Write(sealed[headerBytes:])
-	var sum [sha256.Size]byte
-	copy(into, mac.Sum(sum[:0])[:tagBytes])
-	pool.Put(mac)
-}
-
 const portBytes = 2
 
 // PackAddress gives an address as it stands in envelopes and records.
