--- a/internal/machine/balancer/view.go
+++ b/internal/machine/balancer/view.go
@@ -104,9 +104,9 @@
 	endpoints map[string]*heldEndpoint
 	// byService lists the instances of each service.
 	byService map[string]map[string]bool
-	// owners tells which instance announced itself last at an agent address.
-	owners map[string]string
-	zones  *zoneTable
+	// byAddress lists the instances that have announced themselves at each agent address.
+	byAddress map[string]map[string]bool
+	zones     *zoneTable
 }
 
 func newCatalogView() *catalogView {
@@ -114,7 +114,7 @@
 		services:  make(map[string]*heldService),
 		endpoints: make(map[string]*heldEndpoint),
 		byService: make(map[string]map[string]bool),
-		owners:    make(map[string]string),
+		byAddress: make(map[string]map[string]bool),
 		zones:     &zoneTable{numbers: make(map[string]uint8)},
 	}
 }
@@ -173,34 +173,65 @@
 		return nil
 	}
 	c := b.catalog
-	affected := []string{endpoint.Service}
-	if earlier := c.endpoints[instance]; earlier != nil && earlier.Service != endpoint.Service {
-		delete(c.byService[earlier.Service], instance)
-		affected = append(affected, earlier.Service)
-	}
-	if c.byService[endpoint.Service] == nil {
-		c.byService[endpoint.Service] = make(map[string]bool)
+	affected := c.remove(instance)
+	c.add(instance, &heldEndpoint{Endpoint: endpoint, incarnation: record.Major})
+	return append(affected, c.servicesAt(string(endpoint.Address))...)
+}
+
+func (c *catalogView) add(instance string, endpoint *heldEndpoint) {
+	c.endpoints[instance] = endpoint
+	addTo(c.byService, endpoint.Service, instance)
+	addTo(c.byAddress, string(endpoint.Address), instance)
+}
+
+func addTo(sets map[string]map[string]bool, key, instance string) {
+	if sets[key] == nil {
+		sets[key] = make(map[string]bool)
 	}
-	c.byService[endpoint.Service][instance] = true
-	c.endpoints[instance] = &heldEndpoint{Endpoint: endpoint, incarnation: record.Major}
-	return append(affected, c.takeAddress(instance)...)
+	sets[key][instance] = true
 }
 
-// takeAddress notes which instance has announced itself last at an agent
-// address: a process that took over an IP address and port ends the endpoint
-// that was there before. It returns the service of that one.
-func (c *catalogView) takeAddress(instance string) []string {
+// remove forgets the endpoint of an instance and returns the services that it affects.
+func (c *catalogView) remove(instance string) []string {
 	endpoint := c.endpoints[instance]
-	address := string(endpoint.Address)
-	owner := c.endpoints[c.owners[address]]
-	if owner != nil && owner.incarnation > endpoint.incarnation {
+	if endpoint == nil {
 		return nil
 	}
-	c.owners[address] = instance
-	if owner == nil || owner == endpoint {
-		return nil
+	address := string(endpoint.Address)
+	affected := c.servicesAt(address)
+	delete(c.endpoints, instance)
+	removeFrom(c.byService, endpoint.Service, instance)
+	removeFrom(c.byAddress, address, instance)
+	return affected
+}
+
+func removeFrom(sets map[string]map[string]bool, key, instance string) {
+	delete(sets[key], instance)
+	if len(sets[key]) == 0 {
+		delete(sets, key)
+	}
+}
+
+// servicesAt returns the services that have or had an endpoint at the agent address.
+func (c *catalogView) servicesAt(address string) []string {
+	var services []string
+	for instance := range c.byAddress[address] {
+		services = append(services, c.endpoints[instance].Service)
+	}
+	return services
+}
+
+// isOwner reports whether the instance is the one that announced itself last
+// at its agent address: a process that takes over an IP address and port ends
+// the endpoint that was there before.
+func (c *catalogView) isOwner(instance string) bool {
+	endpoint := c.endpoints[instance]
+	for other := range c.byAddress[string(endpoint.Address)] {
+		if c.endpoints[other].incarnation > endpoint.incarnation {
+			return false
+		}
 	}
-	return []string{owner.Service}
+	return true
 }
 
 func (b *Balancer) readZones() *zoneTable {
@@ -220,9 +251,8 @@
 func (b *Balancer) readEndpoints(service string) []*wire.Endpoint {
 	var endpoints []*wire.Endpoint
 	for instance := range b.catalog.byService[service] {
-		endpoint := b.catalog.endpoints[instance]
-		if b.catalog.owners[string(endpoint.Address)] == instance {
-			endpoints = append(endpoints, endpoint.Endpoint)
+		if b.catalog.isOwner(instance) {
+			endpoints = append(endpoints, b.catalog.endpoints[instance].Endpoint)
 		}
 	}
 	return endpoints
