Give up addresses before others take them, and end withdrawn services

Cause: balancers ignored a withdrawal; and a service could take a local address from another one that still had it (two documents with one port under delivery at the document's port), or fail to when two services swapped addresses and the views were rebuilt in the wrong order.

Now all addresses are given up before any is taken, an address in use is never taken and the clash is logged with what to do, and a withdrawn service keeps serving established flows until another one gets its address. Tests: internal/machine/balancer/addresses_test.go.

--- a/internal/machine/balancer/addresses.go
+++ b/internal/machine/balancer/addresses.go
@@ -19,21 +19,33 @@
 )
 
 // applyService puts a view in force at the service's address and opens the
-// socket when there is none. The address before goes on serving established
-// flows for a while: callers send to the address that they dialed, and answers
-// must come from there.
+// socket when there is none.
 func (b *Balancer) applyService(ctx context.Context, service *heldService, view *route.View) {
+	if service.isWithdrawn {
+		return
+	}
 	current := b.listenAddress(service.doc.Address)
 	b.listenAt(ctx, service, service.doc.Address, view)
-	former := *view
-	former.IsFormer = true
 	if local := b.listenAddress(service.former); service.former.IsValid() && local != current && b.listenerAt(local) == nil {
-		b.listenAt(ctx, service, service.former, &former)
+		b.listenAt(ctx, service, service.former, formerView(view))
 	}
+}
+
+func formerView(view *route.View) *route.View {
+	former := *view
+	former.IsFormer = true
+	return &former
+}
+
+// retireAddresses lets the addresses that a service no longer has serve only
+// established flows for a while: callers send to the address that they dialed,
+// and answers must come from there. Another service may take them over.
+func (b *Balancer) retireAddresses(service *heldService, view *route.View) {
 	for _, l := range *b.listeners.Load() {
-		if l.number == service.number && l.local != current {
+		isCurrent := !service.isWithdrawn && l.local == b.listenAddress(service.doc.Address)
+		if l.number == service.number && !isCurrent {
 			l.retire(time.Now())
-			l.view.Store(&former)
+			l.view.Store(formerView(view))
 		}
 	}
 }
@@ -58,8 +70,12 @@
 		held.view.Store(view)
 		return
 	}
+	if held != nil && !held.view.Load().IsFormer {
+		b.instance.Log.Error().Str("service", service.doc.Service).Str("other", held.service).Stringer("address", local).
+			Msg("address not bound: the other service is delivered there; with delivery = document-port give every service a port of its own")
+		return
+	}
 	if held != nil {
-		// Control gives no address to two services: it was this one's former address.
 		b.removeListener(held)
 	}
 	conn, err := b.instance.ListenUDP(local)
--- a/internal/machine/balancer/view.go
+++ b/internal/machine/balancer/view.go
@@ -89,6 +89,8 @@
 	number uint32
 	doc    *contract.Document
 	former netip.AddrPort
+	// isWithdrawn: the service has ended; established flows go on for a while.
+	isWithdrawn bool
 }
 
 // heldEndpoint is an endpoint as its newest record says.
@@ -141,11 +143,24 @@
 			services[name] = true
 		}
 	}
-	for name := range services {
+	b.applyServices(ctx, services)
+}
+
+// applyServices puts the views of the named services in force. Addresses are
+// given up before others are taken, since one service may get another's.
+func (b *Balancer) applyServices(ctx context.Context, names map[string]bool) {
+	views := make(map[*heldService]*route.View)
+	for name := range names {
 		if service := b.catalog.services[name]; service != nil {
-			b.applyService(ctx, service, b.buildView(service))
+			views[service] = b.buildView(service)
 		}
 	}
+	for service, view := range views {
+		b.retireAddresses(service, view)
+	}
+	for service, view := range views {
+		b.applyService(ctx, service, view)
+	}
 }
 
 func (b *Balancer) readService(name string) {
@@ -161,7 +176,7 @@
 	}
 	// An address that does not parse is as good as none.
 	former, _ := netip.ParseAddrPort(service.FormerAddress)
-	b.catalog.services[name] = &heldService{number: service.Number, doc: doc, former: former}
+	b.catalog.services[name] = &heldService{number: service.Number, doc: doc, former: former, isWithdrawn: service.Withdrawn}
 }
 
 // readEndpoint reads the record of an instance and returns the services whose
