Close the flows of a zone that goes out instead of leaving them silent

Cause: balancers drop what goes into the zone, but what the agents there still send kept callers' silence timeouts from running out, for 8 s. Ruled out: a grace at the balancers, which a frozen one would apply anew when it wakes; a shorter timeout at the callers, which costs all of them pings.

--- a/internal/machine/agent/guard.go
+++ b/internal/machine/agent/guard.go
@@ -59,7 +59,10 @@
 	if slices.ContainsFunc(records, isZone) || (len(a.guard.Load().out) > 0 && slices.ContainsFunc(records, isEndpoint)) {
 		a.guardMu.Lock()
 		defer a.guardMu.Unlock()
-		a.guard.Store(a.readGuard())
+		next := a.readGuard()
+		if previous := a.guard.Swap(next); next.isZoneOut && !previous.isZoneOut {
+			go a.giveUpFlows()
+		}
 	}
 }
 
--- a/internal/machine/agent/inflight.go
+++ b/internal/machine/agent/inflight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
@@ -16,6 +17,46 @@
 	handshakes atomic.Int64
 	// requests are those whose handler runs.
 	requests atomic.Int64
+
+	mu sync.Mutex
+	// open are the connections that the HTTP server serves.
+	open map[*connection]struct{}
+}
+
+// connection is a served connection and the number of its running requests.
+type connection struct {
+	conn     *quic.Conn
+	requests atomic.Int64
+}
+
+type connectionKey struct{}
+
+// countConnection is the ConnContext of the HTTP server.
+func (f *inFlight) countConnection(ctx context.Context, conn *quic.Conn) context.Context {
+	c := &connection{conn: conn}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.open == nil {
+		f.open = make(map[*connection]struct{})
+	}
+	f.open[c] = struct{}{}
+	context.AfterFunc(conn.Context(), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.open, c)
+	})
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// connections returns the connections that are served now.
+func (f *inFlight) connections() []*connection {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	connections := make([]*connection, 0, len(f.open))
+	for c := range f.open {
+		connections = append(connections, c)
+	}
+	return connections
 }
 
 // countFlow is the ConnContext of the transport; ctx ends with the connection.
@@ -47,6 +88,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.requests.Add(1)
 		defer f.requests.Add(-1)
+		if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+			c.requests.Add(1)
+			defer c.requests.Add(-1)
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
