--- a/internal/machine/agent/drain_test.go
+++ b/internal/machine/agent/drain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -43,6 +44,8 @@
 announce = 127.0.0.1:0
 `
 
+const testRampAnswers = 8
+
 // startAgent runs an agent that knows the services "one" and "two".
 func startAgent(t *testing.T) *Agent {
 	g := NewWithT(t)
@@ -61,7 +64,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	merge(g, instance, wire.Record_KIND_ZONE, "a", &wire.Zone{Number: 1, Name: "a"})
 	for i, name := range []string{"one", "two"} {
-		document := fmt.Sprintf("[service]\nname = %s\naddress = 127.0.0.1:%d\n[endpoints]\nallow = 127.0.0.0/8\n", name, 8443+i)
+		document := fmt.Sprintf("[service]\nname = %s\naddress = 127.0.0.1:%d\n[endpoints]\nallow = 127.0.0.0/8\n[ramp]\nanswers = %d\n", name, 8443+i, testRampAnswers)
 		merge(g, instance, wire.Record_KIND_SERVICE, name, &wire.Service{Number: uint32(i + 1), Document: []byte(document)})
 	}
 	a, err := New(instance)
@@ -300,3 +303,30 @@
 	g.Expect(a.announce(&Announcement{Service: "one", Address: address})).To(Succeed())
 	g.Expect(fetch(client, r.url())).To(Equal("200 endpoint of two"), "announced again")
 }
+
+func TestLongBodiesAreNoLatencyJump(t *testing.T) {
+	g := NewWithT(t)
+	a := startAgent(t)
+	var isLong atomic.Bool
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		w.(http.Flusher).Flush()
+		if isLong.Load() {
+			time.Sleep(300 * time.Millisecond)
+		}
+		fmt.Fprint(w, "whole")
+	}))
+	t.Cleanup(endpoint.Close)
+	s := announceAndWait(t, a, "one", endpoint.Listener.Addr().String())
+	r, client := startRelay(t, a, 1, 0), h3Client(t)
+	for range 2 * testRampAnswers {
+		g.Expect(fetch(client, r.url())).To(Equal("200 whole"))
+	}
+	before := s.limiter.Load().Slots
+	g.Expect(before).To(BeNumerically(">", 1))
+	isLong.Store(true)
+	for range 5 {
+		g.Expect(fetch(client, r.url())).To(Equal("200 whole"))
+	}
+	g.Expect(s.limiter.Load().Slots).To(Equal(before))
+}
--- a/internal/machine/agent/once.go
+++ b/internal/machine/agent/once.go
@@ -107,6 +107,7 @@
 		return
 	}
 	defer answer.close()
+	slot.MarkAnswering()
 	outcome := outcomeOf(answer.StatusCode)
 	defer slot.Release(outcome)
 	if c.isStreaming() {
--- a/internal/machine/agent/proxy.go
+++ b/internal/machine/agent/proxy.go
@@ -101,6 +101,7 @@
 		return
 	}
 	defer answer.close()
+	slot.MarkAnswering()
 	outcome := outcomeOf(answer.StatusCode)
 	if c.isStreaming() {
 		slot.Release(outcome)
