--- a/internal/machine/agent/drain.go
+++ b/internal/machine/agent/drain.go
@@ -11,6 +11,9 @@
 	// closeGrace is how long callers have to fetch the end of their last answer
 	// and close the connection by themselves.
 	closeGrace = 5 * time.Second
+	// spreadTime is how long the news of the drain may take to reach every
+	// balancer; until then new flows are still offered and handed on.
+	spreadTime = 2 * time.Second
 	drainPoll  = 20 * time.Millisecond
 	// drainSettle is how long a datagram may take from the hunt to the transport.
 	drainSettle = 5 * drainPoll
@@ -21,6 +24,8 @@
 // connection, the requests in flight come to an end, and the connections that
 // callers leave open are closed. It reports whether it was done before ctx ended.
 func (s *serving) drain(ctx context.Context) bool {
+	spread, cancelSpread := context.WithTimeout(ctx, spreadTime)
+	defer cancelSpread()
 	s.takesFlows.Store(false)
 	s.finishHandshakes(ctx)
 	s.hunt.close()
@@ -31,6 +36,7 @@
 		_ = s.server.Shutdown(ctx)
 	}()
 	isEmpty := s.waitUntilQuiet(ctx)
+	<-spread.Done()
 	if !isEmpty {
 		s.agent.instance.Log.Warn().
 			Int64("requests", s.work.requests.Load()).
--- a/internal/machine/agent/drain_test.go
+++ b/internal/machine/agent/drain_test.go
@@ -113,12 +113,13 @@
 type relay struct {
 	callers, agents *net.UDPConn
 	delay           time.Duration
+	candidates      [][]byte
 	replied         chan struct{}
 }
 
-func startRelay(t *testing.T, a *Agent, service uint32, delay time.Duration) *relay {
+func startRelay(t *testing.T, a *Agent, service uint32, delay time.Duration, candidates ...[]byte) *relay {
 	g := NewWithT(t)
-	r := &relay{delay: delay, replied: make(chan struct{})}
+	r := &relay{delay: delay, candidates: candidates, replied: make(chan struct{})}
 	for _, conn := range []**net.UDPConn{&r.callers, &r.agents} {
 		var err error
 		*conn, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -141,6 +142,7 @@
 		message := &wire.Envelope{
 			Kind: wire.Envelope_KIND_FORWARD, Service: service, Payload: buffer[:n],
 			Caller: envelope.PackAddress(caller), Dialed: envelope.PackAddress(dialed),
+			Candidates: r.candidates,
 		}
 		sealed, err := a.sealer.Seal(nil, message)
 		if err != nil {
@@ -269,6 +271,31 @@
 	g.Expect(closed.ErrorCode).To(Equal(quic.ApplicationErrorCode(http3.ErrCodeNoError)))
 }
 
+func TestDrainHandsNewFlowsOnUntilEveryBalancerKnows(t *testing.T) {
+	g := NewWithT(t)
+	a := startAgent(t)
+	_, address, _ := startEndpoint(t, "endpoint of one", "127.0.0.1:0")
+	announceAndWait(t, a, "one", address)
+	next, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { next.Close() })
+	r := startRelay(t, a, 1, 0, envelope.PackAddress(next.LocalAddr().(*net.UDPAddr).AddrPort()))
+	drained := make(chan bool, 1)
+	go func() { drained <- a.drainEndpoint(t.Context(), "test") }()
+	// Nothing is in flight, but a balancer's view may be old.
+	time.Sleep(spreadTime / 2)
+	go fetch(h3Client(t), r.url())
+	g.Expect(next.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+	buffer := make([]byte, 4096)
+	n, err := next.Read(buffer)
+	g.Expect(err).NotTo(HaveOccurred(), "the flow was not handed on")
+	handedOn := new(wire.Envelope)
+	g.Expect(a.sealer.Open(buffer[:n], handedOn)).To(Succeed())
+	g.Expect(handedOn.Hop).To(Equal(uint32(1)))
+	g.Expect(handedOn.Candidates).To(BeEmpty(), "the draining agent is no candidate")
+	g.Expect(<-drained).To(BeTrue())
+}
+
 func TestAnotherServiceAtTheAgentGetsNoneOfTheEarlierRequests(t *testing.T) {
 	g := NewWithT(t)
 	a := startAgent(t)
