--- a/internal/machine/agent/drain_test.go
+++ b/internal/machine/agent/drain_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -43,6 +44,8 @@
 announce = 127.0.0.1:0
 `
 
+const testRampAnswers = 8
+
 // startAgent runs an agent that knows the services "one" and "two".
 func startAgent(t *testing.T) *Agent {
 	g := NewWithT(t)
@@ -61,7 +64,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	merge(g, instance, wire.Record_KIND_ZONE, "a", &wire.Zone{Number: 1, Name: "a"})
 	for i, name := range []string{"one", "two"} {
-		document := fmt.Sprintf("[service]\nname = %s\naddress = 127.0.0.1:%d\n[endpoints]\nallow = 127.0.0.0/8\n", name, 8443+i)
+		document := fmt.Sprintf("[service]\nname = %s\naddress = 127.0.0.1:%d\n[endpoints]\nallow = 127.0.0.0/8\n[ramp]\nanswers = %d\n", name, 8443+i, testRampAnswers)
 		merge(g, instance, wire.Record_KIND_SERVICE, name, &wire.Service{Number: uint32(i + 1), Document: []byte(document)})
 	}
 	a, err := New(instance)
@@ -110,12 +113,13 @@
 type relay struct {
 	callers, agents *net.UDPConn
 	delay           time.Duration
+	candidates      [][]byte
 	replied         chan struct{}
 }
 
-func startRelay(t *testing.T, a *Agent, service uint32, delay time.Duration) *relay {
+func startRelay(t *testing.T, a *Agent, service uint32, delay time.Duration, candidates ...[]byte) *relay {
 	g := NewWithT(t)
-	r := &relay{delay: delay, replied: make(chan struct{})}
+	r := &relay{delay: delay, candidates: candidates, replied: make(chan struct{})}
 	for _, conn := range []**net.UDPConn{&r.callers, &r.agents} {
 		var err error
 		*conn, err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -138,6 +142,7 @@
 		message := &wire.Envelope{
 			Kind: wire.Envelope_KIND_FORWARD, Service: service, Payload: buffer[:n],
 			Caller: envelope.PackAddress(caller), Dialed: envelope.PackAddress(dialed),
+			Candidates: r.candidates,
 		}
 		sealed, err := a.sealer.Seal(nil, message)
 		if err != nil {
@@ -266,6 +271,31 @@
 	g.Expect(closed.ErrorCode).To(Equal(quic.ApplicationErrorCode(http3.ErrCodeNoError)))
 }
 
+func TestDrainHandsNewFlowsOnUntilEveryBalancerKnows(t *testing.T) {
+	g := NewWithT(t)
+	a := startAgent(t)
+	_, address, _ := startEndpoint(t, "endpoint of one", "127.0.0.1:0")
+	announceAndWait(t, a, "one", address)
+	next, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { next.Close() })
+	r := startRelay(t, a, 1, 0, envelope.PackAddress(next.LocalAddr().(*net.UDPAddr).AddrPort()))
+	drained := make(chan bool, 1)
+	go func() { drained <- a.drainEndpoint(t.Context(), "test") }()
+	// Nothing is in flight, but a balancer's view may be old.
+	time.Sleep(spreadTime / 2)
+	go fetch(h3Client(t), r.url())
+	g.Expect(next.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+	buffer := make([]byte, 4096)
+	n, err := next.Read(buffer)
+	g.Expect(err).NotTo(HaveOccurred(), "the flow was not handed on")
+	handedOn := new(wire.Envelope)
+	g.Expect(a.sealer.Open(buffer[:n], handedOn)).To(Succeed())
+	g.Expect(handedOn.Hop).To(Equal(uint32(1)))
+	g.Expect(handedOn.Candidates).To(BeEmpty(), "the draining agent is no candidate")
+	g.Expect(<-drained).To(BeTrue())
+}
+
 func TestAnotherServiceAtTheAgentGetsNoneOfTheEarlierRequests(t *testing.T) {
 	g := NewWithT(t)
 	a := startAgent(t)
@@ -300,3 +330,30 @@
 	g.Expect(a.announce(&Announcement{Service: "one", Address: address})).To(Succeed())
 	g.Expect(fetch(client, r.url())).To(Equal("200 endpoint of two"), "announced again")
 }
+
+func TestLongBodiesAreNoLatencyJump(t *testing.T) {
+	g := NewWithT(t)
+	a := startAgent(t)
+	var isLong atomic.Bool
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		w.(http.Flusher).Flush()
+		if isLong.Load() {
+			time.Sleep(300 * time.Millisecond)
+		}
+		fmt.Fprint(w, "whole")
+	}))
+	t.Cleanup(endpoint.Close)
+	s := announceAndWait(t, a, "one", endpoint.Listener.Addr().String())
+	r, client := startRelay(t, a, 1, 0), h3Client(t)
+	for range 2 * testRampAnswers {
+		g.Expect(fetch(client, r.url())).To(Equal("200 whole"))
+	}
+	before := s.limiter.Load().Slots
+	g.Expect(before).To(BeNumerically(">", 1))
+	isLong.Store(true)
+	for range 5 {
+		g.Expect(fetch(client, r.url())).To(Equal("200 whole"))
+	}
+	g.Expect(s.limiter.Load().Slots).To(Equal(before))
+}
