Prove orders with real processes, and tell slow uploads from slow endpoints

Cause: at most once was shown with fakes only; and a caller whose body stopped held the agent's HTTP client for good and counted as the endpoint's failure.

Process specs send orders while agents and balancers are killed with SIGKILL and restarted; runs are counted at the endpoints.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -234,3 +234,44 @@
 		g.Expect(failed.Timeout()).To(BeTrue())
 	}
 }
+
+// agentIdleTimeout is the agent's bound on a flow of which nothing is heard;
+// the shorter one of both ends counts.
+const agentIdleTimeout = 30 * time.Second
+
+// TestVanishedCallerIsNoticed loses a caller's path while its request runs; the
+// server must hear of it, so that flows and requests of lost callers do not pile up.
+func TestVanishedCallerIsNoticed(t *testing.T) {
+	try := func(t *testing.T, transport func(*tls.Config) http.RoundTripper) bool {
+		began, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+		_, address, config := startServer(t, &quic.Config{MaxIdleTimeout: agentIdleTimeout}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			began <- struct{}{}
+			<-r.Context().Done()
+			ended <- struct{}{}
+		}))
+		path := startRelay(t, address)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+path.conn.LocalAddr().String()+"/", nil)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		go transport(config).RoundTrip(r)
+		<-began
+		path.lose()
+		select {
+		case <-ended:
+			return true
+		case <-time.After(secondsToNotice):
+			return false
+		}
+	}
+	t.Run("stock transport", func(t *testing.T) {
+		t.Parallel()
+		NewWithT(t).Expect(try(t, func(config *tls.Config) http.RoundTripper {
+			return &http3.Transport{TLSClientConfig: config, QUICConfig: &quic.Config{MaxIdleTimeout: agentIdleTimeout}}
+		})).To(BeFalse())
+	})
+	t.Run("package caller", func(t *testing.T) {
+		t.Parallel()
+		NewWithT(t).Expect(try(t, func(config *tls.Config) http.RoundTripper { return New(config) })).To(BeTrue())
+	})
+}
--- /dev/null
+++ b/internal/harness/orders_test.go
@@ -0,0 +1,264 @@
+package harness_test
+
+import (
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"sassafrasturn.example/caller"
+	"sassafrasturn.example/internal/harness"
+)
+
+const (
+	ordersSeed       = 4
+	orderClients     = 12
+	ordersByClient   = 8
+	orderTimeout     = 8 * time.Second
+	orderService     = "order-desk"
+	orderEndpoints   = 3
+	orderKillTime    = 300 * time.Millisecond
+	blindTries       = 6
+	blindTryTimeout  = time.Second
+	orderWorkMinimum = 50
+	orderWorkMaximum = 250
+)
+
+// orderResult is what the caller of one order was told.
+type orderResult struct {
+	ran  caller.Ran
+	text string
+}
+
+// orderCounts compares what callers were told with the runs at the endpoints.
+type orderCounts struct {
+	answered, unknown, notRun, doubles, untruths, wrong int
+}
+
+func (c orderCounts) String() string {
+	return fmt.Sprintf("%d answered, %d unknown, %d not run, %d doubles, %d untrue refusals, %d wrong answers",
+		c.answered, c.unknown, c.notRun, c.doubles, c.untruths, c.wrong)
+}
+
+var _ = Describe("orders", func() {
+	It("run at most once and are refused truly while agents and balancers die", func() {
+		cluster := startCluster(ordersPlan(keyedOrders))
+		counts := runOrders(cluster)
+		GinkgoWriter.Printf("seed %d, %d orders: %s\n", ordersSeed, orderClients*ordersByClient, counts)
+		Expect(counts.answered).To(BeNumerically(">", 0))
+		Expect([]int{counts.doubles, counts.untruths, counts.wrong}).To(Equal([]int{0, 0, 0}))
+	})
+
+	// Each order has run at its endpoint, but has not been answered, when the
+	// agent beside the endpoint is killed.
+	It("run at most once when their agent dies before the answer", func() {
+		naive := runOrdersOfKilledAgents(startCluster(ordersPlan("")), sendBlindly)
+		product := runOrdersOfKilledAgents(startCluster(ordersPlan(keyedOrders)), sendByCaller)
+		GinkgoWriter.Printf("%d orders: product %s; blind retry without keys %s\n", orderEndpoints, product, naive)
+		Expect(naive.doubles).To(Equal(orderEndpoints))
+		Expect(product.unknown).To(Equal(orderEndpoints))
+		Expect([]int{product.doubles, product.untruths, product.wrong}).To(Equal([]int{0, 0, 0}))
+	})
+})
+
+// keyedOrders is the line of the document that lists orders.
+const keyedOrders = "non_idempotent = POST /orders\n"
+
+// runOrdersOfKilledAgents sends one order after the other and kills the agent of each.
+func runOrdersOfKilledAgents(cluster *harness.Cluster, newSender func() (sendOrder, func())) orderCounts {
+	results := make(map[string]orderResult)
+	for i := range orderEndpoints {
+		id := fmt.Sprint("killed-", i)
+		answered := make(chan orderResult)
+		send, stop := newSender()
+		go func() {
+			defer GinkgoRecover()
+			answered <- send(cluster.URL(orderService, "/orders?id="+id+"&work=700ms"))
+		}()
+		process := cluster.Process(harness.AgentName(orderService, endpointOf(cluster, id)))
+		Expect(process.Kill()).To(Succeed())
+		Expect(process.Start()).To(Succeed())
+		results[id] = <-answered
+		stop()
+	}
+	return countOrders(results, readRuns(cluster))
+}
+
+// endpointOf waits until an order runs and returns the number of its endpoint.
+func endpointOf(cluster *harness.Cluster, id string) (found int) {
+	Eventually(func(g Gomega) {
+		for i := range orderEndpoints {
+			if runsAt(cluster, i)[id] > 0 {
+				found = i
+				return
+			}
+		}
+		g.Expect(id).To(BeEmpty(), "the order runs nowhere")
+	}, orderTimeout, "20ms").Should(Succeed())
+	return found
+}
+
+func ordersPlan(requests string) harness.Plan {
+	return harness.Plan{
+		Controls:  1,
+		Balancers: 3,
+		Zones:     []string{"a", "b", "c"},
+		Services:  []harness.ServicePlan{{Name: orderService, Port: 8443, Endpoints: orderEndpoints, Extra: "\n[requests]\n" + requests}},
+	}
+}
+
+type sendOrder func(url string) orderResult
+
+// runOrders sends the orders of all clients by package caller, and kills agents
+// and balancers meanwhile.
+func runOrders(cluster *harness.Cluster) orderCounts {
+	results := make(map[string]orderResult)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for client := range orderClients {
+		random := rand.New(rand.NewPCG(ordersSeed, uint64(client)))
+		wait.Go(func() {
+			defer GinkgoRecover()
+			send, stop := sendByCaller()
+			defer stop()
+			for i := range ordersByClient {
+				id := fmt.Sprintf("%d-%d", client, i)
+				result := send(cluster.URL(orderService, fmt.Sprintf("/orders?id=%s&work=%dms", id, orderWorkMinimum+random.IntN(orderWorkMaximum-orderWorkMinimum))))
+				mu.Lock()
+				results[id] = result
+				mu.Unlock()
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { wait.Wait(); close(done) }()
+	killAgentsAndBalancers(cluster, done)
+	return countOrders(results, readRuns(cluster))
+}
+
+// killAgentsAndBalancers kills and restarts one process after the other until done.
+func killAgentsAndBalancers(cluster *harness.Cluster, done <-chan struct{}) {
+	random := rand.New(rand.NewPCG(ordersSeed, orderClients))
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(orderKillTime):
+		}
+		name := harness.BalancerName(random.IntN(3))
+		if random.IntN(2) == 0 {
+			name = harness.AgentName(orderService, random.IntN(orderEndpoints))
+		}
+		process := cluster.Process(name)
+		Expect(process.Kill()).To(Succeed())
+		Expect(process.Start()).To(Succeed())
+	}
+}
+
+// sendByCaller orders by package caller.
+func sendByCaller() (sendOrder, func()) {
+	transport := caller.New(&tls.Config{InsecureSkipVerify: true})
+	client := &http.Client{Transport: transport, Timeout: orderTimeout}
+	send := func(url string) orderResult {
+		answer, err := client.Post(url, "text/plain", strings.NewReader("order"))
+		var failed *caller.Error
+		if errors.As(err, &failed) {
+			return orderResult{ran: failed.Ran}
+		}
+		if err != nil {
+			return orderResult{ran: caller.RanUnknown}
+		}
+		defer answer.Body.Close()
+		if refusal, ok := caller.RefusalOf(answer); ok {
+			return orderResult{ran: refusal.Ran}
+		}
+		text, err := io.ReadAll(answer.Body)
+		if err != nil || answer.StatusCode != http.StatusOK {
+			return orderResult{ran: caller.RanUnknown}
+		}
+		return orderResult{ran: caller.RanYes, text: string(text)}
+	}
+	return send, func() { transport.Close() }
+}
+
+// sendBlindly is the naive caller: it sends an order until it is answered.
+func sendBlindly() (sendOrder, func()) {
+	transport := &http3.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}, QUICConfig: &quic.Config{MaxIdleTimeout: time.Second}}
+	client := &http.Client{Transport: transport, Timeout: blindTryTimeout}
+	send := func(url string) orderResult {
+		for range blindTries {
+			answer, err := client.Post(url, "text/plain", strings.NewReader("order"))
+			if err != nil {
+				continue
+			}
+			text, err := io.ReadAll(answer.Body)
+			answer.Body.Close()
+			if err == nil && answer.StatusCode == http.StatusOK {
+				return orderResult{ran: caller.RanYes, text: string(text)}
+			}
+		}
+		return orderResult{ran: caller.RanUnknown}
+	}
+	return send, func() { transport.Close() }
+}
+
+// readRuns counts the runs of each order at all endpoints, past the system.
+func readRuns(cluster *harness.Cluster) map[string]int {
+	runs := make(map[string]int)
+	for i := range orderEndpoints {
+		for id, count := range runsAt(cluster, i) {
+			runs[id] += count
+		}
+	}
+	return runs
+}
+
+func runsAt(cluster *harness.Cluster, endpoint int) map[string]int {
+	answer, err := http.Get(cluster.EndpointURL(orderService, endpoint, "/runs"))
+	Expect(err).NotTo(HaveOccurred())
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	runs := make(map[string]int)
+	for line := range strings.Lines(string(text)) {
+		id, count, _ := strings.Cut(strings.TrimSpace(line), " ")
+		runs[id], err = strconv.Atoi(count)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	return runs
+}
+
+func countOrders(results map[string]orderResult, runs map[string]int) orderCounts {
+	var counts orderCounts
+	for id, result := range results {
+		switch {
+		case result.ran == caller.RanYes && result.text != "":
+			counts.answered++
+			if runs[id] == 0 || !strings.HasPrefix(result.text, "order "+id+" by ") {
+				counts.wrong++
+			}
+		case result.ran == caller.RanNo:
+			counts.notRun++
+			if runs[id] != 0 {
+				counts.untruths++
+			}
+		default:
+			counts.unknown++
+		}
+		if runs[id] > 1 {
+			counts.doubles++
+		}
+	}
+	return counts
+}
--- a/internal/machine/agent/fixture_test.go
+++ b/internal/machine/agent/fixture_test.go
@@ -52,7 +52,7 @@
 }
 
 // newProxyFixture makes the proxy of the instance called name.
-func newProxyFixture(t *testing.T, name, endpoint string) *proxyFixture {
+func newProxyFixture(t testing.TB, name, endpoint string) *proxyFixture {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/internal/machine/agent/proxy.go
+++ b/internal/machine/agent/proxy.go
@@ -69,6 +69,8 @@
 	// ctx ends when the caller goes away or the time until the answer must begin is up.
 	ctx  context.Context
 	stop context.CancelFunc
+	// body is the body of the request on its way to the endpoint; nil when it has none.
+	body *callerBody
 }
 
 func newCall(w http.ResponseWriter, r *http.Request, doc *contract.Document) (*call, error) {
@@ -116,17 +118,19 @@
 func (p *proxy) sendWithRetry(c *call) (*answer, *failure) {
 	body, err := bodyOf(c.r)
 	if err != nil {
-		return nil, &failure{err: err}
+		return nil, &failure{isOfCaller: true, err: err}
 	}
 	sent, failed := p.upstream.send(c.ctx, c.r.Context(), c.outgoing(body))
 	if failed == nil {
 		p.budget.Succeed()
 		return sent, nil
 	}
+	failed.isOfCaller = c.body.isAtFault()
 	if body != nil || !isIdempotentMethod(c.r.Method) || c.ctx.Err() != nil || !p.budget.Take() {
 		return nil, failed
 	}
 	p.count(countRetried)
+	p.serving.agent.instance.Decisions.Decision("retry").Str("endpoint", p.upstream.address).Err(failed.err).Msg("request sent to the endpoint again")
 	sent, again := p.upstream.send(c.ctx, c.r.Context(), c.outgoing(nil))
 	if again != nil {
 		again.hasStarted = again.hasStarted || failed.hasStarted
--- a/internal/machine/agent/request.go
+++ b/internal/machine/agent/request.go
@@ -9,6 +9,7 @@
 	"path"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"sassafrasturn.example/internal/contract"
@@ -160,13 +161,43 @@
 	return io.MultiReader(bytes.NewReader(first[:]), r.Body), nil
 }
 
+// callerBody notes whether the caller holds up the sending of its body.
+type callerBody struct {
+	reader    io.Reader
+	closer    io.Closer
+	isReading atomic.Bool
+	hasFailed atomic.Bool
+}
+
+// Read reads from the caller.
+func (b *callerBody) Read(p []byte) (int, error) {
+	b.isReading.Store(true)
+	defer b.isReading.Store(false)
+	n, err := b.reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.hasFailed.Store(true)
+	}
+	return n, err
+}
+
+// Close ends a read that waits; the HTTP client does not return before.
+func (b *callerBody) Close() error {
+	return b.closer.Close()
+}
+
+// isAtFault reports whether the body broke off or is being waited for.
+func (b *callerBody) isAtFault() bool {
+	return b != nil && (b.hasFailed.Load() || b.isReading.Load())
+}
+
 // outgoing returns the request for the endpoint.
 func (c *call) outgoing(body io.Reader) *http.Request {
 	r := c.r
 	target := &url.URL{Scheme: "http", Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	out := &http.Request{Method: r.Method, URL: target, Host: r.Host, Header: make(http.Header)}
 	if body != nil {
-		out.Body = io.NopCloser(body)
+		c.body = &callerBody{reader: body, closer: r.Body}
+		out.Body = c.body
 		out.ContentLength = r.ContentLength
 	}
 	copyHeader(out.Header, r.Header)
--- a/internal/machine/agent/upstream.go
+++ b/internal/machine/agent/upstream.go
@@ -76,6 +76,8 @@
 	// hasStarted says that bytes of the request may have reached the endpoint.
 	hasStarted bool
 	isTimeout  bool
+	// isOfCaller says that the caller's body broke off or did not come in time.
+	isOfCaller bool
 	err        error
 }
 
@@ -92,13 +94,18 @@
 	if !f.hasStarted && !f.isTimeout {
 		refusal.Type = problem.TypeNoEndpoint
 	}
+	if f.isOfCaller {
+		refusal.Status = http.StatusBadRequest
+		refusal.Type = problem.TypeBadRequest
+		refusal.Detail = "the request's body did not come whole: " + f.err.Error()
+	}
 	return refusal
 }
 
 // outcome tells the limiter what a failure says about the endpoint; caller is
 // done when the caller went away.
 func (f *failure) outcome(caller context.Context) admit.Outcome {
-	if caller.Err() != nil {
+	if f.isOfCaller || caller.Err() != nil {
 		return admit.OutcomeCancelled
 	}
 	if f.isTimeout {
--- a/internal/machine/agent/upstream_test.go
+++ b/internal/machine/agent/upstream_test.go
@@ -15,6 +15,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"sassafrasturn.example/internal/admit"
 	"sassafrasturn.example/internal/problem"
 )
 
@@ -275,3 +276,28 @@
 	}
 	g.Expect(accepted()-before).To(Equal(offered), "POST is not retried")
 }
+
+// TestCallerWhoseBodyStopsIsNotTheEndpointsFault: the limiter must not take a
+// slow upload for a cold endpoint.
+func TestCallerWhoseBodyStopsIsNotTheEndpointsFault(t *testing.T) {
+	_, address := startOrderEndpoint(t, nil)
+	never, stop := io.Pipe()
+	defer stop.Close()
+	for name, rest := range map[string]io.Reader{"breaks off": failingReader{}, "waits": never} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newProxyFixture(t, "a", address)
+			r := httptest.NewRequest(http.MethodPut, "/item", io.MultiReader(strings.NewReader("begin"), rest))
+			r.Body = struct {
+				io.Reader
+				io.Closer
+			}{r.Body, never}
+			r.Header.Set(timeoutHeader, "50")
+			call, err := newCall(httptest.NewRecorder(), r, f.serving.doc.Load())
+			g.Expect(err).NotTo(HaveOccurred())
+			_, failed := f.sendWithRetry(call)
+			g.Expect(failed.outcome(t.Context())).To(Equal(admit.OutcomeCancelled))
+			g.Expect(failed.refusal().Ran).To(Equal(problem.RanUnknown))
+		})
+	}
+}
