--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -107,6 +107,7 @@
 // TestSilentConnectionIsReplaced loses the connection's path for good, before a
 // request and while one waits for its answer.
 func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
 	_, address, config := startServer(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		io.WriteString(w, "whole")
 	}))
@@ -242,6 +243,7 @@
 // TestVanishedCallerIsNoticed loses a caller's path while its request runs; the
 // server must hear of it, so that flows and requests of lost callers do not pile up.
 func TestVanishedCallerIsNoticed(t *testing.T) {
+	t.Parallel()
 	try := func(t *testing.T, transport func(*tls.Config) http.RoundTripper) bool {
 		began, ended := make(chan struct{}, 1), make(chan struct{}, 1)
 		_, address, config := startServer(t, &quic.Config{MaxIdleTimeout: agentIdleTimeout}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
