Close connections that the HTTP/3 transport has forgotten by their use

Cause: connections were numbered when they were dialed, and a request was taken to use none before the newest number. Two dials that the transport begins shortly after one another may end in the other order; the transport then goes on with the lower number, which could be closed under a request. Found by reading; not seen in a run.

Uses are now counted by the connection's local address, which is its own, and a connection is closed only at a count of zero. The test of GOAWAY now waits until the second server answers (before, it took any answer: stricter).

Checked: go test -race ./caller; TestForgottenConnectionsAreClosed.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -161,6 +161,8 @@
 		io.WriteString(w, r.RemoteAddr)
 	})
 	first, address, config := startServer(t, nil, handler)
+	// The second server's certificate is another one.
+	config.InsecureSkipVerify = true
 	target := startRelay(t, address)
 	transport := New(config)
 	defer transport.Close()
@@ -174,9 +176,18 @@
 	<-began
 	down := make(chan error)
 	go func() { down <- first.Shutdown(t.Context()) }()
-	_, second, _ := startServer(t, nil, handler)
+	_, second, _ := startServer(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "second")
+	}))
 	target.redirect(second)
-	get("/next").Body.Close()
+	// GOAWAY is on its way; requests before it are the first server's.
+	g.Eventually(func() string {
+		answer := get("/next")
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		return string(body)
+	}, secondsToNotice).Should(Equal("second"))
 	close(release)
 	body, err := io.ReadAll(slow.Body)
 	slow.Body.Close()
@@ -277,3 +288,35 @@
 		NewWithT(t).Expect(try(t, func(config *tls.Config) http.RoundTripper { return New(config) })).To(BeTrue())
 	})
 }
+
+type fakeConn struct{ isClosed bool }
+
+func (f *fakeConn) CloseWithError(quic.ApplicationErrorCode, string) error {
+	f.isClosed = true
+	return nil
+}
+
+// TestForgottenConnectionsAreClosed: a connection is closed once another one
+// is in use and its last request has ended, never before.
+func TestForgottenConnectionsAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	c := newConnections()
+	address := func(port int) net.Addr { return &net.UDPAddr{Port: port} }
+	conns := make([]fakeConn, 3)
+	for i := range conns {
+		c.add("host", address(i), &conns[i])
+	}
+	isClosed := func() []bool { return []bool{conns[0].isClosed, conns[1].isClosed, conns[2].isClosed} }
+	long := c.begin(address(0))
+	c.begin(address(0))()
+	g.Expect(isClosed()).To(Equal([]bool{false, false, false}), "the only one in use")
+	c.begin(address(1))()
+	g.Expect(isClosed()).To(Equal([]bool{false, false, false}), "a request still runs on the first")
+	c.begin(address(2))()
+	g.Expect(isClosed()).To(Equal([]bool{false, true, false}))
+	long()
+	g.Expect(isClosed()).To(Equal([]bool{true, true, false}))
+	c.remove(address(2))
+	c.begin(address(2))()
+	g.Expect(isClosed()).To(Equal([]bool{true, true, false}))
+}
--- a/caller/connections.go
+++ b/caller/connections.go
@@ -3,41 +3,38 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"sync"
 
 	"github.com/quic-go/quic-go"
 )
 
 // connections knows every connection that was dialed. The HTTP/3 transport
-// forgets a connection after GOAWAY or an error while other requests still use
-// it; it is closed here once they have ended, since its pings would keep it
-// for ever.
-//
-// Connections of a host are numbered in the order of dialing. A request that
-// began when connection n was the newest uses none before n.
+// forgets a connection after GOAWAY or an error while requests still use it;
+// such a connection is closed here once they have ended, since its pings would
+// keep it for ever.
 type connections struct {
-	mu    sync.Mutex
-	hosts map[string]*hostConnections
+	mu sync.Mutex
+	// dialed holds the open connections by their local address; each has its own.
+	dialed map[string]*connection
+	// newest is the connection that the last request to each host got.
+	newest map[string]*connection
 }
 
-type hostConnections struct {
-	newest int
-	dialed map[int]*quic.Conn
-	// open counts requests by the newest connection at their beginning.
-	open map[int]int
+type connection struct {
+	quic closer
+	host string
+	// requests is how many use the connection.
+	requests int
 }
 
-func newConnections() *connections {
-	return &connections{hosts: make(map[string]*hostConnections)}
+// closer is what is done to a QUIC connection here.
+type closer interface {
+	CloseWithError(code quic.ApplicationErrorCode, text string) error
 }
 
-func (c *connections) hostLocked(name string) *hostConnections {
-	host, ok := c.hosts[name]
-	if !ok {
-		host = &hostConnections{dialed: make(map[int]*quic.Conn), open: make(map[int]int)}
-		c.hosts[name] = host
-	}
-	return host
+func newConnections() *connections {
+	return &connections{dialed: make(map[string]*connection), newest: make(map[string]*connection)}
 }
 
 // dial opens a connection from a fresh port, so that whatever lost track of
@@ -47,53 +44,64 @@
 	if err != nil {
 		return nil, err
 	}
+	local := conn.LocalAddr()
+	c.add(address, local, conn)
+	context.AfterFunc(conn.Context(), func() { c.remove(local) })
+	return conn, nil
+}
+
+func (c *connections) add(host string, local net.Addr, conn closer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	host := c.hostLocked(address)
-	host.newest++
-	host.dialed[host.newest] = conn
-	host.sweep()
-	return conn, nil
+	c.dialed[local.String()] = &connection{quic: conn, host: host}
+}
+
+func (c *connections) remove(local net.Addr) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn, ok := c.dialed[local.String()]
+	if !ok {
+		return
+	}
+	delete(c.dialed, local.String())
+	if c.newest[conn.host] == conn {
+		delete(c.newest, conn.host)
+	}
 }
 
-// begin notes a request; the returned function notes its end.
-func (c *connections) begin(address string) (end func()) {
+// begin notes that a request uses the connection with a local address.
+func (c *connections) begin(local net.Addr) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	host := c.hostLocked(address)
-	number := host.newest
-	host.open[number]++
+	conn, ok := c.dialed[local.String()]
+	if !ok {
+		return func() {}
+	}
+	conn.requests++
+	before := c.newest[conn.host]
+	c.newest[conn.host] = conn
+	c.closeUnused(before)
 	return sync.OnceFunc(func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		host.open[number]--
-		if host.open[number] == 0 {
-			delete(host.open, number)
-		}
-		host.sweep()
+		conn.requests--
+		c.closeUnused(conn)
 	})
 }
 
-// sweep closes connections that no request can still use.
-func (h *hostConnections) sweep() {
-	oldest := h.newest
-	for number := range h.open {
-		oldest = min(oldest, number)
-	}
-	for number, conn := range h.dialed {
-		if number < oldest || conn.Context().Err() != nil {
-			conn.CloseWithError(0, "")
-			delete(h.dialed, number)
-		}
+// closeUnused closes a connection that no request uses and that later requests
+// do not get. Where one still gets it, it has sent nothing and dials anew.
+func (c *connections) closeUnused(conn *connection) {
+	if conn == nil || conn.requests > 0 || c.newest[conn.host] == conn {
+		return
 	}
+	conn.quic.CloseWithError(0, "")
 }
 
 func (c *connections) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, host := range c.hosts {
-		for _, conn := range host.dialed {
-			conn.CloseWithError(0, "")
-		}
+	for _, conn := range c.dialed {
+		conn.quic.CloseWithError(0, "")
 	}
 }
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -194,9 +194,7 @@
 		out.Header.Set(KeyHeader, e.key)
 	}
 	setTimeout(out)
-	end := e.transport.connections.begin(hostPort(out))
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { e.hasSent.Store(true) }}
-	answer, err := e.transport.send(out.WithContext(httptrace.WithClientTrace(out.Context(), trace)))
+	answer, end, err := e.transport.sendOnce(out, func() { e.hasSent.Store(true) })
 	if err == nil && (e.key != "" || problem.IsRefusal(answer)) {
 		err = holdAnswer(answer)
 	}
@@ -240,9 +238,8 @@
 	}
 	probe.Header.Set(KeyHeader, `""`)
 	setTimeout(probe)
-	end := t.connections.begin(hostPort(probe))
+	answer, end, err := t.sendOnce(probe, func() {})
 	defer end()
-	answer, err := t.send(probe)
 	if err != nil {
 		return "", err
 	}
@@ -273,12 +270,30 @@
 	request.Header.Set(TimeoutHeader, strconv.FormatInt(left, 10))
 }
 
-func hostPort(request *http.Request) string {
-	host := request.URL.Host
-	if request.URL.Port() == "" {
-		host = net.JoinHostPort(request.URL.Hostname(), "443")
+// sendOnce sends a request on one connection. onConn is called before the first
+// byte may be sent; end is to be called after the answer has been read.
+func (t *Transport) sendOnce(request *http.Request, onConn func()) (answer *http.Response, end func(), err error) {
+	var mu sync.Mutex
+	var ends []func()
+	gotConn := func(info httptrace.GotConnInfo) {
+		onConn()
+		if info.Conn == nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		ends = append(ends, t.connections.begin(info.Conn.LocalAddr()))
+	}
+	trace := &httptrace.ClientTrace{GotConn: gotConn}
+	answer, err = t.send(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	end = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, endOne := range ends {
+			endOne()
+		}
 	}
-	return host
+	return answer, end, err
 }
 
 // isIdempotent follows RFC 9110 section 9.2.2.
