--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -107,6 +107,7 @@
 // TestSilentConnectionIsReplaced loses the connection's path for good, before a
 // request and while one waits for its answer.
 func TestSilentConnectionIsReplaced(t *testing.T) {
+	t.Parallel()
 	_, address, config := startServer(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		io.WriteString(w, "whole")
 	}))
@@ -160,6 +161,8 @@
 		io.WriteString(w, r.RemoteAddr)
 	})
 	first, address, config := startServer(t, nil, handler)
+	// The second server's certificate is another one.
+	config.InsecureSkipVerify = true
 	target := startRelay(t, address)
 	transport := New(config)
 	defer transport.Close()
@@ -173,9 +176,18 @@
 	<-began
 	down := make(chan error)
 	go func() { down <- first.Shutdown(t.Context()) }()
-	_, second, _ := startServer(t, nil, handler)
+	_, second, _ := startServer(t, nil, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		io.WriteString(w, "second")
+	}))
 	target.redirect(second)
-	get("/next").Body.Close()
+	// GOAWAY is on its way; requests before it are the first server's.
+	g.Eventually(func() string {
+		answer := get("/next")
+		defer answer.Body.Close()
+		body, err := io.ReadAll(answer.Body)
+		g.Expect(err).NotTo(HaveOccurred())
+		return string(body)
+	}, secondsToNotice).Should(Equal("second"))
 	close(release)
 	body, err := io.ReadAll(slow.Body)
 	slow.Body.Close()
@@ -234,3 +246,77 @@
 		g.Expect(failed.Timeout()).To(BeTrue())
 	}
 }
+
+// agentIdleTimeout is the agent's bound on a flow of which nothing is heard;
+// the shorter one of both ends counts.
+const agentIdleTimeout = 30 * time.Second
+
+// TestVanishedCallerIsNoticed loses a caller's path while its request runs; the
+// server must hear of it, so that flows and requests of lost callers do not pile up.
+func TestVanishedCallerIsNoticed(t *testing.T) {
+	t.Parallel()
+	try := func(t *testing.T, transport func(*tls.Config) http.RoundTripper) bool {
+		began, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+		_, address, config := startServer(t, &quic.Config{MaxIdleTimeout: agentIdleTimeout}, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			began <- struct{}{}
+			<-r.Context().Done()
+			ended <- struct{}{}
+		}))
+		path := startRelay(t, address)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+path.conn.LocalAddr().String()+"/", nil)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		go transport(config).RoundTrip(r)
+		<-began
+		path.lose()
+		select {
+		case <-ended:
+			return true
+		case <-time.After(secondsToNotice):
+			return false
+		}
+	}
+	t.Run("stock transport", func(t *testing.T) {
+		t.Parallel()
+		NewWithT(t).Expect(try(t, func(config *tls.Config) http.RoundTripper {
+			return &http3.Transport{TLSClientConfig: config, QUICConfig: &quic.Config{MaxIdleTimeout: agentIdleTimeout}}
+		})).To(BeFalse())
+	})
+	t.Run("package caller", func(t *testing.T) {
+		t.Parallel()
+		NewWithT(t).Expect(try(t, func(config *tls.Config) http.RoundTripper { return New(config) })).To(BeTrue())
+	})
+}
+
+type fakeConn struct{ isClosed bool }
+
+func (f *fakeConn) CloseWithError(quic.ApplicationErrorCode, string) error {
+	f.isClosed = true
+	return nil
+}
+
+// TestForgottenConnectionsAreClosed: a connection is closed once another one
+// is in use and its last request has ended, never before.
+func TestForgottenConnectionsAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	c := newConnections()
+	address := func(port int) net.Addr { return &net.UDPAddr{Port: port} }
+	conns := make([]fakeConn, 3)
+	for i := range conns {
+		c.add("host", address(i), &conns[i])
+	}
+	isClosed := func() []bool { return []bool{conns[0].isClosed, conns[1].isClosed, conns[2].isClosed} }
+	long := c.begin(address(0))
+	c.begin(address(0))()
+	g.Expect(isClosed()).To(Equal([]bool{false, false, false}), "the only one in use")
+	c.begin(address(1))()
+	g.Expect(isClosed()).To(Equal([]bool{false, false, false}), "a request still runs on the first")
+	c.begin(address(2))()
+	g.Expect(isClosed()).To(Equal([]bool{false, true, false}))
+	long()
+	g.Expect(isClosed()).To(Equal([]bool{true, true, false}))
+	c.remove(address(2))
+	c.begin(address(2))()
+	g.Expect(isClosed()).To(Equal([]bool{true, true, false}))
+}
