--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,176 @@
+package link
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/binary"
+	"encoding/pem"
+	"math/big"
+	mathrand "math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// echo answers every request with a status.
+type echo struct{}
+
+func (echo) ServeStream(_ context.Context, _ *wire.Request, stream net.Conn) {
+	response := &wire.Response{Body: &wire.Response_Status{Status: &wire.StatusResponse{Instance: "echo"}}}
+	_ = WriteMessage(stream, response)
+}
+
+func startServer(t *testing.T, server *Server) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	server.Handler = echo{}
+	go server.Serve(ctx, listener)
+	return listener.Addr().String()
+}
+
+func call(dialer *Dialer, address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := dialer.Call(ctx, address, &wire.Request{Body: &wire.Request_Status{Status: &wire.StatusRequest{}}})
+	return err
+}
+
+// authority signs certificates for 127.0.0.1.
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	path string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{path: filepath.Join(t.TempDir(), "authority.pem")}
+	a.key, _ = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	a.cert = &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	writePEM(t, a.path, "CERTIFICATE", a.sign(t, a.cert, a.key))
+	return a
+}
+
+func (a *authority) sign(t *testing.T, cert *x509.Certificate, key *ecdsa.PrivateKey) []byte {
+	t.Helper()
+	der, err := x509.CreateCertificate(rand.Reader, cert, a.cert, &key.PublicKey, a.key)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return der
+}
+
+// issue writes a certificate and its key and returns their paths.
+func (a *authority) issue(t *testing.T) (certificate, keyPath string) {
+	t.Helper()
+	folder := t.TempDir()
+	certificate, keyPath = filepath.Join(folder, "cert.pem"), filepath.Join(folder, "key.pem")
+	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	der := a.sign(t, &x509.Certificate{
+		SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, key)
+	writePEM(t, certificate, "CERTIFICATE", der)
+	keyDER, _ := x509.MarshalECPrivateKey(key)
+	writePEM(t, keyPath, "EC PRIVATE KEY", keyDER)
+	return certificate, keyPath
+}
+
+func writePEM(t *testing.T, path, kind string, der []byte) {
+	t.Helper()
+	data := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+	NewWithT(t).Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
+}
+
+func TestMutualTLS(t *testing.T) {
+	g := NewWithT(t)
+	ours, others := newAuthority(t), newAuthority(t)
+	certificate, key := ours.issue(t)
+	client, serverTLS, err := LoadTLS(certificate, key, ours.path)
+	g.Expect(err).NotTo(HaveOccurred())
+	server := &Server{TLS: serverTLS}
+	address := startServer(t, server)
+	g.Expect(call(&Dialer{TLS: client}, address)).To(Succeed())
+
+	// Refused: a certificate of another authority, none at all, and no TLS.
+	foreignCert, foreignKey := others.issue(t)
+	foreign, _, err := LoadTLS(foreignCert, foreignKey, ours.path)
+	g.Expect(err).NotTo(HaveOccurred())
+	bare := client.Clone()
+	bare.Certificates = nil
+	for i, dialer := range []*Dialer{{TLS: foreign}, {TLS: bare}, {}} {
+		g.Expect(call(dialer, address)).NotTo(Succeed())
+		g.Eventually(func() uint64 { return server.Refused(RefusedHandshake) }, 2*handshakeTimeout).Should(BeEquivalentTo(i + 1))
+	}
+	// An impostor that listens in a member's place is refused by the dialer.
+	_, impostorTLS, err := LoadTLS(foreignCert, foreignKey, others.path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(call(&Dialer{TLS: client}, startServer(t, &Server{TLS: impostorTLS}))).NotTo(Succeed())
+}
+
+func TestBadInputIsCountedAndTheServerLives(t *testing.T) {
+	g := NewWithT(t)
+	server := new(Server)
+	address := startServer(t, server)
+	random := mathrand.NewChaCha8([32]byte{7})
+	for range 50 {
+		conn, err := net.Dial("tcp", address)
+		g.Expect(err).NotTo(HaveOccurred())
+		garbage := make([]byte, 4096)
+		_, _ = random.Read(garbage)
+		_, _ = conn.Write(garbage)
+		conn.Close()
+	}
+	session, err := new(Dialer).Dial(context.Background(), address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer session.Close()
+	oversized := binary.BigEndian.AppendUint32(nil, MaxFrameBytes+1)
+	for i, frame := range [][]byte{oversized, append(binary.BigEndian.AppendUint32(nil, 4), 0xff, 0xff, 0xff, 0xff)} {
+		stream, err := session.Open()
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = stream.Write(frame)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Eventually(func() uint64 { return server.Refused(RefusedMalformed) }).Should(BeEquivalentTo(i + 1))
+	}
+	g.Expect(call(new(Dialer), address)).To(Succeed())
+}
+
+func TestLinksAndStreamsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	server := new(Server)
+	host := netip.MustParseAddr("10.0.0.1")
+	for range maxConnectionsPerHost {
+		g.Expect(server.enter(host)).To(BeTrue())
+	}
+	g.Expect(server.enter(host)).To(BeFalse())
+	server.leave(host)
+	g.Expect(server.enter(host)).To(BeTrue())
+	g.Expect(server.Refused(RefusedTooManyLinks)).To(BeEquivalentTo(1))
+
+	address := startServer(t, server)
+	g.Expect(call(new(Dialer), address)).To(Succeed())
+	session, err := new(Dialer).Dial(context.Background(), address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer session.Close()
+	for range maxStreamsPerLink + 1 {
+		// Opened without a request, each waits for requestTimeout.
+		_, err := session.Open()
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Eventually(func() uint64 { return server.Refused(RefusedTooManyStreams) }).Should(BeEquivalentTo(1))
+}
