--- a/cmd/sassafrasturnctl/wait_test.go
+++ b/cmd/sassafrasturnctl/wait_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/link"
 	"sassafrasturn.example/internal/wire"
@@ -68,6 +69,34 @@
 	g.Expect(awaitIndex(ended, &link.Dialer{}, address, 1)).NotTo(Succeed())
 }
 
+// TestTargets: agents of other services do not hold the service's document.
+func TestTargets(t *testing.T) {
+	encode := func(kind wire.Record_Kind, value proto.Message) *wire.Record {
+		data, err := proto.Marshal(value)
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return &wire.Record{Kind: kind, Value: data}
+	}
+	balancer := encode(wire.Record_KIND_BALANCER, &wire.Balancer{Link: "b"})
+	agent := encode(wire.Record_KIND_ENDPOINT, &wire.Endpoint{Link: "a", Service: "one"})
+	gone := encode(wire.Record_KIND_ENDPOINT, &wire.Endpoint{Link: "a", Service: "one", State: wire.Endpoint_STATE_GONE})
+	for _, test := range []struct {
+		name    string
+		record  *wire.Record
+		service string
+		want    string
+	}{
+		{"balancer", balancer, "one", "b"},
+		{"own service", agent, "one", "a"},
+		{"other service", agent, "two", ""},
+		{"every service", agent, "", "a"},
+		{"gone", gone, "one", ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			NewWithT(t).Expect(targetOf(test.record, test.service).link).To(Equal(test.want))
+		})
+	}
+}
+
 func TestParseControl(t *testing.T) {
 	for _, test := range []struct {
 		args []string
