--- /dev/null
+++ b/internal/machine/control/replica_test.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/consensus"
+	"sassafrasturn.example/internal/journal/journaltest"
+	"sassafrasturn.example/internal/wire"
+)
+
+func zoneCommand(id string) *wire.Command {
+	return &wire.Command{SubmissionId: id, Body: &wire.Command_RegisterZone{RegisterZone: &wire.RegisterZone{Name: id}}}
+}
+
+// TestLostMajorityAnswersUnknown proposes at a leader that then loses its
+// majority: the outcome is unknown, and a resend later gets one answer.
+func TestLostMajorityAnswersUnknown(t *testing.T) {
+	g := NewWithT(t)
+	group := newTrio(t, memoryFolder)
+	group.isAway[1], group.isAway[2] = true, true
+	leader := group.replicas[0]
+	var got outcome
+	note := func(result *wire.CommandResult, err error) { got = outcome{result, err} }
+	leader.propose(group.now, zoneCommand("a"), note)
+	g.Expect(leader.work(group.now)).To(Succeed())
+	for range consensus.ElectionTimeout/modelStep + 1 {
+		group.tick()
+	}
+	g.Expect(got.err).To(MatchError(ContainSubstring("outcome unknown")))
+	leader.propose(group.now, zoneCommand("b"), note)
+	g.Expect(got.err).To(MatchError(consensus.ErrNotLeader))
+
+	group.isAway[1], group.isAway[2] = false, false
+	for range 10 * consensus.ElectionTimeout / modelStep {
+		group.tick()
+	}
+	for _, r := range group.replicas {
+		if r.core.Status(group.now).Role == consensus.Leader {
+			r.propose(group.now, zoneCommand("a"), note)
+			g.Expect(r.work(group.now)).To(Succeed())
+		}
+	}
+	group.deliver()
+	g.Expect(got.err).NotTo(HaveOccurred())
+	g.Expect(got.result.GetOutcome()).To(Equal(wire.CommandResult_OUTCOME_ACCEPTED))
+}
+
+// TestPendingProposalsAreBounded proposes at a leader whose majority is away.
+func TestPendingProposalsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	group := newTrio(t, memoryFolder)
+	group.isAway[1], group.isAway[2] = true, true
+	refused := 0
+	for range maxPending + 5 {
+		group.replicas[0].propose(group.now, zoneCommand(""), func(_ *wire.CommandResult, err error) {
+			g.Expect(err).To(MatchError(errPending))
+			refused++
+		})
+	}
+	g.Expect(refused).To(Equal(5))
+}
+
+// TestLoopStopsAfterAFailedDisk: the instance must end, not go on.
+func TestLoopStopsAfterAFailedDisk(t *testing.T) {
+	for _, failure := range []error{journaltest.ErrFull, journaltest.ErrSync} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			folder := journaltest.New(rand.New(rand.NewPCG(1, 1)))
+			out := outputs{send: func(*wire.ConsensusMessage) {}, publish: func([]*wire.Record) {}}
+			r, err := openReplica(folder, 1, rand.New(rand.NewPCG(2, 2)), 0, out)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(r.form(0, []*wire.ControlMember{{Id: 1, Disk: r.identity.Disk, Voter: true}})).To(Succeed())
+			l := newLoop(r, time.Now(), func(uint64, string) {})
+			ended := make(chan error, 1)
+			go func() { ended <- l.run(t.Context()) }()
+			time.Sleep(consensus.ElectionTimeout)
+
+			_, err = l.submit(t.Context(), func(now time.Duration, done func(*wire.CommandResult, error)) {
+				folder.FailAt, folder.Failure = folder.Operations+1, failure
+				r.propose(now, zoneCommand("a"), done)
+			})
+			g.Expect(err).To(MatchError(ContainSubstring("outcome unknown")))
+			g.Expect(<-ended).To(MatchError(failure))
+			_, err = l.submit(t.Context(), nil)
+			g.Expect(err).To(MatchError(errStopped))
+		})
+	}
+}
+
+// TestSubmitTimesOut when no majority answers: the caller learns that the
+// outcome is unknown, within its own time.
+func TestSubmitTimesOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		group := newTrio(t, memoryFolder)
+		l := newLoop(group.replicas[0], time.Now().Add(-group.now), func(uint64, string) {})
+		go l.run(t.Context())
+		const patience = 300 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		defer cancel()
+		started := time.Now()
+		_, err := l.submit(ctx, func(now time.Duration, done func(*wire.CommandResult, error)) {
+			group.replicas[0].propose(now, zoneCommand("a"), done)
+		})
+		g.Expect(err).To(MatchError(errTimeout))
+		g.Expect(time.Since(started)).To(Equal(patience))
+	})
+}
