Ask the next control instance when one does not answer

Cause: with a frozen control instance first in its list, sassafrasturnctl waited 4 s for it with each command; the process spec that freezes the leader took 23.9 s.

Change: the next address is called when the one before has failed or has not answered for 300 ms; the first response wins. The specs now also check that a document is in force everywhere within the 6 s of the target.

--- a/cmd/sassafrasturnctl/connection.go
+++ b/cmd/sassafrasturnctl/connection.go
@@ -18,6 +18,7 @@
 const (
 	callTimeout    = 10 * time.Second
 	attemptTimeout = 4 * time.Second
+	nextDelay      = 300 * time.Millisecond
 	maxRedirects   = 3
 )
 
@@ -49,13 +50,45 @@
 	ctx, cancel := context.WithTimeout(ctx, f.totalTimeout)
 	defer cancel()
 	dialer := &link.Dialer{TLS: client}
+	return callFirst(ctx, strings.Split(f.control, ","), func(ctx context.Context, address string) (*wire.Response, error) {
+		return callFollowing(ctx, dialer, strings.TrimSpace(address), request)
+	})
+}
+
+// callFirst calls the addresses in turn, each when the one before has failed or
+// has not answered for nextDelay, and returns the first response.
+func callFirst(ctx context.Context, addresses []string, call func(context.Context, string) (*wire.Response, error)) (*wire.Response, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		response *wire.Response
+		err      error
+	}
+	answers := make(chan answer, len(addresses))
 	lastErr := errNoControl
-	for _, address := range strings.Split(f.control, ",") {
-		response, err := callFollowing(ctx, dialer, strings.TrimSpace(address), request)
-		if err == nil {
-			return response, nil
+	for next, running := 0, 0; next < len(addresses) || running > 0; {
+		var delay <-chan time.Time
+		if next < len(addresses) {
+			address := addresses[next]
+			next, running = next+1, running+1
+			go func() {
+				response, err := call(ctx, address)
+				if err != nil {
+					err = fmt.Errorf("%s: %w", address, err)
+				}
+				answers <- answer{response, err}
+			}()
+			delay = time.After(nextDelay)
+		}
+		select {
+		case a := <-answers:
+			if a.err == nil {
+				return a.response, nil
+			}
+			running--
+			lastErr = a.err
+		case <-delay:
 		}
-		lastErr = fmt.Errorf("%s: %w", address, err)
 	}
 	return nil, lastErr
 }
--- a/internal/harness/control_test.go
+++ b/internal/harness/control_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -56,6 +57,25 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(got).To(Equal(c.version+1), output)
 	c.version = got
+	if slices.Contains(flags, "-wait") {
+		expectInForce(output)
+	}
+}
+
+// inForceTimeout is the target: a change is in force everywhere within 6 s.
+const inForceTimeout = 6 * time.Second
+
+var inForce = regexp.MustCompile(`in force at (\d+) of (\d+) instances after (\S+)`)
+
+func expectInForce(output string) {
+	GinkgoHelper()
+	match := inForce.FindStringSubmatch(output)
+	Expect(match).NotTo(BeNil(), output)
+	Expect(match[1]).To(Equal(match[2]), output)
+	took, err := time.ParseDuration(match[3])
+	Expect(err).NotTo(HaveOccurred())
+	fmt.Fprintln(GinkgoWriter, match[0])
+	Expect(took).To(BeNumerically("<=", inForceTimeout), output)
 }
 
 func (c *controlCluster) statusOf(i int) string {
