--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -275,6 +275,29 @@
 	expect.Expect(err).To(MatchError(ContainSubstring("not used again")))
 }
 
+// TestLeaderIsReplaced adds a member in place of the leader, which must end its
+// lead by itself and leave a group that goes on without it.
+func TestLeaderIsReplaced(t *testing.T) {
+	expect := NewWithT(t)
+	g := newGroup(t, 3)
+	old := g.leader()
+	g.cores[4] = newCore(4, consensus.Stored{}, g.now)
+	added := member(4, true)
+	added.Replaces = old
+	_, _, err := g.cores[old].ProposeAdd(g.now, added)
+	expect.Expect(err).NotTo(HaveOccurred())
+	g.work(old)
+	g.run(5 * time.Second)
+	expect.Expect(g.cores[old].Status(g.now).Role).To(Equal(consensus.Follower))
+	next := g.leader()
+	expect.Expect(next).NotTo(Equal(old))
+	term := g.cores[next].Status(g.now).Term
+	expect.Expect(voters(g.cores[next], g.now)).To(HaveLen(3))
+	expect.Expect(voters(g.cores[next], g.now)).NotTo(ContainElement(old))
+	g.run(10 * time.Second)
+	expect.Expect(g.cores[next].Status(g.now).Term).To(Equal(term))
+}
+
 func voters(core *consensus.Core, now time.Duration) []uint64 {
 	var ids []uint64
 	for _, m := range core.Status(now).Group.Members {
