--- a/internal/harness/control_test.go
+++ b/internal/harness/control_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -56,6 +57,25 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(got).To(Equal(c.version+1), output)
 	c.version = got
+	if slices.Contains(flags, "-wait") {
+		expectInForce(output)
+	}
+}
+
+// inForceTimeout is the target: a change is in force everywhere within 6 s.
+const inForceTimeout = 6 * time.Second
+
+var inForce = regexp.MustCompile(`in force at (\d+) of (\d+) instances after (\S+)`)
+
+func expectInForce(output string) {
+	GinkgoHelper()
+	match := inForce.FindStringSubmatch(output)
+	Expect(match).NotTo(BeNil(), output)
+	Expect(match[1]).To(Equal(match[2]), output)
+	took, err := time.ParseDuration(match[3])
+	Expect(err).NotTo(HaveOccurred())
+	fmt.Fprintln(GinkgoWriter, match[0])
+	Expect(took).To(BeNumerically("<=", inForceTimeout), output)
 }
 
 func (c *controlCluster) statusOf(i int) string {
@@ -100,7 +120,7 @@
 }
 
 var _ = Describe("control", func() {
-	It("loses nothing that it accepted when its leader is killed and frozen", func() {
+	It("loses nothing that it accepted when its leader is killed, stopped and frozen", func() {
 		const edits = 5
 		cluster := startControlCluster()
 		for range 2 {
@@ -112,6 +132,15 @@
 			}
 			Expect(leader.Start()).To(Succeed())
 		}
+		stopped := cluster.Process(harness.ControlName(cluster.leader()))
+		Expect(stopped.Signal(syscall.SIGTERM)).To(Succeed())
+		for range edits {
+			cluster.edit()
+		}
+		Eventually(stopped.Done(), controlTimeout).Should(BeClosed())
+		Expect(stopped.ExitCode()).To(Equal(0))
+		Expect(stopped.Start()).To(Succeed())
+
 		frozen := cluster.Process(harness.ControlName(cluster.leader()))
 		Expect(frozen.Signal(syscall.SIGSTOP)).To(Succeed())
 		for range edits {
