--- a/internal/machine/pathtest/world_test.go
+++ b/internal/machine/pathtest/world_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -282,7 +283,7 @@
 func (w *world) setFabric(nodes ...*node) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.inFabric = nodes
+	w.inFabric = slices.Clone(nodes)
 }
 
 func agentAddress(i int) netip.AddrPort {
