--- a/cmd/sassafrasturnbench/brokenflows.go
+++ b/cmd/sassafrasturnbench/brokenflows.go
@@ -54,19 +54,7 @@
 
 // Execute measures.
 func (c *brokenFlowsCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	system, end, err := c.startSystem()
-	if err != nil {
-		return failure(err)
-	}
-	defer end()
-	report, err := c.measure(ctx, system)
-	if err != nil {
-		return failure(err)
-	}
-	if err := c.write(report); err != nil {
-		return failure(err)
-	}
-	return subcommands.ExitSuccess
+	return c.run(ctx, c.measure)
 }
 
 func (c *brokenFlowsCommand) measure(ctx context.Context, system harness.System) (*measure.Report, error) {
--- a/cmd/sassafrasturnbench/imbalance.go
+++ b/cmd/sassafrasturnbench/imbalance.go
@@ -58,18 +58,10 @@
 
 // Execute measures.
 func (c *imbalanceCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	system, end, err := c.startSystem()
-	if err != nil {
-		return failure(err)
-	}
-	defer end()
-	if err := c.write(c.measure(ctx, system)); err != nil {
-		return failure(err)
-	}
-	return subcommands.ExitSuccess
+	return c.run(ctx, c.measure)
 }
 
-func (c *imbalanceCommand) measure(ctx context.Context, system harness.System) *measure.Report {
+func (c *imbalanceCommand) measure(ctx context.Context, system harness.System) (*measure.Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, warmUp+time.Duration(c.seconds)*time.Second)
 	defer cancel()
 	done := &workDone{countsFrom: time.Now().Add(warmUp), byEndpoint: make(map[string]time.Duration), requests: make(map[string]int)}
@@ -79,7 +71,7 @@
 		callers.Go(func() { done.call(ctx, system, random) })
 	}
 	callers.Wait()
-	return c.report(done)
+	return c.report(done), nil
 }
 
 // pareto draws a heavy-tailed duration with the given mean and shape.
--- a/cmd/sassafrasturnbench/measure.go
+++ b/cmd/sassafrasturnbench/measure.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"os"
 
+	"github.com/google/subcommands"
+
 	"sassafrasturn.example/internal/harness"
 	"sassafrasturn.example/internal/measure"
 )
@@ -87,6 +90,23 @@
 	}
 }
 
+// run starts the system, measures it and writes the report.
+func (f *measureFlags) run(ctx context.Context, take func(context.Context, harness.System) (*measure.Report, error)) subcommands.ExitStatus {
+	system, end, err := f.startSystem()
+	if err != nil {
+		return failure(err)
+	}
+	defer end()
+	report, err := take(ctx, system)
+	if err != nil {
+		return failure(err)
+	}
+	if err := f.write(report); err != nil {
+		return failure(err)
+	}
+	return subcommands.ExitSuccess
+}
+
 func (f *measureFlags) write(report *measure.Report) error {
 	if err := report.WriteText(os.Stdout); err != nil {
 		return err
--- a/cmd/sassafrasturnbench/naive.go
+++ b/cmd/sassafrasturnbench/naive.go
@@ -44,9 +44,7 @@
 	if err != nil {
 		return failure(err)
 	}
-	if err := balancer.Run(ctx); err != nil {
-		return failure(err)
-	}
+	balancer.Run(ctx)
 	return subcommands.ExitSuccess
 }
 
--- a/cmd/sassafrasturnbench/standins.go
+++ b/cmd/sassafrasturnbench/standins.go
@@ -60,9 +60,7 @@
 	if err != nil {
 		return failure(err)
 	}
-	if err := f.Run(ctx); err != nil {
-		return failure(err)
-	}
+	f.Run(ctx)
 	return subcommands.ExitSuccess
 }
 
--- a/internal/standin/fabric/fabric.go
+++ b/internal/standin/fabric/fabric.go
@@ -5,26 +5,18 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/zeebo/errs"
+	"sassafrasturn.example/internal/standin/returnsocket"
 )
 
-// Error is the class of this package's errors.
-var Error = errs.Class("fabric")
-
 const (
-	maxDatagramBytes  = 65507
-	socketBufferBytes = 4 << 20
-	healthInterval    = 100 * time.Millisecond
-	healthTimeout     = 500 * time.Millisecond
+	healthInterval = 100 * time.Millisecond
+	healthTimeout  = 500 * time.Millisecond
 )
 
 // Target is a balancer as the fabric sees it.
@@ -37,74 +29,39 @@
 
 // Fabric sprays the datagrams of one service address.
 type Fabric struct {
-	conn    *net.UDPConn
+	sockets *returnsocket.Table
 	targets []Target
 	healthy []atomic.Bool
-
-	mu      sync.Mutex
-	callers map[netip.AddrPort]*net.UDPConn
 }
 
 // Listen opens the service address.
 func Listen(address netip.AddrPort, targets []Target) (*Fabric, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	conn, err := returnsocket.Listen(address)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	setBuffers(conn)
-	f := &Fabric{conn: conn, targets: targets, healthy: make([]atomic.Bool, len(targets)), callers: make(map[netip.AddrPort]*net.UDPConn)}
+	f := &Fabric{sockets: returnsocket.NewTable(conn), targets: targets, healthy: make([]atomic.Bool, len(targets))}
 	for i := range f.healthy {
 		f.healthy[i].Store(true)
 	}
 	return f, nil
 }
 
-func setBuffers(conn *net.UDPConn) {
-	_ = conn.SetReadBuffer(socketBufferBytes)
-	_ = conn.SetWriteBuffer(socketBufferBytes)
-}
-
 // Run sprays until ctx ends.
-func (f *Fabric) Run(ctx context.Context) error {
-	context.AfterFunc(ctx, f.close)
+func (f *Fabric) Run(ctx context.Context) {
+	context.AfterFunc(ctx, f.sockets.Close)
 	for i := range f.targets {
 		if f.targets[i].Health != "" {
 			go f.followHealth(ctx, i)
 		}
 	}
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		n, caller, err := f.conn.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			continue
-		}
-		f.spray(caller, buffer[:n])
-	}
-}
-
-func (f *Fabric) close() {
-	f.conn.Close()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, conn := range f.callers {
-		conn.Close()
-	}
+	f.sockets.Receive(f.spray)
 }
 
 func (f *Fabric) spray(caller netip.AddrPort, datagram []byte) {
-	target, ok := f.pick()
-	if !ok {
-		return
-	}
-	conn, err := f.connOf(caller)
-	if err != nil {
-		return
+	if target, ok := f.pick(); ok {
+		f.sockets.Send(caller, datagram, target)
 	}
-	// A datagram that cannot be sent is a lost one.
-	_, _ = conn.WriteToUDPAddrPort(datagram, target)
 }
 
 func (f *Fabric) pick() (netip.AddrPort, bool) {
@@ -118,35 +75,6 @@
 	return netip.AddrPort{}, false
 }
 
-func (f *Fabric) connOf(caller netip.AddrPort) (*net.UDPConn, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if conn, ok := f.callers[caller]; ok {
-		return conn, nil
-	}
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: f.conn.LocalAddr().(*net.UDPAddr).IP})
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	setBuffers(conn)
-	f.callers[caller] = conn
-	go f.returnReplies(conn, caller)
-	return conn, nil
-}
-
-func (f *Fabric) returnReplies(conn *net.UDPConn, caller netip.AddrPort) {
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil {
-			_, _ = f.conn.WriteToUDPAddrPort(buffer[:n], caller)
-		}
-	}
-}
-
 func (f *Fabric) followHealth(ctx context.Context, index int) {
 	client := &http.Client{Timeout: healthTimeout}
 	ticker := time.NewTicker(healthInterval)
--- a/internal/standin/naive/balancer.go
+++ b/internal/standin/naive/balancer.go
@@ -5,63 +5,46 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
-	"net"
 	"net/netip"
 	"os"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/standin/returnsocket"
 )
 
 // Error is the class of this package's errors.
 var Error = errs.Class("naive")
 
-const (
-	maxDatagramBytes = 65507
-	listInterval     = 100 * time.Millisecond
-)
+const listInterval = 100 * time.Millisecond
 
 // Balancer relays datagrams to the endpoints that a file lists, one ip:port a line.
 type Balancer struct {
-	conn *net.UDPConn
-	list string
-
+	sockets   *returnsocket.Table
+	list      string
 	endpoints atomic.Pointer[[]netip.AddrPort]
-
-	mu      sync.Mutex
-	callers map[netip.AddrPort]*net.UDPConn
 }
 
 // Listen opens the balancer's address.
 func Listen(address netip.AddrPort, list string) (*Balancer, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	conn, err := returnsocket.Listen(address)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
-	b := &Balancer{conn: conn, list: list, callers: make(map[netip.AddrPort]*net.UDPConn)}
+	b := &Balancer{sockets: returnsocket.NewTable(conn), list: list}
 	b.endpoints.Store(&[]netip.AddrPort{})
 	return b, nil
 }
 
 // Run relays until ctx ends.
-func (b *Balancer) Run(ctx context.Context) error {
-	context.AfterFunc(ctx, func() { b.conn.Close() })
+func (b *Balancer) Run(ctx context.Context) {
+	context.AfterFunc(ctx, b.sockets.Close)
 	go b.followList(ctx)
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		n, caller, err := b.conn.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err == nil {
-			b.relay(caller, buffer[:n])
-		}
-	}
+	b.sockets.Receive(b.relay)
 }
 
 func (b *Balancer) followList(ctx context.Context) {
@@ -103,39 +86,5 @@
 	hash := fnv.New32a()
 	hash.Write([]byte(caller.String()))
 	endpoint := endpoints[hash.Sum32()%uint32(len(endpoints))]
-	conn, err := b.connOf(caller)
-	if err != nil {
-		return
-	}
-	// A datagram that cannot be sent is a lost one.
-	_, _ = conn.WriteToUDPAddrPort(datagram, endpoint)
-}
-
-// connOf returns the socket that stands for a caller towards the endpoints.
-func (b *Balancer) connOf(caller netip.AddrPort) (*net.UDPConn, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if conn, ok := b.callers[caller]; ok {
-		return conn, nil
-	}
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: b.conn.LocalAddr().(*net.UDPAddr).IP})
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	b.callers[caller] = conn
-	go b.returnReplies(conn, caller)
-	return conn, nil
-}
-
-func (b *Balancer) returnReplies(conn *net.UDPConn, caller netip.AddrPort) {
-	buffer := make([]byte, maxDatagramBytes)
-	for {
-		n, _, err := conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil {
-			_, _ = b.conn.WriteToUDPAddrPort(buffer[:n], caller)
-		}
-	}
+	b.sockets.Send(caller, datagram, endpoint)
 }
--- /dev/null
+++ b/internal/standin/returnsocket/returnsocket.go
@@ -0,0 +1,109 @@
+// Package returnsocket gives each caller of a UDP relay a socket of its own, by
+// which what the far side answers finds its way back to the caller.
+package returnsocket
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("return socket")
+
+const (
+	maxDatagramBytes  = 65507
+	socketBufferBytes = 4 << 20
+)
+
+// Table holds the sockets of the callers of one relay. It is safe for concurrent use.
+type Table struct {
+	relay *net.UDPConn
+
+	mu      sync.Mutex
+	callers map[netip.AddrPort]*net.UDPConn
+}
+
+// NewTable returns an empty table of the relay whose socket callers send to.
+func NewTable(relay *net.UDPConn) *Table {
+	return &Table{relay: relay, callers: make(map[netip.AddrPort]*net.UDPConn)}
+}
+
+// Listen opens the socket of a relay.
+func Listen(address netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	// Where the options are refused, the relay works with smaller buffers.
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	_ = conn.SetWriteBuffer(socketBufferBytes)
+	return conn, nil
+}
+
+// Send sends a caller's datagram on from the caller's own socket. A datagram
+// that cannot be sent is a lost one.
+func (t *Table) Send(caller netip.AddrPort, datagram []byte, to netip.AddrPort) {
+	conn, err := t.of(caller)
+	if err != nil {
+		return
+	}
+	_, _ = conn.WriteToUDPAddrPort(datagram, to)
+}
+
+func (t *Table) of(caller netip.AddrPort) (*net.UDPConn, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if conn, ok := t.callers[caller]; ok {
+		return conn, nil
+	}
+	local := t.relay.LocalAddr().(*net.UDPAddr).AddrPort()
+	conn, err := Listen(netip.AddrPortFrom(local.Addr(), 0))
+	if err != nil {
+		return nil, err
+	}
+	t.callers[caller] = conn
+	go t.returnReplies(conn, caller)
+	return conn, nil
+}
+
+func (t *Table) returnReplies(conn *net.UDPConn, caller netip.AddrPort) {
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			_, _ = t.relay.WriteToUDPAddrPort(buffer[:n], caller)
+		}
+	}
+}
+
+// Receive calls handle with each datagram that arrives at the relay until the
+// relay is closed.
+func (t *Table) Receive(handle func(caller netip.AddrPort, datagram []byte)) {
+	buffer := make([]byte, maxDatagramBytes)
+	for {
+		n, caller, err := t.relay.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			handle(caller, buffer[:n])
+		}
+	}
+}
+
+// Close closes the relay and all sockets.
+func (t *Table) Close() {
+	t.relay.Close()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, conn := range t.callers {
+		conn.Close()
+	}
+}
