--- /dev/null
+++ b/internal/harness/rotation_test.go
@@ -0,0 +1,76 @@
+package harness_test
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/caller"
+	"sassafrasturn.example/internal/harness"
+)
+
+// BenchmarkRepliesUnderKills downloads drawings while one balancer is killed
+// and replaced at each interval; it reports how many of 100 were whole.
+func BenchmarkRepliesUnderKills(b *testing.B) {
+	g := NewWithT(b)
+	built, err := harness.Build("../..", b.TempDir())
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, interval := range []time.Duration{150 * time.Millisecond, 300 * time.Millisecond} {
+		b.Run(interval.String(), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(float64(wholeUnderKills(b, built, interval)), "whole-of-100")
+			}
+		})
+	}
+}
+
+func wholeUnderKills(b *testing.B, built harness.Binaries, interval time.Duration) int {
+	const callers, requests, bytes = 10, 10, 512 << 10
+	g := NewWithT(b)
+	cluster, err := harness.Start(built, b.TempDir(), twoServices())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer cluster.Close()
+	var whole atomic.Int32
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			transport := caller.New(&tls.Config{InsecureSkipVerify: true})
+			defer transport.Close()
+			client := &http.Client{Transport: transport, Timeout: requestTimeout}
+			for range requests {
+				if size, err := downloadSize(client, cluster.URL("drawings", fmt.Sprintf("/drawings/%d?pace=10ms", bytes))); err == nil && size == bytes {
+					whole.Add(1)
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() { wait.Wait(); close(done) }()
+	for kills := 0; ; kills++ {
+		select {
+		case <-done:
+			return int(whole.Load())
+		case <-time.After(interval):
+		}
+		process := cluster.Process(harness.BalancerName(kills % 3))
+		g.Expect(process.Kill()).To(Succeed())
+		g.Expect(process.Start()).To(Succeed())
+	}
+}
+
+func downloadSize(client *http.Client, url string) (int, error) {
+	answer, err := client.Get(url)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return len(body), err
+}
--- a/internal/machine/balancer/addresses.go
+++ b/internal/machine/balancer/addresses.go
@@ -28,6 +28,9 @@
 	b.listenAt(ctx, service, service.doc.Address, view)
 	if local := b.listenAddress(service.former); service.former.IsValid() && local != current && b.listenerAt(local) == nil {
 		b.listenAt(ctx, service, service.former, formerView(view))
+		if l := b.listenerAt(local); l != nil {
+			l.retire(time.Now())
+		}
 	}
 }
 
