Hand nothing on into a zone whose endpoints are learned after it went out

Cause: an agent looked at new endpoint records only while it knew of an endpoint in a zone that is out; the first one in such a zone was missed. Test: TestAgentHandsOnNothingIntoOutZone, seen failing without the change and without the filter of candidates.

--- a/internal/machine/agent/guard.go
+++ b/internal/machine/agent/guard.go
@@ -17,6 +17,8 @@
 type guard struct {
 	// isZoneOut is true when the agent's own zone is out of service.
 	isZoneOut bool
+	// isAnyOut is true when any zone is out of service.
+	isAnyOut bool
 	// out holds the agents in zones that are out, by packed address.
 	out map[string]bool
 }
@@ -40,7 +42,8 @@
 		}
 	}
 	next.isZoneOut = zonesOut[a.instance.Settings.Zone]
-	if len(zonesOut) == 0 {
+	next.isAnyOut = len(zonesOut) > 0
+	if !next.isAnyOut {
 		return next
 	}
 	for _, record := range a.instance.Store.List(wire.Record_KIND_ENDPOINT) {
@@ -56,7 +59,7 @@
 func (a *Agent) followZones(records []*wire.Record) {
 	isZone := func(record *wire.Record) bool { return record.Kind == wire.Record_KIND_ZONE }
 	isEndpoint := func(record *wire.Record) bool { return record.Kind == wire.Record_KIND_ENDPOINT }
-	if slices.ContainsFunc(records, isZone) || (len(a.guard.Load().out) > 0 && slices.ContainsFunc(records, isEndpoint)) {
+	if slices.ContainsFunc(records, isZone) || (a.guard.Load().isAnyOut && slices.ContainsFunc(records, isEndpoint)) {
 		a.guardMu.Lock()
 		defer a.guardMu.Unlock()
 		next := a.readGuard()
--- a/internal/machine/pathtest/hostile_test.go
+++ b/internal/machine/pathtest/hostile_test.go
@@ -167,3 +167,39 @@
 	}
 	w.g.Expect(takenBy(agents[:1])).To(Equal(taken))
 }
+
+// TestAgentHandsOnNothingIntoOutZone lets an agent hand a new flow on whose
+// first candidate stands in a zone that is out. The agent learns of that
+// endpoint only after it has learned of the zone.
+func TestAgentHandsOnNothingIntoOutZone(t *testing.T) {
+	w := newWorld(t)
+	nodes, agents := w.startService(1)
+	tell(agents[1:2], w.setDocument("order-desk", 1, 20, orderDesk, "", "10.9.9.9"))
+	tell(agents[1:2], w.setRecord(wire.Record_KIND_ZONE, "a", 30, &wire.Zone{Number: 1, Name: "a", Out: true}))
+	tell(agents[1:2], agents[0].endpoint())
+	reached := make(chan netip.AddrPort, queueSize)
+	w.mu.Lock()
+	w.seen = func(to netip.AddrPort, message *wire.Envelope) {
+		if message.Hop > 0 {
+			reached <- to
+		}
+	}
+	w.mu.Unlock()
+	h := w.newHostile()
+	opening := append([]byte{0xc0, 0, 0, 0, 1, 8}, make([]byte, 1200)...)
+	sealed, err := w.sealer.Seal(nil, &wire.Envelope{
+		Kind: wire.Envelope_KIND_FORWARD, Service: 1, Payload: opening,
+		Caller: envelope.PackAddress(h.address), Dialed: envelope.PackAddress(netip.MustParseAddrPort(orderDesk)),
+		Balancer:   envelope.PackAddress(nodes[0].instance.Settings.Balancer.Envelope),
+		Candidates: [][]byte{envelope.PackAddress(agentAddress(0)), envelope.PackAddress(agentAddress(2))},
+	})
+	w.g.Expect(err).NotTo(HaveOccurred())
+	// The agent reads the document in a goroutine of its own: until then it accepts.
+	w.g.Eventually(func() int {
+		_, _ = h.WriteToUDPAddrPort(sealed, agentAddress(1))
+		return len(reached)
+	}, patience).Should(BeNumerically(">", 0))
+	for range len(reached) {
+		w.g.Expect(<-reached).To(Equal(agentAddress(2)))
+	}
+}
