Ask one control instance for the lease in place of all

Cause: each instance asked every configured peer twice a second; with 620 nodes and 5 control instances that is 1,240 questions a second at each of them. Now an instance stays with one peer while it gives a lease: 248 a second. Specs 'a zone', 'UDP listeners', 'breaks no flow': pass (31 s). Command: go test -count=1 ./internal/harness -args -ginkgo.focus 'a zone|UDP listeners|breaks no flow'

--- a/internal/machine/lease.go
+++ b/internal/machine/lease.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -25,6 +26,9 @@
 	// neighbourCount is how many instances besides the configured peers are
 	// asked for the lease, so that it spreads past a cut to control.
 	neighbourCount = 2
+	// nextPeerDelay passes before the next instance is asked in place of one that
+	// gave no lease.
+	nextPeerDelay = 100 * time.Millisecond
 	// neighbourTerm is how long an instance asks the same neighbours.
 	neighbourTerm = 30 * time.Second
 
@@ -38,11 +42,7 @@
 	stop := i.Store.Watch(i.noteRecords)
 	context.AfterFunc(ctx, stop)
 	i.noteRecords(i.Store.List(wire.Record_KIND_ZONE, wire.Record_KIND_LEASE))
-	for _, peer := range i.Settings.Cluster.Peers {
-		if peer != i.Settings.Link.Listen {
-			go i.askPeer(ctx, peer.String())
-		}
-	}
+	go i.askPeers(ctx)
 	for range neighbourCount {
 		go i.askNeighbours(ctx)
 	}
@@ -75,17 +75,26 @@
 	return zone.Lease{Term: term, ZoneIndex: lease.ZoneIndex, Duration: min(duration, maxLease)}
 }
 
-// askNeighbours asks one instance after the other for the lease.
+// askPeers asks one configured peer as long as it gives a lease, else the next
+// one, so that each control instance is asked by its share of the instances.
+func (i *Instance) askPeers(ctx context.Context) {
+	peers := slices.DeleteFunc(slices.Clone(i.Settings.Cluster.Peers), func(peer netip.AddrPort) bool { return peer == i.Settings.Link.Listen })
+	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	for n := 0; len(peers) > 0 && ctx.Err() == nil; n++ {
+		i.askWhile(ctx, peers[n%len(peers)].String(), func(answer *wire.LeaseResponse) bool { return answer.Lease != nil })
+		sleep(ctx, nextPeerDelay)
+	}
+}
+
+// askNeighbours asks one random instance after the other for the lease.
 func (i *Instance) askNeighbours(ctx context.Context) {
 	for ctx.Err() == nil {
-		address := i.pickNeighbour()
-		if address == "" {
-			sleep(ctx, zone.AskInterval)
-			continue
+		if address := i.pickNeighbour(); address != "" {
+			term, cancel := context.WithTimeout(ctx, neighbourTerm)
+			i.askWhile(term, address, func(*wire.LeaseResponse) bool { return true })
+			cancel()
 		}
-		term, cancel := context.WithTimeout(ctx, neighbourTerm)
-		i.askPeer(term, address)
-		cancel()
+		sleep(ctx, nextPeerDelay)
 	}
 }
 
@@ -116,25 +125,18 @@
 	return endpoint.Link
 }
 
-// askPeer asks the instance at address again and again until ctx ends.
-func (i *Instance) askPeer(ctx context.Context, address string) {
-	var session *yamux.Session
-	defer func() {
-		if session != nil {
-			session.Close()
-		}
-	}()
+// askWhile asks the instance at address until it fails to answer, its answer
+// is not useful, or ctx ends.
+func (i *Instance) askWhile(ctx context.Context, address string, isUseful func(*wire.LeaseResponse) bool) {
+	session, err := i.Dialer.Dial(ctx, address)
+	if err != nil {
+		return
+	}
+	defer session.Close()
 	for ctx.Err() == nil {
-		var err error
-		if session == nil {
-			session, err = i.Dialer.Dial(ctx, address)
-		}
-		if err == nil {
-			err = i.askOnce(ctx, session)
-		}
-		if err != nil && session != nil {
-			session.Close()
-			session = nil
+		answer, err := i.askOnce(ctx, session)
+		if err != nil || !isUseful(answer) {
+			return
 		}
 		i.waitToAsk(ctx)
 	}
@@ -159,21 +161,21 @@
 	}
 }
 
-func (i *Instance) askOnce(ctx context.Context, session *yamux.Session) error {
+func (i *Instance) askOnce(ctx context.Context, session *yamux.Session) (*wire.LeaseResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	question := &wire.LeaseRequest{ZonesDigest: zonesDigest(i.Store.List(wire.Record_KIND_ZONE))}
 	asked := time.Now()
 	response, err := link.CallOn(ctx, session, &wire.Request{Body: &wire.Request_Lease{Lease: question}})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	answer := response.GetLease()
 	if answer == nil {
-		return Error.New("the peer does not answer lease requests")
+		return nil, Error.New("the peer does not answer lease requests")
 	}
 	i.takeLease(asked, time.Now(), answer)
-	return nil
+	return answer, nil
 }
 
 // takeLease takes in an answer; its zones come first, so that the view has
