--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -59,6 +61,10 @@
 	// under PublishedIncarnation.
 	Incarnation uint64
 
+	// zones are the zone records as they stand in the store.
+	zones   atomic.Pointer[zoneRecords]
+	zonesMu sync.Mutex
+
 	publisher publisher
 	mesh      *exchange.Mesh
 	server    *link.Server
--- a/internal/machine/lease.go
+++ b/internal/machine/lease.go
@@ -48,11 +48,37 @@
 	}
 }
 
+// zoneRecords holds all zone records and their digest.
+type zoneRecords struct {
+	records []*wire.Record
+	digest  uint64
+}
+
+// readZones reads the zone records anew.
+func (i *Instance) readZones() {
+	i.zonesMu.Lock()
+	defer i.zonesMu.Unlock()
+	records := i.Store.List(wire.Record_KIND_ZONE)
+	i.zones.Store(&zoneRecords{records: records, digest: zonesDigest(records)})
+}
+
+// heldZones returns the zone records; they are read only when one changes,
+// since questions for the lease come much more often.
+func (i *Instance) heldZones() *zoneRecords {
+	if held := i.zones.Load(); held != nil {
+		return held
+	}
+	return new(zoneRecords)
+}
+
 // noteRecords takes the newest zone change, and at a control instance the
 // lease that its own leader has published: leases do not travel by exchange,
 // because records that lay in a buffer do not say how old they are.
 func (i *Instance) noteRecords(records []*wire.Record) {
 	now := time.Now()
+	if slices.ContainsFunc(records, func(record *wire.Record) bool { return record.Kind == wire.Record_KIND_ZONE }) {
+		i.readZones()
+	}
 	for _, record := range records {
 		switch record.Kind {
 		case wire.Record_KIND_ZONE:
@@ -164,7 +190,7 @@
 func (i *Instance) askOnce(ctx context.Context, session *yamux.Session) (*wire.LeaseResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	question := &wire.LeaseRequest{ZonesDigest: zonesDigest(i.Store.List(wire.Record_KIND_ZONE))}
+	question := &wire.LeaseRequest{ZonesDigest: i.heldZones().digest}
 	asked := time.Now()
 	response, err := link.CallOn(ctx, session, &wire.Request{Body: &wire.Request_Lease{Lease: question}})
 	if err != nil {
@@ -199,9 +225,8 @@
 		// Rounded up: a lease must not look younger than it is.
 		answer.AgeMs = uint32(age.Milliseconds()) + 1
 	}
-	zones := i.Store.List(wire.Record_KIND_ZONE)
-	if zonesDigest(zones) != question.ZonesDigest {
-		answer.Zones = zones
+	if zones := i.heldZones(); zones.digest != question.ZonesDigest {
+		answer.Zones = zones.records
 	}
 	i.respond(stream, &wire.Response{Body: &wire.Response_Lease{Lease: answer}})
 }
