--- a/internal/admit/flows.go
+++ b/internal/admit/flows.go
@@ -65,7 +65,7 @@
 	// are shares of what the endpoint can hold.
 	flowWeight = 3.0
 	// littleUse is the share of the slots in use below which a warm endpoint
-	// accepts a flow without asking anybody.
+	// accepts a flow without a comparison.
 	littleUse = 0.3
 	// coldHeadroom divides the flows that a cold endpoint may take: those that
 	// it has accepted stay, and their requests come later.
--- a/internal/admit/limit_test.go
+++ b/internal/admit/limit_test.go
@@ -143,7 +143,7 @@
 }
 
 // drive offers as much work as the policy allows for a minute. With turnAt the
-// endpoint turns cold then, without a word.
+// endpoint turns cold then without warning.
 func drive(e *fakeEndpoint, p policy, turnAt time.Duration, seed uint64) result {
 	random := rand.New(rand.NewPCG(seed, seed))
 	var r result
--- a/internal/machine/agent/drain_test.go
+++ b/internal/machine/agent/drain_test.go
@@ -323,7 +323,7 @@
 	client := h3Client(t)
 	g.Expect(fetch(client, r.url())).To(Equal("200 endpoint of one"))
 	g.Expect(server.Close()).To(Succeed())
-	g.Eventually(s.takesFlows.Load).Should(BeFalse(), "gone without a word")
+	g.Eventually(s.takesFlows.Load).Should(BeFalse(), "ended without draining")
 	_, _, counted := startEndpoint(t, "endpoint of two", address)
 	g.Expect(fetch(client, r.url())).To(HavePrefix("503"))
 	g.Expect(counted.Load()).To(BeZero())
--- a/internal/machine/agent/hunt.go
+++ b/internal/machine/agent/hunt.go
@@ -70,7 +70,7 @@
 }
 
 // isStale reports whether a remembered choice no longer holds: it was a
-// refusal, there is nobody left to hand the flow on to, or the agent has
+// refusal, no candidate is left, or the agent has
 // stopped taking handshakes.
 func (h *hunt) isStale(held huntChoice, isLast bool) bool {
 	switch held {
--- a/internal/machine/agent/life.go
+++ b/internal/machine/agent/life.go
@@ -87,7 +87,7 @@
 	return now.Sub(l.heard) > max(minSilence, silentIntervals*l.interval)
 }
 
-// lose notes that the endpoint is gone without a word. It reports whether that is new.
+// lose notes that the endpoint has ended without draining. It reports whether that is new.
 func (l *life) lose(reason string) bool {
 	l.isDrained = false
 	if l.phase != phaseServing {
--- a/internal/machine/agent/life_test.go
+++ b/internal/machine/agent/life_test.go
@@ -36,7 +36,7 @@
 	}
 }
 
-func TestLifeLosesAnEndpointThatIsGoneWithoutAWord(t *testing.T) {
+func TestLifeLosesAnEndpointThatEndsWithoutDraining(t *testing.T) {
 	g := NewWithT(t)
 	announcement := &Announcement{Service: "order-desk", Address: "127.0.0.1:8000", Process: "1"}
 	l := new(life)
@@ -85,7 +85,7 @@
 	h.close()
 	g.Expect(decide(2, "flow", false)).To(Equal(huntHandOn), "the drain has ended the handshakes")
 	next = huntAccept
-	g.Expect(decide(2, "flow", true)).To(Equal(huntAccept), "nobody left to hand on to")
+	g.Expect(decide(2, "flow", true)).To(Equal(huntAccept), "no candidate is left")
 	next = huntRefuse
 	g.Expect(decide(3, "full", true)).To(Equal(huntRefuse))
 	next = huntHandOn
