Bound the memory of the ledger by what a record takes

Cause: at 65,536 runs of 823 B each and 7 minutes of retention the ledger could grow to 70 MB beside 16 MiB of answers, and was full at 156 orders a second.

Keys start within 1 minute, records go 3 minutes after the request's end, a settled record drops its channel, and an answer's own cost counts against the 8 MiB of kept answers. The limits carry 364 orders a second.

--- a/internal/machine/agent/bodies.go
+++ b/internal/machine/agent/bodies.go
@@ -15,7 +15,7 @@
 	// maxOnceBodyBytes bounds the body of a request that must run at most once.
 	maxOnceBodyBytes = 1 << 20
 	// maxBufferedBytes bounds all bodies that are held at a time.
-	maxBufferedBytes = 16 << 20
+	maxBufferedBytes = 8 << 20
 	// bodyTimeout bounds the reading of one such body.
 	bodyTimeout = 10 * time.Second
 )
--- a/internal/once/ledger.go
+++ b/internal/once/ledger.go
@@ -28,11 +28,15 @@
 	Body   []byte
 }
 
-// fieldOverhead is counted for each header field on top of its bytes.
-const fieldOverhead = 32
+const (
+	// answerOverhead is counted for each answer on top of its content.
+	answerOverhead = 512
+	// fieldOverhead is counted for each header field on top of its bytes.
+	fieldOverhead = 32
+)
 
 func (a *Answer) size() int {
-	size := len(a.Body)
+	size := answerOverhead + len(a.Body)
 	for name, values := range a.Header {
 		for _, value := range values {
 			size += len(name) + len(value) + fieldOverhead
@@ -81,12 +85,12 @@
 
 // DefaultLimits are those of an agent.
 var DefaultLimits = Limits{
-	KeyLife:     2 * time.Minute,
-	Retention:   5 * time.Minute,
+	KeyLife:     time.Minute,
+	Retention:   2 * time.Minute,
 	Runs:        1 << 16,
 	Voids:       1 << 16,
 	AnswerBytes: 256 << 10,
-	TotalBytes:  16 << 20,
+	TotalBytes:  8 << 20,
 }
 
 // record is what the ledger knows of one key.
@@ -97,7 +101,9 @@
 	answer  *Answer
 	size    int
 	expires time.Duration
-	// done is closed when the request is no longer running.
+	// hasStarted is false for a key that was void from the beginning.
+	hasStarted bool
+	// done is closed when the request is no longer running, and dropped then.
 	done chan struct{}
 	// kept is the record's place among the kept answers, oldest first.
 	kept *list.Element
@@ -132,7 +138,7 @@
 	State State
 	// Answer is set in StateFinished; it must not be changed.
 	Answer *Answer
-	// Done is closed when the state is no longer StateRunning.
+	// Done is set in StateRunning and closed at its end.
 	Done <-chan struct{}
 }
 
@@ -152,7 +158,7 @@
 	if l.runs >= l.limits.Runs {
 		return l.voidLocked(now, id, expires), false
 	}
-	started := &record{id: id, state: StateRunning, content: content, expires: expires, done: make(chan struct{})}
+	started := &record{id: id, state: StateRunning, hasStarted: true, content: content, expires: expires, done: make(chan struct{})}
 	l.records[id] = started
 	l.runs++
 	return started.result(content), true
@@ -250,6 +256,7 @@
 	}
 	r.state = state
 	close(r.done)
+	r.done = nil
 	l.scheduleLocked(now, r)
 	return r
 }
@@ -272,10 +279,10 @@
 		l.forgetting.Remove(front)
 		l.dropAnswerLocked(r)
 		delete(l.records, r.id)
-		if r.done == nil {
-			l.voids--
-		} else {
+		if r.hasStarted {
 			l.runs--
+		} else {
+			l.voids--
 		}
 	}
 }
