Test that a refusal which breaks off is not taken for an answer

With the holding of refusals removed no test failed; now TestRefusalThatBreaksOffIsNotAnAnswer does.

--- a/caller/exchange_test.go
+++ b/caller/exchange_test.go
@@ -293,3 +293,31 @@
 type zeroReader struct{}
 
 func (zeroReader) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// TestRefusalThatBreaksOffIsNotAnAnswer: a GET that the document lists gets its
+// key by a refusal, which may break off like any answer.
+func TestRefusalThatBreaksOffIsNotAnAnswer(t *testing.T) {
+	g := NewWithT(t)
+	sent := 0
+	transport := newTransport(func(r *http.Request) (*http.Response, error) {
+		sent++
+		w := httptest.NewRecorder()
+		if r.Header.Get(KeyHeader) != "" {
+			io.WriteString(w, "done")
+			return w.Result(), nil
+		}
+		w.Header().Set(KeyHeader, `"fresh"`)
+		problem.Refusal{Status: http.StatusPreconditionRequired, Type: problem.TypeKeyRequired, Ran: problem.RanNo}.Write(w)
+		answer := w.Result()
+		if sent == 1 {
+			answer.Body = io.NopCloser(io.MultiReader(strings.NewReader("{"), brokenReader{}))
+		}
+		return answer, nil
+	})
+	transport.sleep = func(context.Context, time.Duration) {}
+	r, _ := http.NewRequest(http.MethodGet, "https://order-desk/checkout", nil)
+	answer, err := transport.RoundTrip(r)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.StatusCode).To(Equal(http.StatusOK))
+	g.Expect(sent).To(Equal(3))
+}
