--- a/internal/harness/orders_test.go
+++ b/internal/harness/orders_test.go
@@ -102,6 +102,24 @@
 		}
 		Expect(readRuns(cluster)).To(Equal(map[string]int{"stock": 1}))
 	})
+
+	It("is refused when its header is over 64 KiB, and the next one is served", func() {
+		cluster := startCluster(ordersPlan(""))
+		transport := newStockTransport()
+		defer transport.Close()
+		request, err := http.NewRequest(http.MethodPost, cluster.URL(orderService, "/orders?id=large"), nil)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Large", strings.Repeat("x", 65<<10))
+		answer, err := transport.RoundTrip(request)
+		if err == nil {
+			answer.Body.Close()
+			Expect(answer.StatusCode).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		}
+		_, text, err := orderBy(transport, cluster.URL(orderService, "/orders?id=next"), "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(HavePrefix("order next by "))
+		Expect(readRuns(cluster)).To(Equal(map[string]int{"next": 1}))
+	})
 })
 
 func newStockTransport() *http3.Transport {
--- a/internal/machine/agent/request.go
+++ b/internal/machine/agent/request.go
@@ -21,6 +21,8 @@
 	timeoutHeader = "Request-Timeout"
 	// maxTimeout bounds what a caller may ask for.
 	maxTimeout = time.Hour
+	// maxRequestHeaderBytes bounds the header of a caller's request.
+	maxRequestHeaderBytes = 64 << 10
 	// maxDecodings bounds how often a path is decoded to find what it may mean.
 	maxDecodings = 4
 )
--- a/internal/machine/agent/serving.go
+++ b/internal/machine/agent/serving.go
@@ -68,7 +68,11 @@
 	if err := s.listen(certificate); err != nil {
 		return nil, err
 	}
-	s.server = &http3.Server{Handler: s.work.countRequests(s.proxy), ConnContext: s.work.countConnection}
+	s.server = &http3.Server{
+		Handler:        s.work.countRequests(s.proxy),
+		ConnContext:    s.work.countConnection,
+		MaxHeaderBytes: maxRequestHeaderBytes,
+	}
 	s.takesFlows.Store(true)
 	go s.accept()
 	return s, nil
