--- a/internal/exchange/bench_test.go
+++ b/internal/exchange/bench_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -182,3 +184,37 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkZoneLoss is the verdicts of all watchers when a zone goes: six of
+// seven balancers publish one at once, with three suspicions each.
+func BenchmarkZoneLoss(b *testing.B) {
+	perSize(b, func(b *testing.B, f *simFleet) {
+		const watched = 10 * time.Second
+		var last *wire.Record
+		rounds := 0
+		f.measure(b, watched, func() {
+			for i := range f.balancers {
+				if i%7 == 0 {
+					continue
+				}
+				last = verdictRecord(i)
+				f.stores[i].Merge([]*wire.Record{last})
+			}
+			f.stores = f.stores[:f.balancers]
+			rounds = f.roundsUntil(last)
+			f.run(watched - time.Duration(rounds)*round)
+		})
+		b.ReportMetric(float64(rounds), "rounds-to-all-balancers")
+	})
+}
+
+func verdictRecord(watcher int) *wire.Record {
+	verdict := &wire.Verdict{Zone: "zone-1", LostZones: []string{"zone-0"}}
+	for i := range 3 {
+		verdict.Suspicions = append(verdict.Suspicions, &wire.Suspicion{
+			Kind: wire.Record_KIND_ENDPOINT, Member: fmt.Sprintf("agent-%04d", watcher*5+i), Major: 1_700_000_000_000, Minor: 3,
+		})
+	}
+	value, _ := proto.Marshal(verdict)
+	return &wire.Record{Kind: wire.Record_KIND_VERDICT, Key: nodeName(watcher), Major: 1_700_000_000_000, Minor: 2, Value: value}
+}
