--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -53,21 +53,36 @@
 	}
 }
 
-// BenchmarkFalseAlarms counts, for each rate of loss, how many watcher ticks
-// out of all took a live member for down, and how long a death took to notice.
+// BenchmarkFalseAlarms counts, for each rate of loss and number of balancers,
+// how many in a million looks at a live member found it down, and how long a
+// death took to notice. One balancer is one watcher a member, two are two, and
+// from three on there are three.
 func BenchmarkFalseAlarms(b *testing.B) {
-	for _, loss := range []float64{0.01, 0.05, 0.1, 0.2} {
-		b.Run(fmt.Sprintf("loss=%v", loss), func(b *testing.B) {
-			c := newCluster(testSeed, 7, 35, 7)
-			c.loss = loss
-			c.run(10 * time.Minute)
-			b.ReportMetric(float64(c.alarms), "alarm-ticks")
-			b.ReportMetric(float64(c.naiveAlarms), "naive-alarm-ticks")
-			dead := c.byAddr["agent-4"]
-			dead.isDown = true
-			detected := c.timeUntil(func(w *simWatcher) bool { return w.table.IsDown(dead.Kind, dead.Name) })
-			b.ReportMetric(detected.Seconds(), "s-to-detect")
-			b.ReportMetric(0, "ns/op")
-		})
+	for _, balancers := range []int{1, 2, 3, 14} {
+		for _, loss := range []float64{0.01, 0.05, 0.1, 0.2} {
+			b.Run(fmt.Sprintf("balancers=%d/loss=%v", balancers, loss), func(b *testing.B) {
+				benchmarkFalseAlarms(b, balancers, loss)
+			})
+		}
 	}
 }
+
+func benchmarkFalseAlarms(b *testing.B, balancers int, loss float64) {
+	const (
+		agents   = 35
+		watched  = 10 * time.Minute
+		ticks    = float64(watched / TickInterval)
+		aMillion = 1e6
+	)
+	c := newCluster(testSeed, balancers, agents, 7)
+	c.loss = loss
+	c.run(watched)
+	looks := ticks * float64(balancers) * float64(balancers+agents)
+	b.ReportMetric(float64(c.alarms)/looks*aMillion, "alarms-ppm")
+	b.ReportMetric(float64(c.naiveAlarms)/looks*aMillion, "naive-ppm")
+	dead := c.byAddr["agent-4"]
+	dead.isDown = true
+	detected := c.timeUntil(func(w *simWatcher) bool { return w.table.IsDown(dead.Kind, dead.Name) })
+	b.ReportMetric(detected.Seconds(), "s-to-detect")
+	b.ReportMetric(0, "ns/op")
+}
