Share one package for rendezvous hashing

Change: internal/rendezvous, used by both; the filter has its own file. No decision changes but the order of balancers in an agent's sample.

--- a/internal/exchange/digest.go
+++ b/internal/exchange/digest.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"sassafrasturn.example/internal/rendezvous"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -14,22 +15,7 @@
 	hash := fnv.New64a()
 	hash.Write([]byte{byte(key.kind)})
 	hash.Write([]byte(key.key))
-	return mix(hash.Sum64())
-}
-
-func hashString(text string) uint64 {
-	hash := fnv.New64a()
-	hash.Write([]byte(text))
-	return mix(hash.Sum64())
-}
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	return rendezvous.Mix(hash.Sum64())
 }
 
 func bucketOf(hash uint64) int {
@@ -43,7 +29,7 @@
 	binary.BigEndian.PutUint64(data[16:], minor)
 	sum := fnv.New64a()
 	sum.Write(data[:])
-	return mix(sum.Sum64())
+	return rendezvous.Mix(sum.Sum64())
 }
 
 // digest returns the sums of all buckets.
--- /dev/null
+++ b/internal/exchange/filter.go
@@ -0,0 +1,84 @@
+package exchange
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/rendezvous"
+	"sassafrasturn.example/internal/wire"
+)
+
+// balancerSample is how many balancers an agent is told of.
+const balancerSample = 8
+
+// filter chooses the records that an agent needs.
+type filter struct {
+	store        *Store
+	subscription *wire.Subscription
+	balancers    map[string]bool
+}
+
+func newFilter(store *Store, subscription *wire.Subscription) *filter {
+	f := &filter{store: store, subscription: subscription}
+	f.sample()
+	return f
+}
+
+// sample chooses the balancers by rendezvous hashing, so that every peer of an
+// agent with the same records tells it of the same ones.
+func (f *filter) sample() {
+	var names []string
+	for _, record := range f.store.List(wire.Record_KIND_BALANCER) {
+		names = append(names, record.Key)
+	}
+	f.balancers = make(map[string]bool, balancerSample)
+	for _, name := range rendezvous.Rank(f.subscription.Instance, names, balancerSample) {
+		f.balancers[name] = true
+	}
+}
+
+func (f *filter) matches(record *wire.Record) bool {
+	switch record.Kind {
+	case wire.Record_KIND_SERVICE:
+		return record.Key == f.subscription.Service
+	case wire.Record_KIND_ENDPOINT:
+		return record.Key == f.subscription.Instance || record.Scope != "" && record.Scope == f.subscription.Service
+	case wire.Record_KIND_BALANCER:
+		return f.balancers[record.Key]
+	case wire.Record_KIND_VERDICT:
+		return f.isNamed(record)
+	default:
+		return true
+	}
+}
+
+// isNamed reports whether a verdict suspects the subscriber.
+func (f *filter) isNamed(record *wire.Record) bool {
+	verdict := new(wire.Verdict)
+	if proto.Unmarshal(record.Value, verdict) != nil {
+		return false
+	}
+	for _, suspicion := range verdict.Suspicions {
+		if suspicion.Member == f.subscription.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// list returns every record that the subscriber needs.
+// Verdicts are left out: they are told when they change.
+func (f *filter) list() []*wire.Record {
+	f.sample()
+	kinds := []wire.Record_Kind{wire.Record_KIND_ENDPOINT, wire.Record_KIND_BALANCER, wire.Record_KIND_ZONE}
+	records := f.store.List(kinds...)
+	if document := f.store.Get(wire.Record_KIND_SERVICE, f.subscription.Service); document != nil {
+		records = append(records, document)
+	}
+	wanted := records[:0]
+	for _, record := range records {
+		if f.matches(record) {
+			wanted = append(wanted, record)
+		}
+	}
+	return wanted
+}
--- a/internal/exchange/topology.go
+++ b/internal/exchange/topology.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"sassafrasturn.example/internal/rendezvous"
 )
 
 const (
@@ -70,7 +72,7 @@
 }
 
 func ringPosition(peer Peer) uint64 {
-	return hashString(peer.Instance)
+	return rendezvous.Hash(peer.Instance)
 }
 
 // fail notes that an address could not be reached.
@@ -157,7 +159,7 @@
 		byName[peer.Instance] = peer
 		names[i] = peer.Instance
 	}
-	for _, name := range Rank(p.self.Instance, names, len(names)) {
+	for _, name := range rendezvous.Rank(p.self.Instance, names, len(names)) {
 		if len(p.wanted) == agentLinks {
 			return
 		}
--- a/internal/membership/assignment.go
+++ b/internal/membership/assignment.go
@@ -1,8 +1,9 @@
 package membership
 
 import (
-	"hash/fnv"
+	"slices"
 
+	"sassafrasturn.example/internal/rendezvous"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -42,7 +43,7 @@
 	best := make([]scoredCandidate, all.zones)
 	var targets []Target
 	for member, state := range t.members {
-		if state.isGone || member.Name == t.self || !contains(all.watchersOf(member, best), t.self) {
+		if state.isGone || member.Name == t.self || !slices.Contains(all.watchersOf(member, best), t.self) {
 			continue
 		}
 		targets = append(targets, Target{Member: member, Zone: state.zone, Address: state.address, Major: state.major, Minor: state.minor})
@@ -80,7 +81,7 @@
 			zone = len(zones)
 			zones[state.zone] = zone
 		}
-		all.list = append(all.list, candidate{name: member.Name, zone: zone, hash: hashString(member.Name)})
+		all.list = append(all.list, candidate{name: member.Name, zone: zone, hash: rendezvous.Hash(member.Name)})
 	}
 	all.zones = len(zones)
 	return all
@@ -95,7 +96,7 @@
 // the best of all. A loss of one balancer changes few choices. perZone is
 // scratch space for one candidate a zone.
 func (all *candidates) watchersOf(member Member, perZone []scoredCandidate) []string {
-	seed := hashString(member.Name)
+	seed := rendezvous.Hash(member.Name)
 	clear(perZone)
 	var best []scoredCandidate
 	for i := range all.list {
@@ -103,7 +104,7 @@
 		if c.name == member.Name {
 			continue
 		}
-		scored := scoredCandidate{candidate: c, score: mix(seed ^ c.hash)}
+		scored := scoredCandidate{candidate: c, score: rendezvous.Score(seed, c.hash)}
 		best = insert(best, scored)
 		if perZone[c.zone].candidate == nil || scored.score > perZone[c.zone].score {
 			perZone[c.zone] = scored
@@ -117,7 +118,7 @@
 	}
 	names := make([]string, 0, WatchersPerMember)
 	for _, scored := range append(chosen, best...) {
-		if len(names) < WatchersPerMember && !contains(names, scored.name) {
+		if len(names) < WatchersPerMember && !slices.Contains(names, scored.name) {
 			names = append(names, scored.name)
 		}
 	}
@@ -138,27 +139,3 @@
 	list[at] = scored
 	return list[:min(len(list), WatchersPerMember)]
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
-
-func hashString(text string) uint64 {
-	hash := fnv.New64a()
-	hash.Write([]byte(text))
-	return mix(hash.Sum64())
-}
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,62 @@
+// Package rendezvous chooses by rendezvous hashing: every instance that knows
+// the same names ranks them alike for a key, and one name more or less changes
+// few choices.
+package rendezvous
+
+import "hash/fnv"
+
+// Hash returns a hash of a text that is the same on every instance.
+func Hash(text string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(text))
+	return Mix(hash.Sum64())
+}
+
+// Mix is the finalizer of splitmix64; it spreads the low entropy of FNV's last bytes.
+func Mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// Score returns how high a name ranks for a key, from the hashes of both.
+func Score(key, name uint64) uint64 {
+	return Mix(key ^ name)
+}
+
+// scored is a name with its score.
+type scored struct {
+	score uint64
+	name  string
+}
+
+// Rank orders names by their score for a key and returns the first n.
+func Rank(key string, names []string, n int) []string {
+	best := make([]scored, 0, n+1)
+	hash := Hash(key)
+	for _, name := range names {
+		best = insert(best, scored{score: Score(hash, Hash(name)), name: name}, n)
+	}
+	ranked := make([]string, len(best))
+	for i := range best {
+		ranked[i] = best[i].name
+	}
+	return ranked
+}
+
+// insert keeps the list sorted by falling score and no longer than n.
+func insert(best []scored, candidate scored, n int) []scored {
+	at := len(best)
+	for at > 0 && best[at-1].score < candidate.score {
+		at--
+	}
+	if at == n {
+		return best
+	}
+	best = append(best, scored{})
+	copy(best[at+1:], best[at:])
+	best[at] = candidate
+	return best[:min(len(best), n)]
+}
