Send heartbeats every 200 ms

Cause: at 7 members the leader's heartbeats took 7.7 kB/s of the 21 kB/s that a node may spend for control, measured with small identities.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -29,7 +29,7 @@
 
 // Intervals of the protocol.
 const (
-	HeartbeatInterval = 100 * time.Millisecond
+	HeartbeatInterval = 200 * time.Millisecond
 	// ElectionTimeout is the shortest time without a leader before an election.
 	// A leader that no majority has answered for as long steps down, and no
 	// member votes within as long after it heard a leader.
--- a/internal/consensus/core_test.go
+++ b/internal/consensus/core_test.go
@@ -1,18 +1,26 @@
 package consensus_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/consensus"
 	"sassafrasturn.example/internal/wire"
 )
 
-const step = 10 * time.Millisecond
+const (
+	step = 10 * time.Millisecond
+	// groupNumber and the disks are as large as random ones.
+	groupNumber = 1 << 63
+)
+
+func diskOf(id uint64) uint64 { return 1<<63 + id }
 
 // group runs cores over a network without delays; members that are cut neither
 // send nor receive, and those that are paused do nothing at all.
@@ -24,10 +32,12 @@
 	isPaused map[uint64]bool
 	applied  map[uint64]int
 	mail     []*wire.ConsensusMessage
+	// onMail, if set, is told the size of each message.
+	onMail func(size int)
 }
 
 func member(id uint64, isVoter bool) *wire.ControlMember {
-	return &wire.ControlMember{Id: id, Disk: 100 + id, Voter: isVoter}
+	return &wire.ControlMember{Id: id, Disk: diskOf(id), Voter: isVoter}
 }
 
 func newCore(id uint64, stored consensus.Stored, now time.Duration) *consensus.Core {
@@ -35,7 +45,7 @@
 }
 
 func newSeededCore(id, seed uint64, stored consensus.Stored, now time.Duration) *consensus.Core {
-	config := consensus.Config{ID: id, Disk: 100 + id, Rand: rand.New(rand.NewPCG(id, seed))}
+	config := consensus.Config{ID: id, Disk: diskOf(id), Rand: rand.New(rand.NewPCG(id, seed))}
 	return consensus.New(config, stored, now)
 }
 
@@ -49,7 +59,7 @@
 		t: t, cores: make(map[uint64]*consensus.Core), isCut: make(map[uint64]bool),
 		isPaused: make(map[uint64]bool), applied: make(map[uint64]int),
 	}
-	config := &wire.ControlGroup{Number: 1, HighestId: voters}
+	config := &wire.ControlGroup{Number: groupNumber, HighestId: voters}
 	for id := range voters {
 		config.Members = append(config.Members, member(id+1, true))
 	}
@@ -91,6 +101,9 @@
 	for len(g.mail) > 0 {
 		m := g.mail[0]
 		g.mail = g.mail[1:]
+		if g.onMail != nil {
+			g.onMail(proto.Size(m))
+		}
 		if g.isCut[m.To] || g.isPaused[m.To] || g.cores[m.To] == nil {
 			continue
 		}
@@ -174,14 +187,14 @@
 
 func vote(term, index, logTerm uint64, from *wire.ControlMember) *wire.ConsensusMessage {
 	return &wire.ConsensusMessage{
-		Kind: wire.ConsensusMessage_KIND_VOTE, Group: 1, From: from.Id, FromDisk: from.Disk, To: 1, ToDisk: 101,
+		Kind: wire.ConsensusMessage_KIND_VOTE, Group: groupNumber, From: from.Id, FromDisk: from.Disk, To: 1, ToDisk: diskOf(1),
 		Term: term, Index: index, LogTerm: logTerm,
 	}
 }
 
 // TestVotes covers whom a restarted member gives its vote.
 func TestVotes(t *testing.T) {
-	config := &wire.ControlGroup{Number: 1, Members: []*wire.ControlMember{member(1, true), member(2, true), member(3, true)}}
+	config := &wire.ControlGroup{Number: groupNumber, Members: []*wire.ControlMember{member(1, true), member(2, true), member(3, true)}}
 	snapshot := &wire.LogSnapshot{Index: 5, Term: 2, Group: config}
 	later := consensus.ElectionTimeout
 	for _, test := range []struct {
@@ -221,10 +234,10 @@
 
 	candidate := newGroup(t, 3).cores[1]
 	candidate.Tick(step)
-	for _, disk := range []uint64{999, 102} {
+	for _, disk := range []uint64{999, diskOf(2)} {
 		expect.Expect(candidate.Status(step).Role).To(Equal(consensus.PreCandidate))
 		candidate.Step(step, &wire.ConsensusMessage{
-			Kind: wire.ConsensusMessage_KIND_PRE_VOTE_ANSWER, Group: 1, Term: 1, From: 2, FromDisk: disk, To: 1, ToDisk: 101,
+			Kind: wire.ConsensusMessage_KIND_PRE_VOTE_ANSWER, Group: groupNumber, Term: 1, From: 2, FromDisk: disk, To: 1, ToDisk: diskOf(1),
 		})
 	}
 	expect.Expect(candidate.Status(step).Role).To(Equal(consensus.Candidate))
@@ -235,7 +248,7 @@
 // leader may replace it, until an entry of the own term is stored.
 func TestEntryOfAnEarlierTermIsNotCommittedAlone(t *testing.T) {
 	expect := NewWithT(t)
-	config := &wire.ControlGroup{Number: 1, Members: []*wire.ControlMember{member(1, true), member(2, true), member(3, true)}}
+	config := &wire.ControlGroup{Number: groupNumber, Members: []*wire.ControlMember{member(1, true), member(2, true), member(3, true)}}
 	stored := consensus.Stored{
 		State: &wire.VoteState{Term: 3}, Snapshot: consensus.FirstSnapshot(config),
 		Entries: []*wire.LogEntry{{Index: 2, Term: 2, Command: []byte("x")}},
@@ -246,7 +259,7 @@
 	answer := func(kind wire.ConsensusMessage_Kind, term, index uint64) {
 		core.Advance(core.Ready())
 		core.Step(now, &wire.ConsensusMessage{
-			Kind: kind, Group: 1, Term: term, Index: index, From: 2, FromDisk: 102, To: 1, ToDisk: 101, SentAt: int64(now),
+			Kind: kind, Group: groupNumber, Term: term, Index: index, From: 2, FromDisk: diskOf(2), To: 1, ToDisk: diskOf(1), SentAt: int64(now),
 		})
 	}
 	answer(wire.ConsensusMessage_KIND_PRE_VOTE_ANSWER, 4, 0)
@@ -371,3 +384,34 @@
 	b.ReportMetric(gaps[len(gaps)*99/100].Seconds(), "s-p99")
 	b.ReportMetric(gaps[len(gaps)-1].Seconds(), "s-max")
 }
+
+// streamFrameBytes is what link and yamux put around a message.
+const (
+	streamFrameBytes = 4 + 2 + 12
+	// exampleAddress stands for the sender's address, which the transport adds.
+	exampleAddress = "10.100.100.100:7400"
+)
+
+// BenchmarkIdleBytes reports what the leader of an idle group sends and
+// receives a second, messages and stream frames without TCP and IP.
+func BenchmarkIdleBytes(b *testing.B) {
+	for _, voters := range []uint64{3, 5, 7} {
+		b.Run(fmt.Sprint(voters, " members"), func(b *testing.B) {
+			var perSecond float64
+			for b.Loop() {
+				perSecond = idleBytes(b, voters)
+			}
+			b.ReportMetric(perSecond, "B/s")
+		})
+	}
+}
+
+func idleBytes(b *testing.B, voters uint64) float64 {
+	const watched = 10 * time.Second
+	g := newGroup(b, voters)
+	g.leader()
+	total := 0
+	g.onMail = func(size int) { total += len(exampleAddress) + 3 + size + streamFrameBytes }
+	g.run(watched)
+	return float64(total) / watched.Seconds()
+}
