Take an endpoint out of the view when its record has expired

Cause: an endpoint that went down 24 h ago expires and is then suspected by nobody; the balancer's view still held its last record, and the next rebuild of its service offered new flows to it again.

TestViewLeavesOutWhatIsDown failed without the change in readEndpoint once the service is rebuilt, and passes with it. It also covers one watcher, two, all endpoints down, and coming back.

--- a/internal/machine/balancer/view.go
+++ b/internal/machine/balancer/view.go
@@ -183,11 +183,14 @@
 // endpoints it changes.
 func (b *Balancer) readEndpoint(instance string) []string {
 	record := b.instance.Store.Get(wire.Record_KIND_ENDPOINT, instance)
+	c := b.catalog
+	if record == nil {
+		return c.remove(instance)
+	}
 	endpoint := new(wire.Endpoint)
-	if record == nil || proto.Unmarshal(record.Value, endpoint) != nil {
+	if proto.Unmarshal(record.Value, endpoint) != nil {
 		return nil
 	}
-	c := b.catalog
 	affected := c.remove(instance)
 	c.add(instance, &heldEndpoint{Endpoint: endpoint, incarnation: record.Major})
 	return append(affected, c.servicesAt(string(endpoint.Address))...)
