Do not tell endpoints that their connection is used once

A server that knows that closes without reading the rest of a body that its handler left, the kernel resets the connection, and the answer under way is lost.

Connections are still used once: none is kept idle.

--- a/internal/machine/agent/upstream.go
+++ b/internal/machine/agent/upstream.go
@@ -42,9 +42,12 @@
 	dialer := &net.Dialer{Timeout: endpointDialTimeout, KeepAliveConfig: endpointKeepAlive}
 	return &upstream{address: address, client: &http.Transport{
 		DialContext:            dialLingerless(dialer),
-		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
+		// No connection is used twice. DisableKeepAlives would tell the endpoint
+		// so, and a server that knows closes with the rest of the body unread,
+		// which can reset the connection before its answer has been read.
+		MaxIdleConnsPerHost: -1,
 	}}
 }
 
--- a/internal/machine/agent/upstream_test.go
+++ b/internal/machine/agent/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"sync"
 	"testing"
 	"time"
@@ -301,3 +302,49 @@
 		})
 	}
 }
+
+// countedListener counts the bytes that the server reads.
+type countedListener struct {
+	net.Listener
+	read *atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	read *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countedConn{conn, l.read}, err
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// TestEndpointReadsBodiesThatItsHandlerLeaves: closing with unread bytes would
+// reset the connection, and with it an answer under way.
+func TestEndpointReadsBodiesThatItsHandlerLeaves(t *testing.T) {
+	const (
+		requests  = 20
+		bodyBytes = 120_000
+	)
+	g := NewWithT(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	var read atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "done") })}
+	go server.Serve(countedListener{inner, &read})
+	defer server.Close()
+	f := newProxyFixture(t, "a", inner.Addr().String())
+	for range requests {
+		request := httptest.NewRequest(http.MethodPost, "/search", strings.NewReader(strings.Repeat("x", bodyBytes)))
+		answer, isReset := f.do(request, "")
+		g.Expect(isReset).To(BeFalse())
+		g.Expect(answer.Body.String()).To(Equal("done"))
+	}
+	g.Eventually(read.Load).Should(BeNumerically(">=", requests*bodyBytes))
+}
