Spare control the agents' lease questions, and a stop its own warning

Cause: every instance asks its configured peers for the zone lease twice a second, 3,100 agents among them, which forward nothing by it. At 7 control instances that is 1,060 questions a second for each (worked out: 3,713 times 2 by 7); with the agents asking balancers that they know, 175. And an instance that stopped took the tombstones of its own records for somebody else's news and logged that its clock be checked. Tests: TestAgentsThatKnowABalancerSpareControl, TestStoppingInstanceDoesNotContestItsTombstones (fails without the flag).

--- a/internal/machine/agent/upstream_test.go
+++ b/internal/machine/agent/upstream_test.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
--- a/internal/machine/lease.go
+++ b/internal/machine/lease.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// asksNeighboursOnly reports whether the configured peers, control as a rule,
+// are spared this instance's questions: agents forward nothing by the lease and
+// are the most numerous, so what balancers hold is good enough for them.
+func (i *Instance) asksNeighboursOnly() bool {
+	return i.Settings.Role == settings.RoleAgent && i.pickNeighbour() != ""
+}
+
 // zoneRecords holds all zone records and their digest.
 type zoneRecords struct {
 	records []*wire.Record
@@ -106,8 +113,13 @@
 func (i *Instance) askPeers(ctx context.Context) {
 	peers := slices.DeleteFunc(slices.Clone(i.Settings.Cluster.Peers), func(peer netip.AddrPort) bool { return peer == i.Settings.Link.Listen })
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	isUseful := func(answer *wire.LeaseResponse) bool { return answer.Lease != nil && !i.asksNeighboursOnly() }
 	for n := 0; len(peers) > 0 && ctx.Err() == nil; n++ {
-		i.askWhile(ctx, peers[n%len(peers)].String(), func(answer *wire.LeaseResponse) bool { return answer.Lease != nil })
+		if i.asksNeighboursOnly() {
+			sleep(ctx, neighbourTerm)
+			continue
+		}
+		i.askWhile(ctx, peers[n%len(peers)].String(), isUseful)
 		sleep(ctx, nextPeerDelay)
 	}
 }
--- a/internal/machine/lease_test.go
+++ b/internal/machine/lease_test.go
@@ -133,3 +133,13 @@
 		}
 	}
 }
+
+func TestAgentsThatKnowABalancerSpareControl(t *testing.T) {
+	g := NewWithT(t)
+	for role, isSparing := range map[settings.Role]bool{settings.RoleAgent: true, settings.RoleBalancer: false} {
+		i := newLeaseInstance(role)
+		g.Expect(i.asksNeighboursOnly()).To(BeFalse(), "an instance that knows nobody asks its configured peers")
+		put(i, wire.Record_KIND_BALANCER, "x", 1, 0, &wire.Balancer{Instance: "x", Link: "10.0.0.9:7400"})
+		g.Expect(i.asksNeighboursOnly()).To(Equal(isSparing), string(role))
+	}
+}
--- a/internal/machine/publish.go
+++ b/internal/machine/publish.go
@@ -20,6 +20,8 @@
 	incarnation uint64
 	held        map[wire.Record_Kind]*wire.Record
 	contested   chan struct{}
+	// isWithdrawn: the instance stops, and tombstones of its records are its own.
+	isWithdrawn bool
 }
 
 // lock locks the publisher, whose zero value starts with the given incarnation.
@@ -79,6 +81,8 @@
 func (p *publisher) isContested(record *wire.Record) bool {
 	held, isOwn := p.held[record.Kind]
 	switch {
+	case p.isWithdrawn:
+		return false
 	case !isOwn:
 		return isMemberKind(record.Kind) && record.Major >= p.incarnation
 	case record.Major != held.Major:
@@ -136,6 +140,7 @@
 // stops by tombstones, so that nobody dials or watches it.
 func (i *Instance) withdraw() {
 	i.publisher.lock(i.Incarnation)
+	i.publisher.isWithdrawn = true
 	var records []*wire.Record
 	for _, kind := range []wire.Record_Kind{wire.Record_KIND_BALANCER, wire.Record_KIND_VERDICT} {
 		if held, ok := i.publisher.held[kind]; ok {
--- a/internal/machine/publish_test.go
+++ b/internal/machine/publish_test.go
@@ -48,3 +48,14 @@
 		cancel()
 	}
 }
+
+// TestStoppingInstanceDoesNotContestItsTombstones: they are its own.
+func TestStoppingInstanceDoesNotContestItsTombstones(t *testing.T) {
+	g := NewWithT(t)
+	i := &Instance{Settings: &settings.Settings{Instance: "b"}, Store: exchange.NewStore(), Log: &log.Logger{Level: log.PanicLevel}, Incarnation: 1}
+	defer i.Store.Watch(i.checkContested)()
+	i.Publish(wire.Record_KIND_BALANCER, 1, &wire.Balancer{Instance: "b"})
+	i.withdraw()
+	g.Expect(i.Store.Get(wire.Record_KIND_BALANCER, "b")).To(BeNil())
+	g.Expect(i.publisher.contested).NotTo(Receive())
+}
