Wait for the very record that a change made

Cause: -wait trusted the newest index that an instance holds, but records come in any order: a newer change of another document counted as confirmation. The status request now names the record, and the answer says which version of it the instance holds. TestAwaitChangeAsksUntilTheRecordIsHeld: its instance holds a newer change of another document, for which the former rule would have stopped asking at once.

--- a/cmd/sassafrasturnctl/documents.go
+++ b/cmd/sassafrasturnctl/documents.go
@@ -76,7 +76,7 @@
 	if status != subcommands.ExitSuccess || !isWaiting {
 		return status
 	}
-	if err := f.waitInForce(ctx, service, result.Index); err != nil {
+	if err := f.waitInForce(ctx, change{wire.Record_KIND_SERVICE, service, result.Index}); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
--- a/cmd/sassafrasturnctl/wait.go
+++ b/cmd/sassafrasturnctl/wait.go
@@ -30,12 +30,23 @@
 	link     string
 }
 
+// change is a change of a service document or a zone, made at a log index.
+type change struct {
+	kind  wire.Record_Kind
+	name  string
+	index uint64
+}
+
+// concernsAgentOf reports whether the agents of the service must take over the
+// change: an agent holds only the document of its own service, and all zones.
+func (c change) concernsAgentOf(service string) bool {
+	return c.kind == wire.Record_KIND_ZONE || c.name == service
+}
+
 // waitInForce waits until all known balancers, and the agents that the change
-// concerns, have applied the log up to index and reports by count who has and
-// who has not. An agent takes only the document of its own service; a change of
-// a zone, with an empty service, concerns all agents.
-func (f *connectionFlags) waitInForce(ctx context.Context, service string, index uint64) error {
-	targets, err := f.targets(ctx, service)
+// concerns, hold it and reports by count who does and who does not.
+func (f *connectionFlags) waitInForce(ctx context.Context, c change) error {
+	targets, err := f.targets(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -46,7 +57,7 @@
 	ctx, cancel := context.WithTimeout(ctx, waitTimeout)
 	defer cancel()
 	started := time.Now()
-	missing := awaitAll(targets, func(t target) error { return awaitIndex(ctx, &link.Dialer{TLS: client}, t.link, index) })
+	missing := awaitAll(targets, func(t target) error { return awaitChange(ctx, &link.Dialer{TLS: client}, t.link, c) })
 	confirmed := len(targets) - len(missing)
 	fmt.Printf("in force at %d of %d instances after %v\n", confirmed, len(targets), time.Since(started).Round(time.Millisecond))
 	if len(missing) == 0 {
@@ -58,16 +69,16 @@
 	return fmt.Errorf("%d of %d instances have not confirmed; the change is accepted and reaches them when they can be reached", len(missing), len(targets))
 }
 
-// targets lists the balancers, and the agents of the service or of all services,
-// that have published themselves.
-func (f *connectionFlags) targets(ctx context.Context, service string) ([]target, error) {
+// targets lists the balancers, and the agents that the change concerns, that
+// have published themselves.
+func (f *connectionFlags) targets(ctx context.Context, c change) ([]target, error) {
 	records, err := f.list(ctx, wire.Record_KIND_BALANCER, wire.Record_KIND_ENDPOINT)
 	if err != nil {
 		return nil, err
 	}
 	byLink := make(map[string]target)
 	for _, record := range records {
-		if t := targetOf(record, service); t.link != "" {
+		if t := targetOf(record, c); t.link != "" {
 			byLink[t.link] = t
 		}
 	}
@@ -78,7 +89,7 @@
 	return targets, nil
 }
 
-func targetOf(record *wire.Record, service string) target {
+func targetOf(record *wire.Record, c change) target {
 	if record.Kind == wire.Record_KIND_BALANCER {
 		balancer := new(wire.Balancer)
 		if proto.Unmarshal(record.Value, balancer) != nil {
@@ -90,7 +101,7 @@
 	if proto.Unmarshal(record.Value, endpoint) != nil || endpoint.State == wire.Endpoint_STATE_GONE {
 		return target{}
 	}
-	if service != "" && endpoint.Service != service {
+	if !c.concernsAgentOf(endpoint.Service) {
 		return target{}
 	}
 	return target{instance: endpoint.Instance, link: endpoint.Link}
@@ -119,17 +130,19 @@
 	return missing
 }
 
-// awaitIndex asks one instance until it has applied the index.
-func awaitIndex(ctx context.Context, dialer *link.Dialer, address string, index uint64) error {
+// awaitChange asks one instance until it holds the change or a later one of the
+// same document or zone.
+func awaitChange(ctx context.Context, dialer *link.Dialer, address string, c change) error {
+	request := &wire.Request{Body: &wire.Request_Status{Status: &wire.StatusRequest{Kind: c.kind, Key: c.name}}}
 	var lastErr error
 	for ctx.Err() == nil {
-		response, err := dialer.Call(ctx, address, &wire.Request{Body: &wire.Request_Status{Status: &wire.StatusRequest{}}})
+		response, err := dialer.Call(ctx, address, request)
 		if err == nil {
-			applied := response.GetStatus().GetAppliedIndex()
-			if applied >= index {
+			held := response.GetStatus().GetRecordIndex()
+			if held >= c.index {
 				return nil
 			}
-			err = fmt.Errorf("it has applied index %d", applied)
+			err = fmt.Errorf("it holds the version of index %d", held)
 		}
 		lastErr = err
 		select {
--- a/cmd/sassafrasturnctl/wait_test.go
+++ b/cmd/sassafrasturnctl/wait_test.go
@@ -45,28 +45,32 @@
 	})
 }
 
-// statusServer answers with an applied index that grows by one with each request.
+// statusServer holds a newer change of another document all the time, and one of
+// the asked document whose index grows by one with each request.
 type statusServer struct{ applied atomic.Uint64 }
 
-func (s *statusServer) ServeStream(_ context.Context, _ *wire.Request, stream net.Conn) {
-	status := &wire.StatusResponse{AppliedIndex: s.applied.Add(1)}
+func (s *statusServer) ServeStream(_ context.Context, request *wire.Request, stream net.Conn) {
+	status := &wire.StatusResponse{AppliedIndex: 100}
+	if asked := request.GetStatus(); asked.Kind == wire.Record_KIND_SERVICE && asked.Key == "one" {
+		status.RecordIndex = s.applied.Add(1)
+	}
 	// A client that has gone needs no answer.
 	_ = link.WriteMessage(stream, &wire.Response{Body: &wire.Response_Status{Status: status}})
 }
 
-func TestAwaitIndexAsksUntilApplied(t *testing.T) {
+func TestAwaitChangeAsksUntilTheRecordIsHeld(t *testing.T) {
 	g := NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	handler := new(statusServer)
 	go (&link.Server{Handler: handler}).Serve(t.Context(), listener)
 	address := listener.Addr().String()
-	g.Expect(awaitIndex(t.Context(), &link.Dialer{}, address, 3)).To(Succeed())
+	g.Expect(awaitChange(t.Context(), &link.Dialer{}, address, change{wire.Record_KIND_SERVICE, "one", 3})).To(Succeed())
 	g.Expect(handler.applied.Load()).To(BeEquivalentTo(3))
 
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	g.Expect(awaitIndex(ended, &link.Dialer{}, address, 1)).NotTo(Succeed())
+	g.Expect(awaitChange(ended, &link.Dialer{}, address, change{wire.Record_KIND_SERVICE, "one", 1})).NotTo(Succeed())
 }
 
 // TestTargets: agents of other services do not hold the service's document.
@@ -80,19 +84,20 @@
 	agent := encode(wire.Record_KIND_ENDPOINT, &wire.Endpoint{Link: "a", Service: "one"})
 	gone := encode(wire.Record_KIND_ENDPOINT, &wire.Endpoint{Link: "a", Service: "one", State: wire.Endpoint_STATE_GONE})
 	for _, test := range []struct {
-		name    string
-		record  *wire.Record
-		service string
-		want    string
+		name   string
+		record *wire.Record
+		kind   wire.Record_Kind
+		key    string
+		want   string
 	}{
-		{"balancer", balancer, "one", "b"},
-		{"own service", agent, "one", "a"},
-		{"other service", agent, "two", ""},
-		{"every service", agent, "", "a"},
-		{"gone", gone, "one", ""},
+		{"balancer", balancer, wire.Record_KIND_SERVICE, "one", "b"},
+		{"own service", agent, wire.Record_KIND_SERVICE, "one", "a"},
+		{"other service", agent, wire.Record_KIND_SERVICE, "two", ""},
+		{"zone", agent, wire.Record_KIND_ZONE, "z", "a"},
+		{"gone", gone, wire.Record_KIND_SERVICE, "one", ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			NewWithT(t).Expect(targetOf(test.record, test.service).link).To(Equal(test.want))
+			NewWithT(t).Expect(targetOf(test.record, change{kind: test.kind, name: test.key}).link).To(Equal(test.want))
 		})
 	}
 }
--- a/cmd/sassafrasturnctl/zone.go
+++ b/cmd/sassafrasturnctl/zone.go
@@ -74,7 +74,7 @@
 	if !c.isWaiting {
 		return subcommands.ExitSuccess
 	}
-	if err := c.connection.waitInForce(ctx, "", result.Index); err != nil {
+	if err := c.connection.waitInForce(ctx, change{wire.Record_KIND_ZONE, name, result.Index}); err != nil {
 		return fail(err)
 	}
 	return subcommands.ExitSuccess
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -198,7 +198,7 @@
 		i.answerLease(request.GetLease(), stream)
 		return
 	case *wire.Request_Status:
-		i.respond(stream, &wire.Response{Body: &wire.Response_Status{Status: i.status()}})
+		i.respond(stream, &wire.Response{Body: &wire.Response_Status{Status: i.status(request.GetStatus())}})
 		return
 	case *wire.Request_List:
 		list := &wire.ListResponse{Records: i.Store.List(request.GetList().Kinds...)}
@@ -219,12 +219,15 @@
 	}
 }
 
-func (i *Instance) status() *wire.StatusResponse {
+func (i *Instance) status(request *wire.StatusRequest) *wire.StatusResponse {
 	status := &wire.StatusResponse{
 		Instance: i.Settings.Instance,
 		Role:     string(i.Settings.Role),
 		Zone:     i.Settings.Zone,
 	}
+	if record := i.Store.Get(request.Kind, request.Key); record != nil {
+		status.RecordIndex = record.Major
+	}
 	for _, record := range i.Store.List(wire.Record_KIND_SERVICE, wire.Record_KIND_ZONE) {
 		status.AppliedIndex = max(status.AppliedIndex, record.Major)
 	}
