--- a/caller/caller.go
+++ b/caller/caller.go
@@ -27,6 +27,7 @@
 	"github.com/quic-go/quic-go"
 	"github.com/quic-go/quic-go/http3"
 
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/retry"
 )
 
@@ -79,7 +80,7 @@
 func newTransport(send func(*http.Request) (*http.Response, error)) *Transport {
 	return &Transport{
 		send:        send,
-		sleep:       sleep,
+		sleep:       func(ctx context.Context, d time.Duration) { pause.For(ctx, d) },
 		budget:      retry.NewBudget(retry.DefaultShare, retry.DefaultCapacity),
 		connections: newConnections(),
 	}
@@ -100,10 +101,3 @@
 	t.connections.close()
 	return t.inner.Close()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/cmd/sassafrasturnbench/brokenflows.go
+++ b/cmd/sassafrasturnbench/brokenflows.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/google/subcommands"
-
 	"sassafrasturn.example/internal/harness"
 	"sassafrasturn.example/internal/measure"
+	"sassafrasturn.example/internal/pause"
 )
 
 // Load and churn of the measure of broken flows.
@@ -115,10 +115,7 @@
 	restarts := make(chan error, int(c.length/endpointInterval)+1)
 	began := time.Now()
 	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(balancerInterval):
-		}
+		pause.For(ctx, balancerInterval)
 		if err := c.system.ReplaceBalancer(c.balancers % plan.Balancers); err != nil {
 			return err
 		}
--- a/cmd/sassafrasturnbench/standins.go
+++ b/cmd/sassafrasturnbench/standins.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/google/subcommands"
-
 	"sassafrasturn.example/internal/machine/agent"
 	"sassafrasturn.example/internal/machine/sample"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/standin/endpoint"
 	"sassafrasturn.example/internal/standin/fabric"
 )
@@ -141,9 +141,6 @@
 	for ctx.Err() == nil {
 		// The agent may not be up; the next announcement reaches it.
 		_ = sample.Announce(ctx, c.announce, announcement)
-		select {
-		case <-ctx.Done():
-		case <-time.After(announceInterval):
-		}
+		pause.For(ctx, announceInterval)
 	}
 }
--- a/cmd/sassafrasturnctl/documents.go
+++ b/cmd/sassafrasturnctl/documents.go
@@ -12,8 +12,8 @@
 
 	"github.com/google/subcommands"
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/contract"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -98,10 +98,8 @@
 		if err == nil {
 			return response.GetCommand(), nil
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, proposeRetryInterval) {
 			return nil, fmt.Errorf("%w; to send it again safely, pass -id %s", err, command.SubmissionId)
-		case <-time.After(proposeRetryInterval):
 		}
 	}
 }
--- a/cmd/sassafrasturnctl/wait.go
+++ b/cmd/sassafrasturnctl/wait.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -145,10 +145,7 @@
 			err = fmt.Errorf("it holds the version of index %d", held)
 		}
 		lastErr = err
-		select {
-		case <-ctx.Done():
-		case <-time.After(waitPollInterval):
-		}
+		pause.For(ctx, waitPollInterval)
 	}
 	if lastErr == nil {
 		lastErr = fmt.Errorf("it was not asked in time")
--- a/internal/exchange/run.go
+++ b/internal/exchange/run.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -47,7 +47,7 @@
 			return
 		case <-ticker.C:
 		case <-session.box.wake:
-			if !sleep(ctx, flushDelay) {
+			if !pause.For(ctx, flushDelay) {
 				return
 			}
 		}
@@ -68,17 +68,6 @@
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func receiveAll(session *Session, stream net.Conn) error {
 	for {
 		message := new(wire.Exchange)
--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -13,10 +13,10 @@
 
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/contract"
 	"sassafrasturn.example/internal/envelope"
 	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/token"
 	"sassafrasturn.example/internal/wire"
 )
@@ -55,23 +55,15 @@
 
 // New prepares the agent role of an instance.
 func New(instance *machine.Instance) (*Agent, error) {
-	sealer, err := envelope.NewSealer(instance.Keys)
-	if err != nil {
-		return nil, err
-	}
-	codec, err := token.NewCodec(instance.Keys)
+	envelopes, err := instance.OpenEnvelopes(instance.Settings.Agent.Envelope)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := instance.ListenUDP(instance.Settings.Agent.Envelope)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
 	a := &Agent{
 		instance: instance,
-		sealer:   sealer,
-		codec:    codec,
-		conn:     conn,
+		sealer:   envelopes.Sealer,
+		codec:    envelopes.Codec,
+		conn:     envelopes.Conn,
 		paths:    newReturnPaths(),
 		metrics:  newMetrics(instance.Metrics),
 		changed:  make(chan struct{}, 1),
@@ -298,10 +290,7 @@
 const leaveDelay = 200 * time.Millisecond
 
 func (a *Agent) letRecordsLeave(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(leaveDelay):
-	}
+	pause.For(ctx, leaveDelay)
 }
 
 // ServeStream answers questions about idempotency keys.
--- a/internal/machine/agent/drain.go
+++ b/internal/machine/agent/drain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sassafrasturn.example/internal/pause"
 )
 
 const (
@@ -64,28 +66,16 @@
 func (s *serving) finishHandshakes(ctx context.Context) {
 	grace, cancel := context.WithTimeout(ctx, handshakeGrace)
 	defer cancel()
-	sleep(grace, drainSettle)
+	pause.For(grace, drainSettle)
 	waitUntil(grace, func() bool { return s.work.handshakes.Load() == 0 })
 }
 
 // waitUntil polls a condition; it reports false when ctx ended first.
 func waitUntil(ctx context.Context, isDone func() bool) bool {
 	for !isDone() {
-		if !sleep(ctx, drainPoll) {
+		if !pause.For(ctx, drainPoll) {
 			return isDone()
 		}
 	}
 	return true
 }
-
-// sleep reports false when ctx ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/machine/agent/watch.go
+++ b/internal/machine/agent/watch.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"sassafrasturn.example/internal/pause"
 )
 
 const (
@@ -39,7 +41,7 @@
 			a.lose(ctx, "connection refused")
 		}
 		if err != nil || time.Since(begun) < watchInterval {
-			sleep(ctx, watchInterval)
+			pause.For(ctx, watchInterval)
 		}
 	}
 }
--- a/internal/machine/balancer/balancer.go
+++ b/internal/machine/balancer/balancer.go
@@ -17,7 +17,6 @@
 	"sassafrasturn.example/internal/envelope"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/route"
-	"sassafrasturn.example/internal/token"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -52,23 +51,15 @@
 
 // New prepares the balancer role of an instance.
 func New(instance *machine.Instance) (*Balancer, error) {
-	sealer, err := envelope.NewSealer(instance.Keys)
+	envelopes, err := instance.OpenEnvelopes(instance.Settings.Balancer.Envelope)
 	if err != nil {
 		return nil, err
 	}
-	codec, err := token.NewCodec(instance.Keys)
-	if err != nil {
-		return nil, err
-	}
-	conn, err := instance.ListenUDP(instance.Settings.Balancer.Envelope)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
 	b := &Balancer{
 		instance: instance,
-		sealer:   sealer,
-		router:   route.NewRouter(codec),
-		conn:     conn,
+		sealer:   envelopes.Sealer,
+		router:   route.NewRouter(envelopes.Codec),
+		conn:     envelopes.Conn,
 		metrics:  newMetrics(instance.Metrics, instance.Lease),
 		changes:  newChangeSet(),
 		catalog:  newCatalogView(),
--- a/internal/machine/balancer/view.go
+++ b/internal/machine/balancer/view.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/contract"
 	"sassafrasturn.example/internal/envelope"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/route"
 	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
@@ -75,10 +75,8 @@
 			continue
 		case <-b.changes.signal:
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, coalesceInterval) {
 			return
-		case <-time.After(coalesceInterval):
 		}
 		b.applyChanges(ctx)
 	}
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -11,9 +11,9 @@
 
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -162,10 +162,7 @@
 		time.Sleep(drainPollInterval)
 	}
 	// The message that hands the lead over leaves before the links close.
-	select {
-	case <-ctx.Done():
-	case <-time.After(handOverTime):
-	}
+	pause.For(ctx, handOverTime)
 }
 
 // Health fails until the instance belongs to a group.
--- a/internal/machine/control/founding.go
+++ b/internal/machine/control/founding.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
 )
@@ -30,10 +31,7 @@
 		} else if all && c.isFounder() {
 			c.formGroup(ctx, identities)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(foundingInterval):
-		}
+		pause.For(ctx, foundingInterval)
 	}
 }
 
--- a/internal/machine/control/serve.go
+++ b/internal/machine/control/serve.go
@@ -8,6 +8,7 @@
 	"sassafrasturn.example/internal/catalog"
 	"sassafrasturn.example/internal/consensus"
 	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -58,10 +59,8 @@
 				return false, member.Address
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, leaderPollInterval) {
 			return false, ""
-		case <-time.After(leaderPollInterval):
 		}
 	}
 }
--- a/internal/machine/control/transport.go
+++ b/internal/machine/control/transport.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -90,10 +90,7 @@
 	for ctx.Err() == nil {
 		// The error says only how the link ended; it is dialed again whatever it was.
 		_ = t.sendOnLink(ctx, s)
-		select {
-		case <-ctx.Done():
-		case <-time.After(redialInterval):
-		}
+		pause.For(ctx, redialInterval)
 	}
 }
 
--- a/internal/machine/lease.go
+++ b/internal/machine/lease.go
@@ -13,8 +13,8 @@
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
-
 	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
 	"sassafrasturn.example/internal/zone"
@@ -127,11 +127,11 @@
 	isUseful := func(answer *wire.LeaseResponse) bool { return answer.Lease != nil && !i.asksNeighboursOnly() }
 	for n := 0; len(peers) > 0 && ctx.Err() == nil; n++ {
 		if i.asksNeighboursOnly() {
-			sleep(ctx, neighbourTerm)
+			pause.For(ctx, neighbourTerm)
 			continue
 		}
 		i.askWhile(ctx, peers[n%len(peers)].String(), isUseful)
-		sleep(ctx, nextPeerDelay)
+		pause.For(ctx, nextPeerDelay)
 	}
 }
 
@@ -143,7 +143,7 @@
 			i.askWhile(term, address, func(*wire.LeaseResponse) bool { return true })
 			cancel()
 		}
-		sleep(ctx, nextPeerDelay)
+		pause.For(ctx, nextPeerDelay)
 	}
 }
 
@@ -203,14 +203,7 @@
 			wait = min(wait, left+time.Millisecond)
 		}
 	}
-	sleep(ctx, wait)
-}
-
-func sleep(ctx context.Context, length time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(length):
-	}
+	pause.For(ctx, wait)
 }
 
 func (i *Instance) askOnce(ctx context.Context, session *yamux.Session) (*wire.LeaseResponse, error) {
--- a/internal/machine/publish.go
+++ b/internal/machine/publish.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"google.golang.org/protobuf/proto"
-
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -109,10 +109,8 @@
 		case <-contested:
 		}
 		i.raiseIncarnation()
-		select {
-		case <-ctx.Done():
+		if !pause.For(ctx, defenceInterval) {
 			return
-		case <-time.After(defenceInterval):
 		}
 	}
 }
--- a/internal/machine/sample/sample.go
+++ b/internal/machine/sample/sample.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/zeebo/errs"
-
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/machine/agent"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -104,10 +104,7 @@
 			e.explain()
 			isExplained = true
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(announceInterval):
-		}
+		pause.For(ctx, announceInterval)
 	}
 }
 
--- a/internal/route/candidates.go
+++ b/internal/route/candidates.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net/netip"
+
+	"sassafrasturn.example/internal/rendezvous"
 )
 
 // MaxCandidates is how many agents a new flow may be offered to.
@@ -65,14 +67,5 @@
 func rendezvousScore(seed uint64, agent netip.AddrPort) uint64 {
 	address := agent.Addr().As4()
 	key := uint64(binary.BigEndian.Uint32(address[:]))<<16 | uint64(agent.Port())
-	return mix(seed ^ mix(key))
-}
-
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
+	return rendezvous.Score(seed, rendezvous.Mix(key))
 }
