--- a/internal/token/connectionid.go
+++ b/internal/token/connectionid.go
@@ -1,5 +1,6 @@
-// Package token issues and checks the tokens that carry routing state at the
-// caller: QUIC connection IDs.
+// Package token issues and checks the tokens that callers carry: QUIC connection
+// IDs, which say where a flow lives, and idempotency keys, which say which agent
+// may run a request.
 //
 // A server-chosen connection ID names the agent that holds the flow, so that a
 // balancer routes established flows without a table. The idea is that of the
