Report all findings of an announcement together, and refuse unknown fields

An endpoint that misspelt a field was told of the missing one only, one finding at a time; a service name of any form was published. Test: TestBadAnnouncementsAreRefusedWithAllFindings.

--- a/internal/contract/document.go
+++ b/internal/contract/document.go
@@ -107,11 +107,18 @@
 	return doc
 }
 
+// AllowedNames says which names IsServiceName accepts.
+const AllowedNames = "1 to 63 of a-z, 0-9 and -, beginning and ending with a letter or digit"
+
+// IsServiceName reports whether a service may have the name.
+func IsServiceName(name string) bool {
+	return serviceName.MatchString(name)
+}
+
 func readName(file *inifile.File) string {
-	const allowed = "1 to 63 of a-z, 0-9 and -, beginning and ending with a letter or digit"
 	name := file.String(sectionService, "name", "")
-	if !serviceName.MatchString(name) {
-		file.Reject(sectionService, "name", name, allowed)
+	if !IsServiceName(name) {
+		file.Reject(sectionService, "name", name, AllowedNames)
 	}
 	return name
 }
--- a/internal/machine/agent/announce.go
+++ b/internal/machine/agent/announce.go
@@ -6,7 +6,11 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
+
+	"sassafrasturn.example/internal/contract"
+	"sassafrasturn.example/internal/finding"
 )
 
 const (
@@ -33,18 +37,30 @@
 	Load float64 `json:"load"`
 }
 
+// check returns all findings together.
 func (n *Announcement) check() error {
+	var findings finding.List
+	reject := func(key, found, allowed string) {
+		findings.Add(finding.Finding{File: "announcement", Key: key, Found: found, Allowed: allowed})
+	}
 	address, err := netip.ParseAddrPort(n.Address)
 	if err != nil || !address.Addr().IsLoopback() {
-		return Error.New("address: found %q, allowed: a loopback IP address and a port", n.Address)
+		reject("address", n.Address, "a loopback IP address and a port")
 	}
-	if n.Service == "" {
-		return Error.New("service: found nothing, allowed: the name of a service")
+	if !contract.IsServiceName(n.Service) {
+		reject("service", n.Service, contract.AllowedNames)
 	}
 	if n.Slots < 0 {
-		return Error.New("slots: found %d, allowed: a number from 0, 0 for the document's", n.Slots)
+		reject("slots", strconv.Itoa(n.Slots), "a number from 0, 0 for the document's")
 	}
-	return nil
+	return findings.Err()
+}
+
+// decode reads one JSON object without unknown fields.
+func decode(w http.ResponseWriter, r *http.Request, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementSize))
+	decoder.DisallowUnknownFields()
+	return Error.Wrap(decoder.Decode(into))
 }
 
 func (a *Agent) serveAnnouncements(ctx context.Context) error {
@@ -64,8 +80,7 @@
 
 func (a *Agent) takeAnnouncement(w http.ResponseWriter, r *http.Request) {
 	announcement := new(Announcement)
-	body := http.MaxBytesReader(w, r.Body, maxAnnouncementSize)
-	if err := json.NewDecoder(body).Decode(announcement); err != nil {
+	if err := decode(w, r, announcement); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -131,8 +146,7 @@
 // mislead, so no limit follows them.
 func (a *Agent) takeLoad(w http.ResponseWriter, r *http.Request) {
 	report := new(loadReport)
-	body := http.MaxBytesReader(w, r.Body, maxAnnouncementSize)
-	if err := json.NewDecoder(body).Decode(report); err != nil {
+	if err := decode(w, r, report); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
