--- a/cmd/sassafrasturnctl/connection.go
+++ b/cmd/sassafrasturnctl/connection.go
@@ -100,6 +100,9 @@
 	defer cancel()
 	for range maxRedirects {
 		response, err := dialer.Call(ctx, address, request)
+		if link.IsClosed(err) && dialer.TLS == nil {
+			return nil, fmt.Errorf("%w; if the cluster's links use TLS, pass -tls-certificate, -tls-key and -tls-authority", err)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"time"
@@ -96,3 +97,10 @@
 	}
 	return response, nil
 }
+
+// IsClosed reports whether the peer closed the link before it answered, as one
+// with TLS does to a caller without.
+func IsClosed(err error) bool {
+	return errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrSessionShutdown) ||
+		errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, io.EOF)
+}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -114,7 +114,9 @@
 	bare := client.Clone()
 	bare.Certificates = nil
 	for i, dialer := range []*Dialer{{TLS: foreign}, {TLS: bare}, {}} {
-		g.Expect(call(dialer, address)).NotTo(Succeed())
+		err := call(dialer, address)
+		g.Expect(err).NotTo(Succeed())
+		g.Expect(dialer.TLS != nil || IsClosed(err)).To(BeTrue(), "no TLS: %v", err)
 		g.Eventually(func() uint64 { return server.Refused(RefusedHandshake) }, 2*handshakeTimeout).Should(BeEquivalentTo(i + 1))
 	}
 	// An impostor that listens in a member's place is refused by the dialer.
