--- a/internal/machine/agent/once.go
+++ b/internal/machine/agent/once.go
@@ -23,7 +23,12 @@
 		return
 	}
 	if err != nil {
-		p.refuse(c.w, problem.Refusal{Status: http.StatusBadRequest, Type: problem.TypeKeyUnproven, Ran: problem.RanUnknown, Detail: err.Error() + "; find out whether the request ran before it is sent with a fresh key"})
+		p.refuse(c.w, problem.Refusal{
+			Status: http.StatusBadRequest,
+			Type:   problem.TypeKeyUnproven,
+			Ran:    problem.RanUnknown,
+			Detail: err.Error() + "; find out whether the request ran before it is sent with a fresh key",
+		})
 		return
 	}
 	if key.Owner.Service != p.serving.number {
@@ -68,7 +73,12 @@
 // refuseBody refuses a request whose body could not be read. A key of this
 // agent that is unused becomes void, so that the refusal stays true.
 func (p *proxy) refuseBody(c *call, key token.Key, err error) {
-	refusal := problem.Refusal{Status: http.StatusBadRequest, Type: problem.TypeBadRequest, Ran: problem.RanUnknown, Detail: "the body was not read: " + err.Error()}
+	refusal := problem.Refusal{
+		Status: http.StatusBadRequest,
+		Type:   problem.TypeBadRequest,
+		Ran:    problem.RanUnknown,
+		Detail: "the body was not read: " + err.Error(),
+	}
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		refusal.Status = http.StatusRequestEntityTooLarge
@@ -172,7 +182,12 @@
 
 // answerKnown answers from what is known about a request that does not run here and now.
 func (p *proxy) answerKnown(c *call, known once.Result) {
-	refusal := problem.Refusal{Status: http.StatusBadGateway, Type: problem.TypeOutcomeUnknown, Ran: problem.RanUnknown, Detail: "it is not known whether the request ran; find out before it is sent with a fresh key"}
+	refusal := problem.Refusal{
+		Status: http.StatusBadGateway,
+		Type:   problem.TypeOutcomeUnknown,
+		Ran:    problem.RanUnknown,
+		Detail: "it is not known whether the request ran; find out before it is sent with a fresh key",
+	}
 	switch known.State {
 	case once.StateFinished:
 		p.count(countReplayed)
@@ -201,7 +216,12 @@
 // refuseWithKey refuses a request that did not run, and gives a fresh key for it.
 func (p *proxy) refuseWithKey(w http.ResponseWriter, kind problem.Type, detail string) {
 	if err := p.keys.addKey(w.Header()); err != nil {
-		p.refuse(w, problem.Refusal{Status: http.StatusInternalServerError, Type: problem.TypeBadRequest, Ran: problem.RanNo, Detail: err.Error()})
+		p.refuse(w, problem.Refusal{
+			Status: http.StatusInternalServerError,
+			Type:   problem.TypeBadRequest,
+			Ran:    problem.RanNo,
+			Detail: err.Error(),
+		})
 		return
 	}
 	p.refuse(w, problem.Refusal{Status: http.StatusPreconditionRequired, Type: kind, Ran: problem.RanNo, Detail: detail})
--- a/internal/machine/agent/owner.go
+++ b/internal/machine/agent/owner.go
@@ -28,7 +28,10 @@
 	request := &wire.Request{Body: &wire.Request_Owner{Owner: &wire.OwnerRequest{Key: []byte(text), Content: content[:]}}}
 	for {
 		result := p.askOwnerOnce(ctx, key.Owner.Link, request)
-		p.serving.agent.instance.Decisions.Decision("owner").Str("owner", key.Owner.Instance).Uint8("state", uint8(result.State)).Msg("owner of an idempotency key asked")
+		p.serving.agent.instance.Decisions.Decision("owner").
+			Str("owner", key.Owner.Instance).
+			Uint8("state", uint8(result.State)).
+			Msg("owner of an idempotency key asked")
 		if result.State != once.StateRunning || ctx.Err() != nil {
 			return result
 		}
--- a/internal/machine/agent/upstream.go
+++ b/internal/machine/agent/upstream.go
@@ -85,7 +85,12 @@
 }
 
 func (f *failure) refusal() problem.Refusal {
-	refusal := problem.Refusal{Status: http.StatusBadGateway, Type: problem.TypeEndpointFailed, Ran: problem.RanUnknown, Detail: "the endpoint's answer failed: " + f.err.Error()}
+	refusal := problem.Refusal{
+		Status: http.StatusBadGateway,
+		Type:   problem.TypeEndpointFailed,
+		Ran:    problem.RanUnknown,
+		Detail: "the endpoint's answer failed: " + f.err.Error(),
+	}
 	if f.isTimeout {
 		refusal.Status = http.StatusGatewayTimeout
 		refusal.Type = problem.TypeTimeout
--- a/internal/machine/balancer/addresses.go
+++ b/internal/machine/balancer/addresses.go
@@ -56,7 +56,11 @@
 func (l *listener) retire(now time.Time) {
 	if l.retireAt.IsZero() {
 		l.retireAt = now.Add(addressOverlap)
-		l.balancer.instance.Log.Info().Str("service", l.service).Stringer("address", l.local).Time("until", l.retireAt).Msg("former address serves established flows only")
+		l.balancer.instance.Log.Info().
+			Str("service", l.service).
+			Stringer("address", l.local).
+			Time("until", l.retireAt).
+			Msg("former address serves established flows only")
 	}
 }
 
--- a/internal/machine/publish.go
+++ b/internal/machine/publish.go
@@ -131,7 +131,9 @@
 	incarnation := i.publisher.incarnation
 	i.publisher.mu.Unlock()
 	i.Store.Merge(records)
-	i.Log.Warn().Uint64("incarnation", incarnation).Msg("peers held newer records of this instance, its incarnation is raised; check its clock and that no other instance has its name")
+	i.Log.Warn().
+		Uint64("incarnation", incarnation).
+		Msg("peers held newer records of this instance, its incarnation is raised; check its clock and that no other instance has its name")
 }
 
 // withdraw replaces the balancer and verdict records of an instance that
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -243,8 +243,9 @@
 }
 
 func readBalancer(file *inifile.File) Balancer {
+	choices := []string{string(DeliveryServiceAddress), string(DeliveryDocumentPort)}
 	balancer := Balancer{
-		Delivery: Delivery(file.Choice(sectionBalancer, "delivery", string(DeliveryServiceAddress), string(DeliveryServiceAddress), string(DeliveryDocumentPort))),
+		Delivery: Delivery(file.Choice(sectionBalancer, "delivery", choices[0], choices...)),
 		Envelope: file.RequiredAddrPort(sectionBalancer, "envelope"),
 	}
 	text := file.String(sectionBalancer, "address", "")
