Let a lease count only once the views have its zone changes

A woken balancer asks for the lease; the answer brings the lease and the zone change together. The change counted as seen when it was in the store, but the views follow 20 ms later, so that the lease was fresh while the views still had the zone in service. Ruled out: answers that lay in the buffer (their age counts from the question). Left: a process frozen between its look at the lease and the sending of that one datagram.

The balancer now says itself which zone changes are in force in its views. Tests: TestLeaseCountsOnlyOnceTheViewsHaveItsZones and TestRoleThatRoutesByZonesSetsTheView, each seen failing without its half.

--- a/internal/machine/balancer/balancer.go
+++ b/internal/machine/balancer/balancer.go
@@ -64,6 +64,8 @@
 		changes:  newChangeSet(),
 		catalog:  newCatalogView(),
 	}
+	// A lease that names a zone change must not count before the views have it.
+	instance.SetsZoneView = true
 	b.watch = newWatch(b)
 	b.listeners.Store(&map[netip.AddrPort]*listener{})
 	return b, nil
--- a/internal/machine/balancer/view.go
+++ b/internal/machine/balancer/view.go
@@ -135,13 +135,17 @@
 	for name := range services {
 		b.readService(name)
 	}
+	var zoneIndex uint64
 	if hasZones {
-		b.catalog.zones = b.readZones()
+		b.catalog.zones, zoneIndex = b.readZones()
 		for name := range b.catalog.services {
 			services[name] = true
 		}
 	}
 	b.applyServices(ctx, services)
+	if hasZones {
+		b.instance.Lease.SetView(zoneIndex)
+	}
 }
 
 // applyServices puts the views of the named services in force. Addresses are
@@ -250,7 +254,9 @@
 	return true
 }
 
-func (b *Balancer) readZones() *zoneTable {
+// readZones returns the zones and the log index of the newest change to any.
+func (b *Balancer) readZones() (*zoneTable, uint64) {
+	var newest uint64
 	table := &zoneTable{numbers: make(map[string]uint8)}
 	for _, record := range b.instance.Store.List(wire.Record_KIND_ZONE) {
 		zone := new(wire.Zone)
@@ -259,8 +265,9 @@
 		}
 		table.numbers[zone.Name] = uint8(zone.Number)
 		table.out[uint8(zone.Number)] = zone.Out
+		newest = max(newest, record.Major)
 	}
-	return table
+	return table, newest
 }
 
 // readEndpoints lists the endpoints of a service that own their agent address
--- a/internal/machine/balancer/view_test.go
+++ b/internal/machine/balancer/view_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/phuslu/log"
@@ -228,3 +229,17 @@
 		balancer.applyChanges(context.Background())
 	}
 }
+
+// TestLeaseCountsOnlyOnceTheViewsHaveItsZones: a fresh lease and a zone change
+// arrive together, and datagrams come before the views are rebuilt.
+func TestLeaseCountsOnlyOnceTheViewsHaveItsZones(t *testing.T) {
+	g := NewWithT(t)
+	b := newIdleBalancer(t)
+	const change = 5
+	b.instance.Store.Merge([]*wire.Record{zoneRecord(0, change, true)})
+	now := time.Now()
+	b.instance.Lease.Offer(now, zone.Lease{Term: 1, ZoneIndex: change, Duration: time.Minute})
+	g.Expect(b.instance.Lease.State(now).MayForward()).To(BeFalse())
+	b.applyChanges(context.Background())
+	g.Expect(b.instance.Lease.State(now)).To(Equal(zone.StateFresh))
+}
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -56,6 +56,9 @@
 	ListenUDP func(address netip.AddrPort) (Socket, error)
 	// Lease says whether a balancer may go on by what is known of the zones.
 	Lease *zone.Holder
+	// SetsZoneView is true where a role routes by the zones and calls
+	// Lease.SetView itself, once it has put a change in force.
+	SetsZoneView bool
 	// Incarnation differs between any two starts of the instance and grows
 	// unless its wall clock went back: Unix milliseconds. Records are published
 	// under PublishedIncarnation.
--- a/internal/machine/lease.go
+++ b/internal/machine/lease.go
@@ -100,7 +100,11 @@
 	for _, record := range records {
 		switch record.Kind {
 		case wire.Record_KIND_ZONE:
-			i.Lease.SetView(record.Major)
+			if i.SetsZoneView {
+				i.Lease.Know(record.Major)
+			} else {
+				i.Lease.SetView(record.Major)
+			}
 		case wire.Record_KIND_LEASE:
 			lease := new(wire.Lease)
 			if i.isControl() && record.Key == leaseKey && proto.Unmarshal(record.Value, lease) == nil {
--- a/internal/machine/lease_test.go
+++ b/internal/machine/lease_test.go
@@ -143,3 +143,14 @@
 		g.Expect(i.asksNeighboursOnly()).To(Equal(isSparing), string(role))
 	}
 }
+
+func TestRoleThatRoutesByZonesSetsTheView(t *testing.T) {
+	g := NewWithT(t)
+	i := newLeaseInstance(settings.RoleBalancer)
+	i.SetsZoneView = true
+	putZone(i, "a", 3, true)
+	i.Lease.Offer(time.Now(), zone.Lease{Term: 1, ZoneIndex: 3, Duration: time.Minute})
+	g.Expect(stateOf(i).MayForward()).To(BeFalse())
+	i.Lease.SetView(3)
+	g.Expect(stateOf(i)).To(Equal(zone.StateFresh))
+}
--- a/internal/zone/zone.go
+++ b/internal/zone/zone.go
@@ -102,6 +102,13 @@
 	h.renew()
 }
 
+// Know notes a zone change that the instance has heard of and not applied yet.
+func (h *Holder) Know(index uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.known = max(h.known, index)
+}
+
 // Offer takes in a lease that control confirmed no later than confirmed.
 func (h *Holder) Offer(confirmed time.Time, lease Lease) {
 	h.mu.Lock()
