Read member records in one place

The zone of an instance (control), the link of a neighbour (zone leases) and the instances to wait for (sassafrasturnctl) were each decoded from balancer and endpoint records by a copy of the same switch. wire.MemberOf serves all three; behaviour is unchanged.

--- a/cmd/sassafrasturnctl/wait.go
+++ b/cmd/sassafrasturnctl/wait.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"sassafrasturn.example/internal/link"
 	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
@@ -90,21 +89,12 @@
 }
 
 func targetOf(record *wire.Record, c change) target {
-	if record.Kind == wire.Record_KIND_BALANCER {
-		balancer := new(wire.Balancer)
-		if proto.Unmarshal(record.Value, balancer) != nil {
-			return target{}
-		}
-		return target{instance: balancer.Instance, link: balancer.Link}
-	}
-	endpoint := new(wire.Endpoint)
-	if proto.Unmarshal(record.Value, endpoint) != nil || endpoint.State == wire.Endpoint_STATE_GONE {
-		return target{}
-	}
-	if !c.concernsAgentOf(endpoint.Service) {
+	member, ok := wire.MemberOf(record)
+	isConcerned := record.Kind == wire.Record_KIND_BALANCER || c.concernsAgentOf(member.Service)
+	if !ok || member.IsGone || !isConcerned {
 		return target{}
 	}
-	return target{instance: endpoint.Instance, link: endpoint.Link}
+	return target{instance: member.Instance, link: member.Link}
 }
 
 // awaitAll asks all targets, waitParallel at a time, and returns a line for
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/zeebo/errs"
-	"google.golang.org/protobuf/proto"
 	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/pause"
@@ -119,7 +118,9 @@
 	var names []string
 	isSeen := make(map[string]bool)
 	for _, record := range c.instance.Store.List(wire.Record_KIND_ENDPOINT, wire.Record_KIND_BALANCER) {
-		name := zoneOf(record)
+		// A record that does not parse gives no zone.
+		member, _ := wire.MemberOf(record)
+		name := member.Zone
 		if name == "" || isSeen[name] || c.instance.Store.Get(wire.Record_KIND_ZONE, name) != nil {
 			continue
 		}
@@ -129,21 +130,6 @@
 	return names
 }
 
-func zoneOf(record *wire.Record) string {
-	if record.Kind == wire.Record_KIND_ENDPOINT {
-		endpoint := new(wire.Endpoint)
-		if proto.Unmarshal(record.Value, endpoint) == nil {
-			return endpoint.Zone
-		}
-		return ""
-	}
-	balancer := new(wire.Balancer)
-	if proto.Unmarshal(record.Value, balancer) == nil {
-		return balancer.Zone
-	}
-	return ""
-}
-
 // Drain answers the proposals that wait, then hands the lead over.
 func (c *Control) Drain(ctx context.Context) {
 	c.isDraining.Store(true)
--- a/internal/machine/lease.go
+++ b/internal/machine/lease.go
@@ -164,18 +164,11 @@
 }
 
 func linkOf(record *wire.Record) string {
-	if record.Kind == wire.Record_KIND_BALANCER {
-		balancer := new(wire.Balancer)
-		if proto.Unmarshal(record.Value, balancer) != nil {
-			return ""
-		}
-		return balancer.Link
-	}
-	endpoint := new(wire.Endpoint)
-	if proto.Unmarshal(record.Value, endpoint) != nil || endpoint.State == wire.Endpoint_STATE_GONE {
+	member, ok := wire.MemberOf(record)
+	if !ok || member.IsGone {
 		return ""
 	}
-	return endpoint.Link
+	return member.Link
 }
 
 // askWhile asks the instance at address until it fails to answer, its answer
