--- /dev/null
+++ b/cmd/sassafrasturnd/opaque.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+
+	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/machine/control"
+	opaqueagent "sassafrasturn.example/internal/machine/opaque/agent"
+	opaquebalancer "sassafrasturn.example/internal/machine/opaque/balancer"
+	"sassafrasturn.example/internal/settings"
+	"sassafrasturn.example/platform"
+)
+
+// addOpaqueRole adds the one role of an instance in the opaque mode, with the
+// platform's calls to it. The calls are answered while the role drains.
+func addOpaqueRole(ctx context.Context, instance *machine.Instance) error {
+	ctx = context.WithoutCancel(ctx)
+	s := instance.Settings
+	switch s.Role {
+	case settings.RoleBalancer:
+		b, err := opaquebalancer.New(instance, platform.Codec{})
+		if err != nil {
+			return err
+		}
+		instance.AddRole(b)
+		return platform.ServeReady(ctx, s.Opaque.Ready, b)
+	case settings.RoleAgent:
+		a, err := opaqueagent.New(instance, platform.Codec{})
+		if err != nil {
+			return err
+		}
+		instance.AddRole(a)
+		return platform.ServeAnnouncements(ctx, s.Opaque.Announce, a, instance.Log)
+	default:
+		c, err := control.New(instance)
+		if err != nil {
+			return err
+		}
+		instance.AddRole(c)
+		return platform.ServeOperator(ctx, s.Opaque.Operator, c, instance.Log)
+	}
+}
--- a/cmd/sassafrasturnd/run.go
+++ b/cmd/sassafrasturnd/run.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/google/subcommands"
+	"github.com/zeebo/errs"
 
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/machine/agent"
@@ -14,11 +15,13 @@
 	"sassafrasturn.example/internal/machine/control"
 	"sassafrasturn.example/internal/machine/sample"
 	"sassafrasturn.example/internal/settings"
+	"sassafrasturn.example/platform"
 )
 
 // runCommand runs an instance until it is told to stop.
 type runCommand struct {
 	settingsPath string
+	onPlatform   bool
 }
 
 // Name returns the name of the command.
@@ -29,7 +32,7 @@
 
 // Usage describes the command.
 func (*runCommand) Usage() string {
-	return `run --settings FILE
+	return `run --settings FILE | run --platform
   Runs an instance until SIGTERM or Ctrl-C; then it finishes what is in flight
   and stops. Exit code 0 after a graceful stop, 1 after a failure, 2 for wrong
   usage or settings.
@@ -39,15 +42,12 @@
 // SetFlags declares the flags.
 func (r *runCommand) SetFlags(flags *flag.FlagSet) {
 	flags.StringVar(&r.settingsPath, "settings", "", "path of the INI settings file")
+	flags.BoolVar(&r.onPlatform, "platform", false, "take the settings from the users' platform, by the variable "+platform.ConfigVariable)
 }
 
 // Execute runs the instance.
 func (r *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if r.settingsPath == "" {
-		fmt.Fprintln(os.Stderr, "sassafrasturnd run: --settings is missing; try --settings examples/local.ini")
-		return subcommands.ExitUsageError
-	}
-	s, err := settings.Load(r.settingsPath)
+	s, err := r.load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
@@ -59,12 +59,32 @@
 	return subcommands.ExitSuccess
 }
 
+// load reads the settings from the one place that the flags name.
+func (r *runCommand) load() (*settings.Settings, error) {
+	switch {
+	case r.onPlatform && r.settingsPath != "":
+		return nil, errs.New("sassafrasturnd run: --settings and --platform exclude each other")
+	case r.onPlatform && os.Getenv(platform.ConfigVariable) == "":
+		return nil, errs.New("sassafrasturnd run: --platform needs the path of the settings file in %s", platform.ConfigVariable)
+	case r.onPlatform:
+		return platform.LoadSettings(os.Getenv(platform.ConfigVariable))
+	case r.settingsPath == "":
+		return nil, errs.New("sassafrasturnd run: --settings is missing; try --settings examples/local.ini")
+	}
+	return settings.Load(r.settingsPath)
+}
+
 func runInstance(ctx context.Context, s *settings.Settings) error {
 	instance, err := machine.New(s)
 	if err != nil {
 		return err
 	}
-	if err := addRoles(instance, s.Role); err != nil {
+	if s.Mode == settings.ModeOpaque {
+		err = addOpaqueRole(ctx, instance)
+	} else {
+		err = addRoles(instance, s.Role)
+	}
+	if err != nil {
 		return err
 	}
 	return instance.Run(ctx)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -21,6 +21,9 @@
 // fit one byte and 0 is never given out.
 const MaxZones = 255
 
+// MaxZoneNameBytes bounds the name of a zone that an order registers.
+const MaxZoneNameBytes = 100
+
 // MaxRemembered bounds how many submission results are kept for resends.
 const MaxRemembered = 4096
 
@@ -67,6 +70,9 @@
 	// documentBytes is the size of all documents.
 	documentBytes int
 	remembered    results
+	// routing is nil before the first routing table.
+	routing      *wire.ReplaceRouting
+	routingIndex uint64
 }
 
 // New returns an empty catalog.
@@ -131,6 +137,8 @@
 		return c.applySetZone(index, body.SetZone), nil
 	case *wire.Command_RegisterZone:
 		return c.applyRegisterZone(index, body.RegisterZone), nil
+	case *wire.Command_ReplaceRouting:
+		return c.applyReplaceRouting(index, body.ReplaceRouting), nil
 	default:
 		return nil, ErrUnknownCommand.New("index %d", index)
 	}
@@ -210,7 +218,41 @@
 	}
 }
 
+// applyReplaceRouting takes a routing table whose version is higher than the
+// one held. Others are accepted too and change nothing, so that a resend gets
+// the same answer.
+func (c *Catalog) applyReplaceRouting(index uint64, replace *wire.ReplaceRouting) *wire.CommandResult {
+	if c.routing == nil || replace.Version > c.routing.Version {
+		c.routing = replace
+		c.routingIndex = index
+	}
+	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: c.routingIndex, Version: c.routing.Version}
+}
+
+// Routing returns the routing table, or nil before the first one. It must not
+// be changed.
+func (c *Catalog) Routing() *wire.ReplaceRouting {
+	return c.routing
+}
+
+// ZonesOut returns the names of the zones that are out of service, sorted.
+func (c *Catalog) ZonesOut() []string {
+	var names []string
+	for name, z := range c.zones {
+		if z.out {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 func (c *Catalog) applySetZone(index uint64, set *wire.SetZone) *wire.CommandResult {
+	if set.Register {
+		if refused := c.applyRegisterZone(index, &wire.RegisterZone{Name: set.Name}); refused.Outcome != wire.CommandResult_OUTCOME_ACCEPTED {
+			return refused
+		}
+	}
 	held := c.zones[set.Name]
 	if held == nil {
 		return invalid(index, "zone %q is not known; known: %v", set.Name, c.zoneNames())
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -10,7 +10,7 @@
 
 // Snapshot returns the whole state, the results for resends included.
 func (c *Catalog) Snapshot() ([]byte, error) {
-	state := &wire.CatalogState{NextNumber: c.nextNumber}
+	state := &wire.CatalogState{NextNumber: c.nextNumber, Routing: c.routing, RoutingIndex: c.routingIndex}
 	for name, s := range c.services {
 		state.Services = append(state.Services, &wire.CatalogService{
 			Name: name, Number: s.number, Version: s.version, Index: s.index,
@@ -40,6 +40,7 @@
 		return nil, Error.Wrap(err)
 	}
 	c.nextNumber = state.NextNumber
+	c.routing, c.routingIndex = state.Routing, state.RoutingIndex
 	for _, s := range state.Services {
 		c.services[s.Name] = &service{
 			number: s.Number, version: s.Version, index: s.Index,
--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -119,6 +119,13 @@
 	campaignAt  time.Duration
 	granted     map[uint64]bool
 
+	// heardAt is when a follower last heard its leader, and leaderCommit the
+	// highest commit index that any leader has told it.
+	heardAt      time.Duration
+	leaderCommit uint64
+	// ledSince is when a leader was elected.
+	ledSince time.Duration
+
 	heartbeatAt      time.Duration
 	peers            map[uint64]*peer
 	uncommittedBytes int
@@ -134,6 +141,7 @@
 	c.applied = c.log.baseIndex()
 	c.stable = c.log.lastIndex()
 	c.storedTerm, c.storedVote, c.storedCommit = c.term, c.vote, c.commit
+	c.heardAt = neverHeard
 	c.resetElection()
 	if c.term > FirstTerm {
 		// The instance may have answered a leader just before its restart.
@@ -338,11 +346,20 @@
 	Last    uint64
 	Group   *wire.ControlGroup
 	// IsCurrent reports whether a leader has applied all that earlier leaders
-	// have committed.
+	// have committed, and whether a follower has applied all that its leader has
+	// told it to be committed.
 	IsCurrent bool
-	// Contact is the time of the newest append that a majority has answered,
-	// on a leader.
+	// Contact is the time of the newest append that a majority has answered, on
+	// a leader; on another member, when it last heard its leader.
 	Contact time.Duration
+	// IsGroupCommitted reports whether Group is committed.
+	IsGroupCommitted bool
+}
+
+// IsMember reports whether the group has the disk of a member, as voter or learner.
+func (s *Status) IsMember(id, disk uint64) bool {
+	member := find(s.Group, id)
+	return member != nil && member.Disk == disk
 }
 
 // Status returns how the member stands at the time now.
@@ -351,11 +368,15 @@
 	status := Status{
 		Role: c.role, Leader: c.leader, Term: c.term,
 		Commit: c.commit, Applied: c.applied, Last: c.log.lastIndex(), Group: c.log.group(),
+		IsGroupCommitted: c.log.groupIndex() <= c.commit,
 	}
 	if c.role == Leader {
 		status.Contact = c.quorumContact()
 		term, _ := c.log.termAt(c.commit)
 		status.IsCurrent = term == c.term && c.applied == c.commit
+		return status
 	}
+	status.Contact = c.heardAt
+	status.IsCurrent = c.leader != 0 && c.applied >= c.leaderCommit
 	return status
 }
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -36,6 +36,7 @@
 	if c.role != Follower || c.leader != id {
 		c.becomeFollower(c.term, id)
 	}
+	c.heardAt = c.now
 	c.noVoteUntil = c.now + ElectionTimeout
 	c.resetElection()
 }
@@ -156,6 +157,7 @@
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.config.ID
+	c.ledSince = c.now
 	for _, entry := range c.log.from(c.commit + 1) {
 		c.uncommittedBytes += len(entry.Command)
 	}
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -72,6 +72,7 @@
 
 func (c *Core) handleAppend(m *wire.ConsensusMessage) {
 	c.hearLeader(m.From)
+	c.leaderCommit = max(c.leaderCommit, m.Commit)
 	answer := &wire.ConsensusMessage{Kind: wire.ConsensusMessage_KIND_APPEND_ANSWER, Term: c.term, SentAt: m.SentAt}
 	if m.Index < c.commit {
 		// All leaders have what is committed.
--- a/internal/envelope/envelope.go
+++ b/internal/envelope/envelope.go
@@ -73,40 +73,66 @@
 // Seal appends the sealed envelope to buffer.
 func (s *Sealer) Seal(buffer []byte, message *wire.Envelope) ([]byte, error) {
 	start := len(buffer)
-	epoch, tagger := s.tags.Current()
-	var space [headerBytes - nonceStart]byte
-	buffer = append(buffer, format, byte(epoch))
-	buffer = append(buffer, space[:]...)
-	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, message)
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(appendHeader(buffer), message)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	sealed := buffer[start:]
+	if err := s.tag(buffer[start:]); err != nil {
+		return nil, err
+	}
+	return buffer, nil
+}
+
+// SealBytes appends a sealed message to buffer that is no protobuf envelope.
+func (s *Sealer) SealBytes(buffer, message []byte) ([]byte, error) {
+	start := len(buffer)
+	buffer = append(appendHeader(buffer), message...)
+	return buffer, s.tag(buffer[start:])
+}
+
+func appendHeader(buffer []byte) []byte {
+	var space [headerBytes]byte
+	return append(buffer, space[:]...)
+}
+
+// tag writes the header in front of a message.
+func (s *Sealer) tag(sealed []byte) error {
 	if len(sealed) > MaxBytes {
-		return nil, Error.New("envelope of %d bytes, at most %d fit", len(sealed), MaxBytes)
+		return Error.New("envelope of %d bytes, at most %d fit", len(sealed), MaxBytes)
 	}
+	epoch, tagger := s.tags.Current()
+	sealed[0], sealed[1] = format, byte(epoch)
 	nonce := sealed[nonceStart:tagStart]
 	s.nonces.next(nonce)
 	tagger.Seal(sealed[tagStart:tagStart], nonce, nil, sealed[headerBytes:])
-	return buffer, nil
+	return nil
 }
 
 // Open checks the tag and reads the message.
 func (s *Sealer) Open(data []byte, message *wire.Envelope) error {
-	if len(data) < headerBytes || data[0] != format {
+	content, err := s.OpenBytes(data)
+	if err != nil {
+		return err
+	}
+	if err := proto.Unmarshal(content, message); err != nil {
 		return ErrMalformed
 	}
+	return nil
+}
+
+// OpenBytes checks the tag and returns the message, which shares data's array.
+func (s *Sealer) OpenBytes(data []byte) ([]byte, error) {
+	if len(data) < headerBytes || data[0] != format {
+		return nil, ErrMalformed
+	}
 	tagger, ok := s.tags.Of(keyring.Epoch(data[1]))
 	if !ok {
-		return ErrForged
+		return nil, ErrForged
 	}
 	if _, err := tagger.Open(nil, data[nonceStart:tagStart], data[tagStart:headerBytes], data[headerBytes:]); err != nil {
-		return ErrForged
+		return nil, ErrForged
 	}
-	if err := proto.Unmarshal(data[headerBytes:], message); err != nil {
-		return ErrMalformed
-	}
-	return nil
+	return data[headerBytes:], nil
 }
 
 const portBytes = 2
--- /dev/null
+++ b/internal/flow/gate.go
@@ -0,0 +1,126 @@
+package flow
+
+import (
+	"time"
+)
+
+// Reason says why an agent does not take a new flow.
+type Reason string
+
+// Reasons. The empty one says that the flow is taken.
+const (
+	Taken             Reason = ""
+	RefusedUnknown    Reason = "endpoint-unknown"
+	RefusedSilent     Reason = "endpoint-silent"
+	RefusedDraining   Reason = "draining"
+	RefusedLeaving    Reason = "agent-leaving"
+	RefusedOtherRoute Reason = "route-not-allowed"
+	RefusedZoneOut    Reason = "zone-out"
+	RefusedCold       Reason = "cold"
+	RefusedBusy       Reason = "busy"
+	// RefusedByEndpoint: the endpoint itself has bounced the flow.
+	RefusedByEndpoint Reason = "bounced"
+)
+
+// Endpoint is what an endpoint has said about itself.
+type Endpoint struct {
+	ID      string
+	Service string
+	Slots   int
+	// Born is the wall-clock time of its start in Unix milliseconds, 0 when it
+	// did not say.
+	Born       int64
+	Sequence   uint64
+	IsDraining bool
+	// ColdUntil is when it will bear its full load.
+	ColdUntil time.Duration
+	// HeardAt is when its newest announcement arrived.
+	HeardAt time.Duration
+}
+
+// Request is a new flow at the gate of an agent.
+type Request struct {
+	// IsRouteAllowed: the newest routing table known lets the flow's route use
+	// the endpoint's service.
+	IsRouteAllowed bool
+	IsZoneOut      bool
+	IsLeaving      bool
+	// IsLast: no other agent is left to offer the flow to.
+	IsLast bool
+	// Busy is how many requests are in flight at the endpoint.
+	Busy int
+}
+
+// Gate decides which new flows the agent's endpoint gets. It answers bursts,
+// slow endpoints and cold ones: a flow that would wait is offered to the next
+// agent, and only the last one lets it wait, up to a bound.
+type Gate struct {
+	// Silence is how long an endpoint may be silent before it gets no new flows:
+	// less than the time after which its address may serve another service.
+	Silence time.Duration
+	// ColdFactor times the requests a second that a service bears while cold,
+	// and ColdSlack more, may reach a cold endpoint in any second.
+	ColdFactor float64
+	ColdSlack  int
+
+	admitted []time.Duration
+}
+
+const (
+	// coldMargin is how many requests a second a cold endpoint gets less than
+	// the bound: what a second copy of a SYN adds unseen.
+	coldMargin = 1
+	// coldWindow is the window in which the bound holds.
+	coldWindow = time.Second
+	// coldWindowSlack covers the way between agent and endpoint.
+	coldWindowSlack = 20 * time.Millisecond
+	// queuePerSlot is how many requests may wait for each slot when all agents
+	// are busy: more than that would wait longer than callers want.
+	queuePerSlot = 1
+)
+
+// Decide says whether the endpoint gets a new flow now.
+func (g *Gate) Decide(now time.Duration, endpoint *Endpoint, coldPerSecond float64, request Request) Reason {
+	switch {
+	case endpoint == nil:
+		return RefusedUnknown
+	case now-endpoint.HeardAt > g.Silence:
+		return RefusedSilent
+	case endpoint.IsDraining:
+		return RefusedDraining
+	case request.IsLeaving:
+		return RefusedLeaving
+	case !request.IsRouteAllowed:
+		return RefusedOtherRoute
+	case request.IsZoneOut:
+		return RefusedZoneOut
+	}
+	limit := endpoint.Slots
+	if request.IsLast {
+		limit += endpoint.Slots * queuePerSlot
+	}
+	if request.Busy >= limit {
+		return RefusedBusy
+	}
+	if now < endpoint.ColdUntil && !g.admitCold(now, coldPerSecond) {
+		return RefusedCold
+	}
+	return Taken
+}
+
+// admitCold counts a flow against the allowance of a cold endpoint.
+func (g *Gate) admitCold(now time.Duration, perSecond float64) bool {
+	bound := int(perSecond*g.ColdFactor) + g.ColdSlack - coldMargin
+	kept := g.admitted[:0]
+	for _, at := range g.admitted {
+		if now-at < coldWindow+coldWindowSlack {
+			kept = append(kept, at)
+		}
+	}
+	g.admitted = kept
+	if len(g.admitted) >= bound {
+		return false
+	}
+	g.admitted = append(g.admitted, now)
+	return true
+}
--- /dev/null
+++ b/internal/flow/order.go
@@ -0,0 +1,169 @@
+package flow
+
+import (
+	"net/netip"
+	"slices"
+
+	"sassafrasturn.example/internal/rendezvous"
+)
+
+// Member is an agent with its endpoint, as the order of offers sees it.
+type Member struct {
+	// Address is where envelopes reach the agent.
+	Address netip.AddrPort
+	Zone    string
+	Service string
+	// IsReady: the endpoint takes new flows.
+	IsReady bool
+	// IsGone: the agent has not been heard for long; it may yet hold open flows
+	// behind a cut.
+	IsGone bool
+
+	hash uint64
+	zone ZoneTag
+}
+
+// ZoneTag stands for the name of a zone in messages.
+type ZoneTag uint32
+
+// TagOf returns the tag of a zone.
+func TagOf(zone string) ZoneTag {
+	return ZoneTag(rendezvous.Hash(zone))
+}
+
+// NewMember returns a member that is ready, with its place in the order.
+func NewMember(address netip.AddrPort, zone, service string) Member {
+	return Member{
+		Address: address, Zone: zone, Service: service, IsReady: true,
+		hash: rendezvous.Hash(address.String()), zone: TagOf(zone),
+	}
+}
+
+// View is what a node knows of the agents. It is immutable.
+type View struct {
+	byService map[string][]Member
+	count     int
+}
+
+// NewView returns a view of the members.
+func NewView(members []Member) *View {
+	view := &View{byService: make(map[string][]Member)}
+	for _, member := range members {
+		view.byService[member.Service] = append(view.byService[member.Service], member)
+		if !member.IsGone {
+			view.count++
+		}
+	}
+	return view
+}
+
+// Count returns how many agents of the view are not gone.
+func (v *View) Count() int { return v.count }
+
+// Members returns the agents of a service; the slice must not be changed.
+func (v *View) Members(service string) []Member { return v.byService[service] }
+
+// position is a place in the order of offers; lower ranks come first and
+// higher scores within a rank.
+type position struct {
+	rank  int
+	score uint64
+}
+
+func (p position) isBefore(other position) bool {
+	if p.rank != other.rank {
+		return p.rank < other.rank
+	}
+	return p.score > other.score
+}
+
+const (
+	rankOwnZone = iota
+	rankOtherZone
+	ranksPerService
+	// rankGone puts the agents that are gone behind those of all services.
+	rankGone = 1 << 20
+)
+
+func positionOf(member *Member, flow uint64, origin ZoneTag, service int) position {
+	rank := service * ranksPerService
+	if member.zone != origin {
+		rank += rankOtherZone
+	}
+	if member.IsGone {
+		rank += rankGone
+	}
+	return position{rank: rank, score: rendezvous.Score(flow, member.hash)}
+}
+
+// Order is the order in which the agents of some services are offered the
+// packets of a flow: the first service before the others, the zone in which
+// the caller's packet came in before the others, and rendezvous order within.
+// Every node with the same view gives the same order.
+type Order struct {
+	View   *View
+	Flow   uint64
+	Origin ZoneTag
+	// Services are the services whose agents are in the order.
+	Services []string
+}
+
+// First returns the first agent of the order.
+func (o *Order) First() (Member, bool) {
+	return o.best(nil)
+}
+
+// After returns the agent that follows the one at the address. When the view
+// does not have that one, it is the first of the order that is another.
+func (o *Order) After(address netip.AddrPort) (Member, bool) {
+	for service, name := range o.Services {
+		members := o.View.byService[name]
+		for i := range members {
+			if members[i].Address == address {
+				own := positionOf(&members[i], o.Flow, o.Origin, service)
+				return o.best(&own)
+			}
+		}
+	}
+	return o.best(nil)
+}
+
+// best returns the first agent after a position, or the first one of all.
+func (o *Order) best(after *position) (Member, bool) {
+	var found *Member
+	var foundAt position
+	for service, name := range o.Services {
+		members := o.View.byService[name]
+		for i := range members {
+			at := positionOf(&members[i], o.Flow, o.Origin, service)
+			if after != nil && !after.isBefore(at) {
+				continue
+			}
+			if found == nil || at.isBefore(foundAt) {
+				found, foundAt = &members[i], at
+			}
+		}
+	}
+	if found == nil {
+		return Member{}, false
+	}
+	return *found, true
+}
+
+// Offers are the agents that a new flow is offered to, in their order: those
+// of one service that take new flows and whose zone is in service.
+func Offers(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool) []Member {
+	var offers []Member
+	for _, member := range view.byService[service] {
+		if member.IsReady && !member.IsGone && !isOut(member.Zone) {
+			offers = append(offers, member)
+		}
+	}
+	slices.SortFunc(offers, func(a, b Member) int {
+		if positionOf(&a, flow, origin, 0).isBefore(positionOf(&b, flow, origin, 0)) {
+			return -1
+		}
+		return 1
+	})
+	return offers
+}
--- /dev/null
+++ b/internal/flow/table.go
@@ -0,0 +1,228 @@
+package flow
+
+import (
+	"time"
+)
+
+// Bounds of a table.
+const (
+	// maxFlows bounds the flows of one endpoint; it bears 2,000 in the largest
+	// known deployment.
+	maxFlows = 16_384
+	// seqSlack is how far beyond what the agent has seen the endpoint may have
+	// sent: 16 packets of 1,200 bytes in flight, and as many again.
+	seqSlack = 32 * 1200
+	// handshakeTime is how long a caller waits for the answer to its SYN.
+	handshakeTime = 1400 * time.Millisecond
+	// closedTime is how long a flow whose ends have both finished is remembered,
+	// for the last acknowledgements and their copies.
+	closedTime = 4 * time.Second
+	// busyTime is how long a request counts as in flight while neither end sends.
+	busyTime = 2 * time.Second
+)
+
+// Flow is a flow that the agent's endpoint has, or has been offered.
+type Flow struct {
+	Key Key
+	// CallerAck is the last number that the caller acknowledged.
+	CallerAck uint32
+
+	// first is the number of the endpoint's SYN, when hasFirst is set.
+	first    uint32
+	hasFirst bool
+	// highest is the end of what the endpoint has sent.
+	highest uint32
+	// isAdopted: the flow is older than the table, and first is only a number
+	// that the endpoint has sent.
+	isAdopted bool
+
+	isOpen                     bool
+	isBusy                     bool
+	callerIsDone, endpointDone bool
+	opened, seen               time.Duration
+	requestAt                  time.Duration
+}
+
+// Answers reports whether a caller's packet answers what the flow's endpoint
+// has sent.
+func (f *Flow) Answers(h *Header) bool { return f.isOwn(h) }
+
+// IsOpen reports whether the caller has acknowledged the endpoint's SYN.
+func (f *Flow) IsOpen() bool { return f.isOpen }
+
+// Table holds the flows of an agent's one endpoint. It is not safe for
+// concurrent use.
+type Table struct {
+	flows map[Key]*Flow
+	busy  int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{flows: make(map[Key]*Flow)}
+}
+
+// Len returns how many flows the table holds.
+func (t *Table) Len() int { return len(t.flows) }
+
+// Busy returns how many flows wait for an answer of the endpoint: an estimate
+// of the requests in flight that needs no knowledge of what the flows carry.
+func (t *Table) Busy() int { return t.busy }
+
+// Get returns a flow, or nil.
+func (t *Table) Get(key Key) *Flow { return t.flows[key] }
+
+// Offer notes that the endpoint is given the SYN of a flow. It returns nil when
+// the table is full.
+func (t *Table) Offer(now time.Duration, key Key) *Flow {
+	f := t.flows[key]
+	if f == nil {
+		if len(t.flows) >= maxFlows {
+			return nil
+		}
+		f = &Flow{Key: key, opened: now}
+		t.flows[key] = f
+	}
+	f.seen = now
+	t.setBusy(now, f, true)
+	return f
+}
+
+// Refuse forgets a flow that the endpoint did not take.
+func (t *Table) Refuse(key Key) {
+	if f := t.flows[key]; f != nil && !f.isOpen {
+		t.remove(f)
+	}
+}
+
+// Remove forgets a flow.
+func (t *Table) Remove(key Key) {
+	if f := t.flows[key]; f != nil {
+		t.remove(f)
+	}
+}
+
+func (t *Table) remove(f *Flow) {
+	t.setBusy(f.seen, f, false)
+	delete(t.flows, f.Key)
+}
+
+func (t *Table) setBusy(now time.Duration, f *Flow, isBusy bool) {
+	if isBusy && !f.isBusy {
+		f.requestAt = now
+		t.busy++
+	} else if !isBusy && f.isBusy {
+		t.busy--
+	}
+	f.isBusy = isBusy
+}
+
+// FromCaller notes a later packet of a caller and returns its flow. It returns
+// nil when the packet does not belong to the agent's endpoint: the flow is not
+// known, or the packet acknowledges what another endpoint has sent.
+func (t *Table) FromCaller(now time.Duration, h *Header) *Flow {
+	f := t.flows[h.FromCaller()]
+	if f == nil || !f.isOwn(h) {
+		return nil
+	}
+	f.seen = now
+	if h.IsACK {
+		f.CallerAck = h.Ack
+	}
+	f.isOpen = true
+	if h.Length > 0 {
+		t.setBusy(now, f, true)
+	}
+	if h.IsFIN {
+		f.callerIsDone = true
+	}
+	if h.IsRST {
+		t.remove(f)
+	}
+	return f
+}
+
+// isOwn reports whether a caller's packet answers this agent's endpoint. Two
+// endpoints may have answered copies of one SYN; the caller goes on with one.
+func (f *Flow) isOwn(h *Header) bool {
+	if !f.hasFirst {
+		return false
+	}
+	if !h.IsACK {
+		return true
+	}
+	if f.isAdopted {
+		distance := int32(h.Ack - f.highest)
+		return distance > -maxUnseen && distance < maxUnseen
+	}
+	sent := f.highest - f.first
+	return h.Ack-f.first <= sent+seqSlack
+}
+
+// maxUnseen is how far the numbers of an adopted flow may lie from those seen.
+const maxUnseen = 1 << 20
+
+// FromEndpoint notes a packet of the endpoint and returns its flow. A flow that
+// the table does not know is adopted: the agent has started after it.
+func (t *Table) FromEndpoint(now time.Duration, h *Header) *Flow {
+	key := h.FromEndpoint()
+	f := t.flows[key]
+	if f == nil {
+		if h.IsRST || len(t.flows) >= maxFlows {
+			return nil
+		}
+		f = &Flow{Key: key, opened: now, isAdopted: !h.IsSYN, isOpen: !h.IsSYN}
+		t.flows[key] = f
+	}
+	f.seen = now
+	end := h.Seq + uint32(h.Length)
+	if h.IsSYN || h.IsFIN {
+		end++
+	}
+	if !f.hasFirst || h.IsSYN && !f.isOpen {
+		f.first, f.highest, f.hasFirst = h.Seq, end, true
+		f.isAdopted = !h.IsSYN
+	} else if int32(end-f.highest) > 0 {
+		f.highest = end
+	}
+	if h.Length > 0 || h.IsFIN {
+		t.setBusy(now, f, false)
+	}
+	if h.IsFIN {
+		f.endpointDone = true
+	}
+	if h.IsRST {
+		t.remove(f)
+	}
+	return f
+}
+
+// Sweep forgets flows that have ended, never opened, or were idle so long that
+// either end may forget them.
+func (t *Table) Sweep(now, idleTimeout time.Duration) {
+	for _, f := range t.flows {
+		idle := now - f.seen
+		switch {
+		case f.callerIsDone && f.endpointDone && idle > closedTime,
+			!f.isOpen && idle > handshakeTime+closedTime,
+			idleTimeout > 0 && idle > idleTimeout+closedTime:
+			t.remove(f)
+		case f.isBusy && idle > busyTime:
+			t.setBusy(now, f, false)
+		}
+	}
+}
+
+// Clear forgets all flows and returns those that were open, whose callers can
+// be told that their endpoint is gone.
+func (t *Table) Clear() []*Flow {
+	var open []*Flow
+	for _, f := range t.flows {
+		if f.isOpen && !(f.callerIsDone && f.endpointDone) {
+			open = append(open, f)
+		}
+	}
+	t.flows = make(map[Key]*Flow)
+	t.busy = 0
+	return open
+}
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -13,6 +13,7 @@
 	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/pause"
+	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -26,6 +27,8 @@
 	loop      *loop
 	transport atomic.Pointer[transport]
 	changed   chan struct{}
+	// discovery is nil outside the opaque mode.
+	discovery *discovery
 
 	isDraining atomic.Bool
 }
@@ -51,6 +54,12 @@
 	}
 	c.loop = newLoop(c.replica, started, c.learn)
 	registerMetrics(instance.Metrics, c.loop)
+	if instance.Settings.Mode == settings.ModeOpaque {
+		c.replica.voters = instance.Settings.Opaque.Voters
+		if c.discovery, err = newDiscovery(c); err != nil {
+			return nil, err
+		}
+	}
 	return c, nil
 }
 
@@ -70,8 +79,13 @@
 func (c *Control) Run(ctx context.Context) error {
 	s := c.instance.Settings
 	c.transport.Store(newTransport(ctx, c.instance.Dialer, uint64(s.Control.ID), s.Link.Listen.String()))
-	go c.found(ctx)
-	go c.followZones(ctx)
+	if s.Mode == settings.ModeOpaque {
+		go c.join(ctx)
+		go c.discovery.run(ctx)
+	} else {
+		go c.found(ctx)
+		go c.followZones(ctx)
+	}
 	return c.loop.run(ctx)
 }
 
@@ -163,7 +177,7 @@
 func (c *Control) Details() []string {
 	status := c.loop.status.Load()
 	lines := []string{
-		fmt.Sprintf("control id: %d", c.replica.identity.Id),
+		fmt.Sprintf("control id: %d", c.loop.identity.Load().Id),
 		fmt.Sprintf("control role: %s", status.Role),
 		fmt.Sprintf("control leader: %d", status.Leader),
 		fmt.Sprintf("control term: %d", status.Term),
--- /dev/null
+++ b/internal/machine/control/discovery.go
@@ -0,0 +1,267 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/roster"
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	gossipInterval = 500 * time.Millisecond
+	// An answer fits one datagram on networks with an MTU of 1,500 bytes: a part
+	// of the routing table and some records.
+	answerRecordBytes = 700
+	answerPartBytes   = 500
+	// gossipRecords bounds the records in one datagram of gossip.
+	gossipRecords = 14
+	// gossipHeard bounds the agents named in one datagram of gossip.
+	gossipHeard = 120
+	// repeatInterval separates repetitions for an instance that lacks records.
+	repeatInterval = time.Second
+)
+
+// discovery answers the polls of balancers and agents, and tells the other
+// control instances which agents it has heard.
+type discovery struct {
+	control *Control
+	node    *opaque.Node
+
+	mu     sync.Mutex
+	roster *roster.Roster
+	// heard is when each control instance was last heard, and told when another
+	// one last spoke of it.
+	heard, told map[netip.AddrPort]time.Duration
+	// leader is what others say of the leader, for an instance that is no member.
+	leader     netip.AddrPort
+	leaderTerm uint64
+	leaderAt   time.Duration
+	repeatedAt time.Duration
+}
+
+func newDiscovery(c *Control) (*discovery, error) {
+	d := &discovery{control: c, heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration)}
+	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.take})
+	if err != nil {
+		return nil, err
+	}
+	d.node = node
+	d.roster = roster.New(rand.Uint64()|1, node.Now())
+	return d, nil
+}
+
+func (d *discovery) run(ctx context.Context) {
+	go d.node.Run(ctx)
+	ticker := time.NewTicker(gossipInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.gossip()
+		}
+	}
+}
+
+func (d *discovery) take(kind opaque.Kind, data []byte, from netip.AddrPort) {
+	switch kind {
+	case opaque.KindPoll:
+		poll := new(wire.Poll)
+		if proto.Unmarshal(data, poll) == nil {
+			d.node.SendMessage(opaque.KindPollAnswer, d.answer(poll), from)
+		}
+	case opaque.KindGossip:
+		gossip := new(wire.Gossip)
+		if proto.Unmarshal(data, gossip) == nil {
+			d.takeGossip(gossip, from)
+		}
+	case opaque.KindRepeat:
+		d.mu.Lock()
+		d.roster.RepeatAll(d.node.Now())
+		d.mu.Unlock()
+	}
+}
+
+// answer gives a node what has changed since its last poll.
+func (d *discovery) answer(poll *wire.Poll) *wire.PollAnswer {
+	now := d.node.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	answer := &wire.PollAnswer{
+		Sequence: poll.Sequence,
+		Fresh:    d.control.loop.isCurrent() && d.roster.IsWarm(now) && !d.control.isDraining.Load(),
+	}
+	for _, address := range d.addresses(now) {
+		answer.Control = append(answer.Control, address.String())
+	}
+	if poll.Self != nil {
+		answer.Incarnation = d.roster.Hear(now, poll.Self)
+	}
+	if !answer.Fresh {
+		return answer
+	}
+	delta := d.roster.Since(poll.Roster, poll.Revision, answerRecordBytes)
+	answer.Roster, answer.Revision, answer.Records = delta.Roster, delta.Revision, delta.Records
+	answer.More, answer.Restart = delta.More, delta.Restart
+	d.addHeld(poll, answer)
+	return answer
+}
+
+// addHeld adds the routing table and the zones, as far as the node lacks them.
+func (d *discovery) addHeld(poll *wire.Poll, answer *wire.PollAnswer) {
+	held := d.control.replica.held.Load()
+	answer.ZoneIndex = held.ZoneIndex
+	if held.ZoneIndex != poll.ZoneIndex {
+		answer.ZonesOut = held.ZonesOut
+	}
+	if held.Routing == nil {
+		return
+	}
+	table := held.Routing.Table
+	answer.RoutingVersion = held.Routing.Version
+	answer.TableBytes = uint32(len(table))
+	if held.Routing.Version <= poll.RoutingVersion {
+		return
+	}
+	offset := 0
+	if poll.FetchVersion == held.Routing.Version {
+		offset = min(int(poll.FetchOffset), len(table))
+	}
+	answer.PartVersion, answer.PartOffset = held.Routing.Version, uint32(offset)
+	answer.Part = table[offset:min(offset+answerPartBytes, len(table))]
+}
+
+// gossip tells the other control instances which agents this one has heard.
+func (d *discovery) gossip() {
+	now := d.node.Now()
+	d.mu.Lock()
+	lost := d.roster.Sweep(now)
+	changed, heard := d.roster.Gossip(now, now-2*gossipInterval)
+	addresses := d.addresses(now)
+	known := d.heardAddresses()
+	d.mu.Unlock()
+	for _, record := range lost {
+		d.control.instance.Log.Info().Uint32("address", record.Address).Str("service", record.Service).
+			Str("zone", record.Zone).Msg("agent not heard for long, taken for gone")
+	}
+	own := d.node.Address()
+	for isFirst := true; isFirst || len(changed) > 0 || len(heard) > 0; isFirst = false {
+		message := &wire.Gossip{From: own.String()}
+		message.Changed, changed = split(changed, gossipRecords)
+		message.Heard, heard = split(heard, gossipHeard)
+		if isFirst {
+			d.addLeader(message)
+			message.Control = known
+		}
+		for _, address := range addresses {
+			if address != own {
+				d.node.SendMessage(opaque.KindGossip, message, address)
+			}
+		}
+	}
+}
+
+func split[T any](items []T, most int) (first, rest []T) {
+	most = min(most, len(items))
+	return items[:most], items[most:]
+}
+
+func (d *discovery) addLeader(message *wire.Gossip) {
+	status := d.control.loop.status.Load()
+	for _, member := range status.Group.GetMembers() {
+		if member.Id == status.Leader && d.control.loop.isCurrent() {
+			message.Leader, message.Term = member.Address, status.Term
+		}
+	}
+}
+
+func (d *discovery) takeGossip(gossip *wire.Gossip, from netip.AddrPort) {
+	now := d.node.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heard[from] = now
+	for _, text := range gossip.Control {
+		if address, err := netip.ParseAddrPort(text); err == nil && len(d.told) < maxHeard {
+			d.told[address] = now
+		}
+	}
+	if leader, err := netip.ParseAddrPort(gossip.Leader); err == nil && gossip.Term >= d.leaderTerm {
+		d.leader, d.leaderTerm, d.leaderAt = leader, gossip.Term, now
+	}
+	if d.roster.Merge(now, gossip.Changed, gossip.Heard) && now-d.repeatedAt > repeatInterval {
+		d.repeatedAt = now
+		d.node.SendMessage(opaque.KindRepeat, &wire.Gossip{From: d.node.Address().String()}, from)
+	}
+}
+
+const (
+	// maxHeard bounds the control instances that are remembered.
+	maxHeard = 64
+	// heardTimeout is how long a control instance is remembered that is silent
+	// and no member.
+	heardTimeout = 10 * time.Second
+)
+
+// controlAddresses returns the link addresses of all known control instances.
+func (d *discovery) controlAddresses() []netip.AddrPort {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addresses(d.node.Now())
+}
+
+// addresses returns the members of the group, those heard lately, and the
+// configured peers while there is no group.
+func (d *discovery) addresses(now time.Duration) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	add := func(address netip.AddrPort) {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, member := range d.control.loop.status.Load().Group.GetMembers() {
+		if address, err := netip.ParseAddrPort(member.Address); err == nil {
+			add(address)
+		}
+	}
+	for _, remembered := range []map[netip.AddrPort]time.Duration{d.heard, d.told} {
+		for address, at := range remembered {
+			if now-at > heardTimeout {
+				delete(remembered, address)
+				continue
+			}
+			add(address)
+		}
+	}
+	if !d.control.loop.isMember() {
+		for _, peer := range d.control.instance.Settings.Cluster.Peers {
+			add(peer)
+		}
+	}
+	return addresses
+}
+
+// heardAddresses returns the control instances that this one has itself heard.
+func (d *discovery) heardAddresses() []string {
+	var addresses []string
+	for address := range d.heard {
+		addresses = append(addresses, address.String())
+	}
+	return addresses
+}
+
+// knownLeader returns what others have lately said of the leader.
+func (d *discovery) knownLeader() (netip.AddrPort, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	isLate := d.node.Now()-d.leaderAt > 2*gossipInterval
+	return d.leader, d.leader.IsValid() && !isLate
+}
--- a/internal/machine/control/founding.go
+++ b/internal/machine/control/founding.go
@@ -62,8 +62,8 @@
 func (c *Control) askMembers(ctx context.Context) (identities []*wire.DiskIdentity, all bool) {
 	all = true
 	for _, member := range c.members() {
-		if member.ID == c.replica.identity.Id {
-			identities = append(identities, c.replica.identity)
+		if member.ID == c.loop.identity.Load().Id {
+			identities = append(identities, c.loop.identity.Load())
 			continue
 		}
 		identity, err := c.askIdentity(ctx, member.Link.String())
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
 	request := &wire.ConsensusRequest{
-		From: c.replica.identity.Id,
+		From: c.loop.identity.Load().Id,
 		Body: &wire.ConsensusRequest_Identity{Identity: &wire.IdentityRequest{}},
 	}
 	response, err := c.instance.Dialer.Call(ctx, address, &wire.Request{Body: &wire.Request_Consensus{Consensus: request}})
@@ -105,11 +105,11 @@
 
 func (c *Control) logForeignGroup(group *wire.ControlGroup) {
 	for _, member := range group.Members {
-		if member.Id == c.replica.identity.Id && member.Disk == c.replica.identity.Disk {
+		if member.Id == c.loop.identity.Load().Id && member.Disk == c.loop.identity.Load().Disk {
 			return
 		}
 	}
-	c.instance.Log.Warn().Uint64("id", c.replica.identity.Id).
+	c.instance.Log.Warn().Uint64("id", c.loop.identity.Load().Id).
 		Msg("the control group does not have this disk as a member; if the data folder was lost, give the instance a new id and run sassafrasturnctl control add")
 }
 
@@ -120,6 +120,11 @@
 			Id: member.ID, Address: member.Link.String(), Disk: identities[i].Disk, Voter: true,
 		})
 	}
+	c.form(ctx, members)
+}
+
+// form begins a group unless the instance belongs to one by now.
+func (c *Control) form(ctx context.Context, members []*wire.ControlMember) {
 	err := c.loop.do(ctx, func(now time.Duration) error {
 		if status := c.replica.core.Status(now); status.Group.GetNumber() != 0 || status.Term != 0 {
 			return nil
--- a/internal/machine/control/loop.go
+++ b/internal/machine/control/loop.go
@@ -28,6 +28,7 @@
 	calls    chan func(now time.Duration) error
 	done     chan struct{}
 	status   atomic.Pointer[consensus.Status]
+	identity atomic.Pointer[wire.DiskIdentity]
 	// learn is told the address of each member.
 	learn func(id uint64, address string)
 }
@@ -109,6 +110,20 @@
 		l.learn(member.Id, member.Address)
 	}
 	l.status.Store(&status)
+	l.identity.Store(l.replica.identity)
+}
+
+// isMember reports whether the group has this instance.
+func (l *loop) isMember() bool {
+	identity := l.identity.Load()
+	return l.status.Load().IsMember(identity.Id, identity.Disk)
+}
+
+// isCurrent reports whether what this instance has applied is, but for the
+// last moments, what a majority has committed.
+func (l *loop) isCurrent() bool {
+	status := l.status.Load()
+	return status.IsCurrent && l.isMember() && l.now()-status.Contact < consensus.ElectionTimeout
 }
 
 func (l *loop) publishLease() {
--- /dev/null
+++ b/internal/machine/control/regroup.go
@@ -0,0 +1,59 @@
+package control
+
+import (
+	"time"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	// maxFirstID bounds the random ID of an instance that numbers itself.
+	maxFirstID = 1 << 31
+	// regroupInterval separates looks at who waits to join.
+	regroupInterval = 200 * time.Millisecond
+	// joinerTimeout is how long an instance counts as waiting after it asked.
+	joinerTimeout = 2 * time.Second
+)
+
+// joiner is an instance that waits to join the group.
+type joiner struct {
+	member  *wire.ControlMember
+	askedAt time.Duration
+}
+
+// noteJoiner notes that an instance asks to join.
+func (r *replica) noteJoiner(now time.Duration, join *wire.JoinControl) {
+	r.joiners[join.Address] = joiner{
+		member:  &wire.ControlMember{Id: join.Id, Address: join.Address, Disk: join.Disk},
+		askedAt: now,
+	}
+}
+
+// regroup lets the leader take in an instance that waits.
+func (r *replica) regroup(now time.Duration) {
+	if r.voters == 0 || now < r.regroupAt {
+		return
+	}
+	r.regroupAt = now + regroupInterval
+	var waiting []*wire.ControlMember
+	for address, j := range r.joiners {
+		if now-j.askedAt > joinerTimeout {
+			delete(r.joiners, address)
+			continue
+		}
+		waiting = append(waiting, j.member)
+	}
+	r.core.Regroup(now, waiting, r.voters)
+}
+
+// renumber gives the instance a new identity, with which it can join a group
+// that does not have its old one.
+func (r *replica) renumber(id uint64) error {
+	identity := &wire.DiskIdentity{Id: id, Disk: r.rand.Uint64() | 1}
+	if err := r.journal.StoreIdentity(identity); err != nil {
+		return err
+	}
+	r.identity = identity
+	r.core.Renumber(identity.Id, identity.Disk)
+	return nil
+}
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -61,6 +62,22 @@
 
 	leaseSequence uint64
 	leaseAt       time.Duration
+
+	// held is what the applied log says about the opaque mode.
+	held atomic.Pointer[Held]
+	// joiners are the instances that wait to join, by address; voters is how
+	// many voters the group is to have, 0 where operators change the group.
+	joiners   map[string]joiner
+	voters    int
+	regroupAt time.Duration
+}
+
+// Held is the applied state of the opaque mode.
+type Held struct {
+	// Routing is nil before the first routing table.
+	Routing   *wire.ReplaceRouting
+	ZoneIndex uint64
+	ZonesOut  []string
 }
 
 // openReplica restores a replica from its data folder. It publishes the state
@@ -68,6 +85,9 @@
 // nothing older is seen than before.
 func openReplica(folder journal.Folder, id uint64, random *rand.Rand, now time.Duration, out outputs) (*replica, error) {
 	fresh := &wire.DiskIdentity{Id: id, Disk: random.Uint64() | 1}
+	if id == 0 {
+		fresh.Id = 1 + random.Uint64N(maxFirstID)
+	}
 	j, contents, err := journal.Open(folder, fresh)
 	if err != nil {
 		return nil, err
@@ -75,7 +95,9 @@
 	r := &replica{
 		identity: contents.Identity, rand: random, outputs: out,
 		journal: j, waiting: make(map[uint64]waiter), leaseAt: now, compactAfter: snapshotEntries,
+		joiners: make(map[string]joiner),
 	}
+	r.held.Store(new(Held))
 	if err := r.checkIdentity(id, contents); err != nil {
 		return nil, err
 	}
@@ -89,7 +111,7 @@
 // checkIdentity refuses a folder that another member has used. One that was
 // never a member's may change its ID.
 func (r *replica) checkIdentity(id uint64, contents *journal.Contents) error {
-	if r.identity.Id == id {
+	if id == 0 || r.identity.Id == id {
 		return nil
 	}
 	if contents.State != nil || contents.Snapshot != nil {
@@ -131,6 +153,7 @@
 
 func (r *replica) tick(now time.Duration) error {
 	r.core.Tick(now)
+	r.regroup(now)
 	return r.work(now)
 }
 
@@ -272,6 +295,7 @@
 	if records := r.catalog.Records(r.published); len(records) > 0 {
 		r.outputs.publish(records)
 	}
+	r.held.Store(&Held{Routing: r.catalog.Routing(), ZoneIndex: r.catalog.ZoneIndex(), ZonesOut: r.catalog.ZonesOut()})
 	r.published = applied
 }
 
--- a/internal/machine/control/serve.go
+++ b/internal/machine/control/serve.go
@@ -125,6 +125,8 @@
 		c.respond(stream, consensusResponse(&wire.ConsensusResponse{Group: c.loop.status.Load().Group}))
 	case *wire.ConsensusRequest_Add:
 		c.respond(stream, c.atLeader(ctx, func() (*wire.Response, error) { return c.addMember(ctx, body.Add) }))
+	case *wire.ConsensusRequest_Join:
+		c.respond(stream, c.atLeader(ctx, func() (*wire.Response, error) { return c.noteJoiner(ctx, body.Join) }))
 	case *wire.ConsensusRequest_Remove:
 		c.respond(stream, c.atLeader(ctx, func() (*wire.Response, error) { return c.removeMember(ctx, body.Remove) }))
 	}
@@ -141,7 +143,7 @@
 		if err != nil {
 			return
 		}
-		if m.To != c.replica.identity.Id || m.ToDisk != c.replica.identity.Disk {
+		if own := c.loop.identity.Load(); m.To != own.Id || m.ToDisk != own.Disk {
 			continue
 		}
 		c.learn(m.From, m.FromAddress)
@@ -152,10 +154,14 @@
 }
 
 func (c *Control) identity() *wire.DiskIdentity {
+	own := c.loop.identity.Load()
+	status := c.loop.status.Load()
 	return &wire.DiskIdentity{
-		Id:    c.replica.identity.Id,
-		Disk:  c.replica.identity.Disk,
-		Group: c.loop.status.Load().Group,
+		Id:       own.Id,
+		Disk:     own.Disk,
+		Group:    status.Group,
+		MayFound: c.instance.Settings.Opaque.MayFound && status.Group.GetNumber() == 0,
+		Leads:    status.Role == consensus.Leader && status.IsGroupCommitted && c.loop.isCurrent(),
 	}
 }
 
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -76,7 +76,7 @@
 
 // New prepares an instance from its settings.
 func New(s *settings.Settings) (*Instance, error) {
-	keys, err := keyring.Load(s.Cluster.KeyFile)
+	keys, err := loadKeys(s)
 	if err != nil {
 		return nil, err
 	}
@@ -103,6 +103,14 @@
 	return instance, nil
 }
 
+// loadKeys returns the keys of the cluster, or nil on an insecure one.
+func loadKeys(s *settings.Settings) (*keyring.Keyring, error) {
+	if s.Cluster.IsInsecure {
+		return nil, nil
+	}
+	return keyring.Load(s.Cluster.KeyFile)
+}
+
 func (i *Instance) meshConfig() exchange.MeshConfig {
 	config := exchange.MeshConfig{
 		Store:      i.Store,
@@ -135,26 +143,51 @@
 // Run works until ctx ends, then drains the roles one after the other and
 // stops. It returns the first error that stopped a role.
 func (i *Instance) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", i.Settings.Link.Listen.String())
-	if err != nil {
-		return Error.Wrap(err)
-	}
 	// The links outlive the roles, so that draining can still be published.
 	linkCtx, stopLinks := context.WithCancel(context.Background())
 	defer stopLinks()
-	go i.server.Serve(linkCtx, listener)
+	if i.Keys != nil {
+		go i.followKeyFile(linkCtx)
+	} else {
+		i.Log.Warn().Msg("insecure = true: what other instances send is not authenticated; keep the network between instances private")
+	}
+	if err := i.serveMetrics(linkCtx); err != nil {
+		return err
+	}
+	if i.Settings.Mode == settings.ModeOpaque {
+		return i.runOpaque(ctx, linkCtx)
+	}
+	if err := i.serveLinks(linkCtx); err != nil {
+		return err
+	}
 	stopWatch := i.Store.Watch(i.checkContested)
 	defer stopWatch()
 	go i.defend(linkCtx)
 	go i.mesh.Run(linkCtx)
-	go i.followKeyFile(linkCtx)
 	i.followLease(linkCtx)
-	if err := i.serveMetrics(linkCtx); err != nil {
-		return err
+	return i.runRoles(ctx)
+}
+
+// runOpaque runs the roles of the opaque mode, which exchange no records; only
+// control instances have links.
+func (i *Instance) runOpaque(ctx, linkCtx context.Context) error {
+	if i.isControl() {
+		if err := i.serveLinks(linkCtx); err != nil {
+			return err
+		}
 	}
 	return i.runRoles(ctx)
 }
 
+func (i *Instance) serveLinks(ctx context.Context) error {
+	listener, err := net.Listen("tcp", i.Settings.Link.Listen.String())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	go i.server.Serve(ctx, listener)
+	return nil
+}
+
 func (i *Instance) runRoles(ctx context.Context) error {
 	roleCtx, stopRoles := context.WithCancel(context.Background())
 	defer stopRoles()
@@ -171,8 +204,11 @@
 		return Error.New("a role ended by itself")
 	case <-ctx.Done():
 	}
+	i.Log.Info().Msg("instance stops")
 	i.drain()
-	i.withdraw()
+	if i.Settings.Mode != settings.ModeOpaque {
+		i.withdraw()
+	}
 	stopRoles()
 	time.Sleep(leaveDelay)
 	i.Log.Info().Msg("instance stopped")
--- /dev/null
+++ b/internal/machine/opaque/agent/packets.go
@@ -0,0 +1,206 @@
+package agent
+
+import (
+	"time"
+
+	"sassafrasturn.example/internal/flow"
+	"sassafrasturn.example/internal/machine/opaque"
+)
+
+// takeOffer decides a packet that a balancer or another agent sends. It begins
+// at OfferSpace of the buffer.
+func (a *Agent) takeOffer(offer *opaque.Offer, buffer []byte) {
+	h, ok := a.codec.Parse(buffer[opaque.OfferSpace:])
+	if !ok {
+		a.metrics.dropped.WithLabelValues("malformed").Inc()
+		return
+	}
+	a.node.Learn(offer.RoutingVersion, offer.ZoneIndex)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.IsSYN && !h.IsACK {
+		a.takeSYN(&h, offer, buffer)
+		return
+	}
+	a.takeLater(&h, offer, buffer)
+}
+
+// takeSYN gives a new flow to the endpoint or offers it to the next agent.
+func (a *Agent) takeSYN(h *flow.Header, offer *opaque.Offer, buffer []byte) {
+	now := a.node.Now()
+	key := h.FromCaller()
+	held := a.table.Get(key)
+	reason := flow.Taken
+	if held == nil {
+		reason = a.decide(now, h, key, offer)
+	}
+	a.metrics.offers.WithLabelValues(outcomeOf(reason)).Inc()
+	a.logOffer(key, h, offer, reason)
+	if reason != flow.Taken {
+		a.handOn(h, key, offer, buffer, reason)
+		return
+	}
+	if a.table.Offer(now, key) == nil {
+		a.handOn(h, key, offer, buffer, flow.RefusedBusy)
+		return
+	}
+	a.given.note(now, key, offer)
+	a.deliver(buffer[opaque.OfferSpace:])
+	if offer.Hops > 0 || h.Attempt > 0 {
+		a.node.SendNotice(key, a.node.Address(), offer.Balancer)
+	}
+}
+
+func outcomeOf(reason flow.Reason) string {
+	if reason == flow.Taken {
+		return "taken"
+	}
+	return string(reason)
+}
+
+func (a *Agent) logOffer(key flow.Key, h *flow.Header, offer *opaque.Offer, reason flow.Reason) {
+	state := a.node.State()
+	entry := a.instance.Decisions.Decision("take")
+	if a.endpoint != nil {
+		entry = entry.Str("endpoint", a.endpoint.ID).Dur("heard_ago_ms", a.node.Now()-a.endpoint.HeardAt)
+	}
+	entry.Str("flow", key.String()).Int("attempt", h.Attempt).Int("hops", offer.Hops).Str("outcome", outcomeOf(reason)).
+		Int("in_flight", a.table.Busy()).Uint64("routing_version", state.Table.Version).
+		Uint64("offered_version", offer.RoutingVersion).Uint64("zone_index", state.ZoneIndex).Msg("")
+}
+
+// decide asks the gate. The newer of the two routing tables, the balancer's and
+// the agent's, says whether the route may use the endpoint's service.
+func (a *Agent) decide(now time.Duration, h *flow.Header, key flow.Key, offer *opaque.Offer) flow.Reason {
+	state := a.node.State()
+	request := flow.Request{
+		IsZoneOut: state.IsOut(a.instance.Settings.Zone),
+		IsLeaving: a.isLeaving,
+		IsLast:    len(offer.Candidates()) == 0,
+		Busy:      a.table.Busy(),
+	}
+	var coldPerSecond float64
+	if a.endpoint != nil {
+		service, _ := state.Table.Service(a.endpoint.Service)
+		coldPerSecond = service.ColdPerSecond
+		request.IsRouteAllowed = offer.Service == opaque.TagOfService(a.endpoint.Service)
+		if offer.RoutingVersion <= state.Table.Version {
+			request.IsRouteAllowed = request.IsRouteAllowed && state.Table.Lookup(h.Destination).Allows(a.endpoint.Service)
+		}
+	}
+	return a.gate.Decide(now, a.endpoint, coldPerSecond, request)
+}
+
+// handOn offers a new flow to the next agent, or resets it when none is left.
+// Only the first copy of a SYN is answered by a reset: a later one may have
+// crossed the answer of the endpoint that took the first.
+func (a *Agent) handOn(h *flow.Header, key flow.Key, offer *opaque.Offer, buffer []byte, reason flow.Reason) {
+	next, ok := offer.PopCandidate()
+	if !ok {
+		if h.Attempt == 0 {
+			a.sendReset(key, h.Ack, string(reason))
+		}
+		return
+	}
+	offer.Hops++
+	a.node.SendOffer(offer, buffer, next)
+}
+
+// takeLater gives a later packet to the endpoint when the endpoint holds its
+// flow, and passes it on otherwise.
+func (a *Agent) takeLater(h *flow.Header, offer *opaque.Offer, buffer []byte) {
+	now := a.node.Now()
+	key := h.FromCaller()
+	if held := a.table.FromCaller(now, h); held != nil {
+		a.metrics.hops.Observe(float64(offer.Hops))
+		a.deliver(buffer[opaque.OfferSpace:])
+		if offer.Hops > 0 {
+			a.node.SendNotice(key, a.node.Address(), offer.Balancer)
+		}
+		return
+	}
+	if a.table.Get(key) == nil && now < a.adoptUntil && a.given.note(now, key, offer) {
+		a.deliver(buffer[opaque.OfferSpace:])
+		return
+	}
+	a.passOn(key, offer, buffer)
+}
+
+// passOn sends a packet to the next agent that may hold its flow.
+func (a *Agent) passOn(key flow.Key, offer *opaque.Offer, buffer []byte) {
+	state := a.node.State()
+	hash := key.Hash()
+	order := flow.Order{
+		View: state.View, Flow: hash, Origin: offer.Origin,
+		Services: state.Services(key, hash, a.services[:]),
+	}
+	next, ok := order.After(a.node.Address())
+	offer.Hops++
+	if !ok || offer.Hops > state.View.Count()+goneHops {
+		a.metrics.dropped.WithLabelValues("no-holder").Inc()
+		a.instance.Decisions.Decision("drop").Str("flow", key.String()).Int("hops", offer.Hops).
+			Int("agents", state.View.Count()).Str("reason", "no agent holds the flow").Msg("")
+		return
+	}
+	a.node.SendOffer(offer, buffer, next.Address)
+}
+
+// goneHops is how many agents beyond the living ones a packet may pass.
+const goneHops = 4
+
+func (a *Agent) deliver(packet []byte) {
+	if _, err := a.outbound.WriteToUDPAddrPort(packet, a.instance.Settings.Opaque.Endpoint); err != nil {
+		a.metrics.dropped.WithLabelValues("endpoint-unreachable").Inc()
+	}
+}
+
+func (a *Agent) sendReset(key flow.Key, seq uint32, reason string) {
+	a.metrics.resets.WithLabelValues(reason).Inc()
+	a.instance.Decisions.Decision("reset").Str("flow", key.String()).Str("reason", reason).Msg("")
+	a.reset = a.codec.AppendReset(a.reset[:0], key, seq)
+	a.node.SendPacket(a.reset, key.Caller.Addr())
+}
+
+// takeOutbound handles a packet of the endpoint, or one that it has bounced.
+func (a *Agent) takeOutbound(buffer []byte) {
+	packet := buffer[opaque.OfferSpace:]
+	h, ok := a.codec.Parse(packet)
+	if !ok {
+		a.metrics.dropped.WithLabelValues("malformed").Inc()
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if h.IsBounced {
+		a.takeBounced(&h, buffer)
+		return
+	}
+	a.table.FromEndpoint(a.node.Now(), &h)
+	a.node.SendPacket(packet, h.Destination.Addr())
+}
+
+// takeBounced finds another agent for a packet that the endpoint did not take.
+func (a *Agent) takeBounced(h *flow.Header, buffer []byte) {
+	key := h.FromCaller()
+	a.codec.ClearMarks(buffer[opaque.OfferSpace:])
+	held := a.table.Get(key)
+	if held != nil && held.Answers(h) {
+		// The endpoint has lost a flow that it held: the caller is to dial again.
+		a.table.Remove(key)
+		a.sendReset(key, h.Ack, "endpoint-lost-flow")
+		return
+	}
+	offer, ok := a.given.take(key)
+	if !ok {
+		a.metrics.dropped.WithLabelValues("bounced").Inc()
+		return
+	}
+	if h.IsSYN && !h.IsACK {
+		a.table.Refuse(key)
+		a.metrics.offers.WithLabelValues(outcomeOf(flow.RefusedByEndpoint)).Inc()
+		a.logOffer(key, h, &offer, flow.RefusedByEndpoint)
+		a.handOn(h, key, &offer, buffer, flow.RefusedByEndpoint)
+		return
+	}
+	a.passOn(key, &offer, buffer)
+}
--- /dev/null
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -0,0 +1,227 @@
+// Package balancer runs the balancer role of the opaque mode: it takes callers'
+// packets and hands each to the agent that its flow belongs to, or is offered
+// to. It keeps no state that a flow depends on.
+package balancer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/flow"
+	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/pause"
+	"sassafrasturn.example/internal/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("balancer")
+
+// leaveTime is how long a balancer forwards after it has said that it is not
+// ready: routers ask twice a second and need two refusals.
+const leaveTime = 3 * time.Second
+
+// Balancer is the balancer role of an instance.
+type Balancer struct {
+	instance *machine.Instance
+	node     *opaque.Node
+	codec    flow.Codec
+	conn     machine.Socket
+	holders  *holders
+	origin   flow.ZoneTag
+	packets  *prometheus.CounterVec
+	// leaving is closed once the balancer is to take no new packets.
+	leaving chan struct{}
+}
+
+// Outcomes of a packet, as metrics and log lines name them.
+const (
+	outcomeOffered    = "offered"
+	outcomeForwarded  = "forwarded"
+	outcomeNoRoute    = "no-route"
+	outcomeNoEndpoint = "no-endpoint"
+	outcomeMalformed  = "malformed"
+)
+
+// New prepares the role.
+func New(instance *machine.Instance, codec flow.Codec) (*Balancer, error) {
+	b := &Balancer{
+		instance: instance, codec: codec, holders: newHolders(),
+		origin:  flow.TagOf(instance.Settings.Zone),
+		leaving: make(chan struct{}),
+		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_packets_total", Help: "Callers' packets by what became of them.",
+		}, []string{"outcome"}),
+	}
+	instance.Metrics.MustRegister(b.packets)
+	node, err := opaque.NewNode(instance, nil, opaque.Handlers{Notice: b.takeNotice})
+	if err != nil {
+		return nil, err
+	}
+	b.node = node
+	b.conn, err = instance.ListenUDP(instance.Settings.Opaque.Packets)
+	return b, err
+}
+
+// Run forwards until ctx ends.
+func (b *Balancer) Run(ctx context.Context) error {
+	go b.node.Run(ctx)
+	stop := context.AfterFunc(ctx, func() { b.conn.Close() })
+	defer stop()
+	buffer := make([]byte, opaque.OfferSpace+opaque.MaxPacketBytes)
+	worker := &worker{balancer: b, counts: b.counters()}
+	for {
+		size, _, err := b.conn.ReadFromUDPAddrPort(buffer[opaque.OfferSpace:])
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			b.instance.Log.Warn().Err(err).Msg("packet not received")
+			continue
+		}
+		worker.take(buffer[:opaque.OfferSpace+size])
+	}
+}
+
+func (b *Balancer) counters() map[string]prometheus.Counter {
+	counts := make(map[string]prometheus.Counter)
+	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeMalformed} {
+		counts[outcome] = b.packets.WithLabelValues(outcome)
+	}
+	return counts
+}
+
+func (b *Balancer) takeNotice(notice opaque.Notice) {
+	if notice.Holder.Addr().IsValid() && notice.Holder.Port() != 0 {
+		b.holders.put(notice.Flow, notice.Holder)
+	}
+}
+
+// worker handles packets on one goroutine and uses its space again for each.
+type worker struct {
+	balancer *Balancer
+	counts   map[string]prometheus.Counter
+	services [8]string
+	reset    []byte
+}
+
+// take decides one packet, which begins at OfferSpace of the buffer.
+func (w *worker) take(buffer []byte) {
+	h, ok := w.balancer.codec.Parse(buffer[opaque.OfferSpace:])
+	switch {
+	case !ok:
+		w.counts[outcomeMalformed].Inc()
+	case h.IsSYN && !h.IsACK:
+		w.counts[w.offer(&h, buffer)].Inc()
+	default:
+		w.counts[w.forward(&h, buffer)].Inc()
+	}
+}
+
+// offer sends a SYN to the first of the agents that may take the flow. A copy
+// starts at a later one, so that a dead agent costs one copy.
+func (w *worker) offer(h *flow.Header, buffer []byte) string {
+	b := w.balancer
+	key := h.FromCaller()
+	state := b.node.State()
+	route := state.Table.Lookup(key.Dialed)
+	if route == nil {
+		w.refuse(h, key, state, outcomeNoRoute)
+		return outcomeNoRoute
+	}
+	hash := key.Hash()
+	service := route.Pick(hash)
+	agents := flow.Offers(state.View, service, hash, b.origin, state.IsOut)
+	if len(agents) == 0 {
+		w.refuse(h, key, state, outcomeNoEndpoint)
+		return outcomeNoEndpoint
+	}
+	offer := opaque.Offer{Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address()}
+	for i := range agents {
+		offer.AddCandidate(agents[(i+h.Attempt)%len(agents)].Address)
+	}
+	first, _ := offer.PopCandidate()
+	b.instance.Decisions.Decision("offer").Str("flow", key.String()).Int("attempt", h.Attempt).Str("service", service).
+		Stringer("agent", first).Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
+	b.node.SendOffer(&offer, buffer, first)
+	return outcomeOffered
+}
+
+// refuse resets a flow that cannot be served. Only the first copy of a SYN is
+// answered so: a later one may have crossed the endpoint's answer.
+func (w *worker) refuse(h *flow.Header, key flow.Key, state *opaque.State, reason string) {
+	b := w.balancer
+	if !state.IsUsable || h.Attempt > 0 {
+		return
+	}
+	b.instance.Decisions.Decision("refuse").Str("flow", key.String()).Str("reason", reason).
+		Uint64("routing_version", state.Table.Version).Int("agents", state.View.Count()).Msg("")
+	w.reset = b.codec.AppendReset(w.reset[:0], key, h.Ack)
+	b.node.SendPacket(w.reset, key.Caller.Addr())
+}
+
+// forward sends a later packet to the agent that is believed to hold the flow,
+// or to the first one that may.
+func (w *worker) forward(h *flow.Header, buffer []byte) string {
+	b := w.balancer
+	key := h.FromCaller()
+	offer := opaque.Offer{Origin: b.origin, Balancer: b.node.Address()}
+	if holder, ok := b.holders.get(key); ok {
+		b.node.SendOffer(&offer, buffer, holder)
+		return outcomeForwarded
+	}
+	state := b.node.State()
+	hash := key.Hash()
+	services := state.Services(key, hash, w.services[:])
+	if len(services) == 0 {
+		return outcomeNoRoute
+	}
+	order := flow.Order{View: state.View, Flow: hash, Origin: b.origin, Services: services}
+	first, ok := order.First()
+	if !ok {
+		return outcomeNoEndpoint
+	}
+	b.node.SendOffer(&offer, buffer, first.Address)
+	return outcomeForwarded
+}
+
+// Drain says that the balancer is not ready and forwards until the routers
+// have turned to others.
+func (b *Balancer) Drain(ctx context.Context) {
+	close(b.leaving)
+	pause.For(ctx, min(leaveTime, b.instance.Settings.Opaque.StopTime/2))
+}
+
+// ServeStream serves no requests.
+func (b *Balancer) ServeStream(context.Context, *wire.Request, net.Conn) bool { return false }
+
+// Health fails until a routing table and the agents are known, and once the
+// balancer leaves.
+func (b *Balancer) Health() error {
+	select {
+	case <-b.leaving:
+		return Error.New("the instance stops")
+	default:
+	}
+	if !b.node.State().IsUsable {
+		return Error.New("no routing table and list of agents have been received yet")
+	}
+	return nil
+}
+
+// Details says what the balancer routes by.
+func (b *Balancer) Details() []string {
+	state := b.node.State()
+	return []string{
+		fmt.Sprintf("routing version: %d", state.Table.Version),
+		fmt.Sprintf("agents: %d", state.View.Count()),
+	}
+}
+
+var _ machine.Role = (*Balancer)(nil)
--- /dev/null
+++ b/internal/machine/opaque/node.go
@@ -0,0 +1,283 @@
+// Package opaque is what the balancers and agents of the opaque mode share: the
+// socket between instances, and what each instance knows of the routing table,
+// the agents and the zones, which it polls from the control instances.
+package opaque
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/envelope"
+	"sassafrasturn.example/internal/flow"
+	"sassafrasturn.example/internal/machine"
+	"sassafrasturn.example/internal/routing"
+	"sassafrasturn.example/internal/wire"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("opaque mode")
+
+// State is what an instance knows; it is immutable.
+type State struct {
+	Table     *routing.Table
+	View      *flow.View
+	ZoneIndex uint64
+	// IsUsable: a routing table and a whole list of agents are known.
+	IsUsable bool
+
+	zonesOut map[string]bool
+}
+
+// IsOut reports whether a zone is out of service.
+func (s *State) IsOut(zone string) bool { return s.zonesOut[zone] }
+
+// Handlers take what reaches the socket besides poll answers. They run on the
+// socket's one goroutine and must not keep the slices.
+type Handlers struct {
+	// Offer gets a caller's packet in a buffer that has OfferSpace bytes before it.
+	Offer func(offer *Offer, buffer []byte)
+	// Notice gets what an agent tells a balancer.
+	Notice func(Notice)
+	// Message gets a protobuf message that is no poll answer.
+	Message func(kind Kind, data []byte, from netip.AddrPort)
+}
+
+// Node is an instance's socket and knowledge.
+type Node struct {
+	instance *machine.Instance
+	conn     machine.Socket
+	// sealer is nil on an insecure cluster.
+	sealer   *envelope.Sealer
+	handlers Handlers
+	started  time.Time
+	state    atomic.Pointer[State]
+	poller   *poller
+	metrics  nodeMetrics
+}
+
+type nodeMetrics struct {
+	polls      *prometheus.CounterVec
+	answerTime prometheus.Histogram
+	malformed  prometheus.Counter
+}
+
+// NewNode opens the socket of an instance at its link address. self returns
+// what an agent says about itself; it is nil elsewhere.
+func NewNode(instance *machine.Instance, self func() *wire.AgentRecord, handlers Handlers) (*Node, error) {
+	n, err := openNode(instance, handlers)
+	if err != nil {
+		return nil, err
+	}
+	n.poller = newPoller(n, self)
+	return n, nil
+}
+
+func openNode(instance *machine.Instance, handlers Handlers) (*Node, error) {
+	conn, err := instance.ListenUDP(instance.Settings.Link.Listen)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{instance: instance, conn: conn, handlers: handlers, started: time.Now()}
+	if instance.Keys != nil {
+		if n.sealer, err = envelope.NewSealer(instance.Keys); err != nil {
+			return nil, err
+		}
+	}
+	n.state.Store(&State{Table: routing.Empty(), View: flow.NewView(nil)})
+	n.metrics = newNodeMetrics(instance.Metrics)
+	return n, nil
+}
+
+// NewListener opens the socket of an instance that polls nobody.
+func NewListener(instance *machine.Instance, handlers Handlers) (*Node, error) {
+	return openNode(instance, handlers)
+}
+
+func newNodeMetrics(registry *prometheus.Registry) nodeMetrics {
+	m := nodeMetrics{
+		polls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_polls_total", Help: "Polls of control instances by outcome.",
+		}, []string{"outcome"}),
+		answerTime: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "sassafrasturn_poll_answer_seconds", Help: "Time until a control instance answered a poll.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 10),
+		}),
+		malformed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "sassafrasturn_datagrams_malformed_total", Help: "Datagrams between instances that could not be read.",
+		}),
+	}
+	registry.MustRegister(m.polls, m.answerTime, m.malformed)
+	return m
+}
+
+// Now is the time since the start of the process.
+func (n *Node) Now() time.Duration { return time.Since(n.started) }
+
+// State returns what the instance knows now.
+func (n *Node) State() *State { return n.state.Load() }
+
+// Address is where other instances reach this one.
+func (n *Node) Address() netip.AddrPort { return n.instance.Settings.Link.Listen }
+
+// Run receives and polls until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { n.conn.Close() })
+	defer stop()
+	if n.poller != nil {
+		go n.poller.run(ctx)
+	}
+	n.receive(ctx)
+}
+
+func (n *Node) receive(ctx context.Context) {
+	// The packet of an offer without candidates begins later than offerBytes, so
+	// that an agent can put a longer offer in front of it.
+	const lead = OfferSpace - offerBytes
+	buffer := make([]byte, lead+envelope.MaxBytes)
+	var offer Offer
+	for ctx.Err() == nil {
+		size, from, err := n.conn.ReadFromUDPAddrPort(buffer[lead:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || size == 0 {
+			continue
+		}
+		n.take(&offer, buffer[:lead+size], lead, from)
+	}
+}
+
+func (n *Node) take(offer *Offer, buffer []byte, lead int, from netip.AddrPort) {
+	data := buffer[lead:]
+	if n.sealer != nil {
+		content, err := n.sealer.OpenBytes(data)
+		if err != nil || len(content) == 0 {
+			n.metrics.malformed.Inc()
+			return
+		}
+		data = content
+	}
+	isWhole := false
+	switch Kind(data[0]) {
+	case KindOffer:
+		var packet []byte
+		if packet, isWhole = parseOffer(data, offer); isWhole && n.handlers.Offer != nil {
+			n.handlers.Offer(offer, buffer[len(buffer)-len(packet)-OfferSpace:])
+		}
+	case KindNotice:
+		var notice Notice
+		if notice, isWhole = parseNotice(data); isWhole {
+			n.Learn(notice.RoutingVersion, notice.ZoneIndex)
+			if n.handlers.Notice != nil {
+				n.handlers.Notice(notice)
+			}
+		}
+	case KindPollAnswer:
+		isWhole = n.poller == nil || n.poller.take(data[1:], from)
+	default:
+		if isWhole = n.handlers.Message != nil; isWhole {
+			n.handlers.Message(Kind(data[0]), data[1:], from)
+		}
+	}
+	if !isWhole {
+		n.metrics.malformed.Inc()
+	}
+}
+
+// Send sends a datagram to another instance.
+func (n *Node) send(datagram []byte, to netip.AddrPort) {
+	if n.sealer != nil {
+		sealed, err := n.sealer.SealBytes(nil, datagram)
+		if err != nil {
+			n.instance.Log.Warn().Err(err).Msg("datagram not sealed")
+			return
+		}
+		datagram = sealed
+	}
+	if _, err := n.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		n.instance.Log.Debug().Err(err).Stringer("to", to).Msg("datagram not sent")
+	}
+}
+
+// SendOffer sends the packet that begins at OfferSpace of the buffer.
+func (n *Node) SendOffer(offer *Offer, buffer []byte, to netip.AddrPort) {
+	state := n.State()
+	offer.RoutingVersion = max(offer.RoutingVersion, state.Table.Version)
+	offer.ZoneIndex = max(offer.ZoneIndex, state.ZoneIndex)
+	n.send(offer.wrap(buffer), to)
+}
+
+// SendNotice tells a balancer who holds a flow.
+func (n *Node) SendNotice(key flow.Key, holder, balancer netip.AddrPort) {
+	var space [noticeBytes]byte
+	state := n.State()
+	notice := Notice{Flow: key, Holder: holder, RoutingVersion: state.Table.Version, ZoneIndex: state.ZoneIndex}
+	n.send(notice.marshal(space[:]), balancer)
+}
+
+// SendMessage sends a protobuf message.
+func (n *Node) SendMessage(kind Kind, message proto.Message, to netip.AddrPort) {
+	datagram, err := proto.MarshalOptions{}.MarshalAppend([]byte{byte(kind)}, message)
+	if err != nil {
+		n.instance.Log.Warn().Err(err).Msg("message not sent")
+		return
+	}
+	n.send(datagram, to)
+}
+
+// SendPacket sends a packet as it is, to the caller that it is for.
+func (n *Node) SendPacket(packet []byte, caller netip.Addr) {
+	to := netip.AddrPortFrom(caller, n.instance.Settings.Opaque.CallerPort)
+	if _, err := n.conn.WriteToUDPAddrPort(packet, to); err != nil {
+		n.instance.Log.Debug().Err(err).Stringer("to", to).Msg("packet not sent")
+	}
+}
+
+// Learn is told which versions another instance knows; newer ones are fetched
+// at once.
+func (n *Node) Learn(routingVersion, zoneIndex uint64) {
+	state := n.State()
+	if routingVersion > state.Table.Version || zoneIndex > state.ZoneIndex {
+		n.Refresh()
+	}
+}
+
+// Refresh polls at once, not at the next interval.
+func (n *Node) Refresh() {
+	if n.poller != nil {
+		n.poller.refresh()
+	}
+}
+
+// Services returns the services whose agents may hold a flow, the one that a
+// new flow would get first.
+func (s *State) Services(key flow.Key, hash uint64, space []string) []string {
+	route := s.Table.Holding(key.Dialed)
+	if route == nil {
+		return nil
+	}
+	services := space[:0]
+	if len(route.Services) > 0 {
+		services = append(services, route.Pick(hash))
+	}
+	for _, name := range route.Holders {
+		if len(services) == 0 || name != services[0] {
+			services = append(services, name)
+		}
+	}
+	return services
+}
+
+func shuffled(addresses []netip.AddrPort) []netip.AddrPort {
+	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
+	return addresses
+}
--- /dev/null
+++ b/internal/roster/replica.go
@@ -0,0 +1,117 @@
+package roster
+
+import (
+	"time"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// Replica is what a node knows of the agents. It outlives the control instance
+// that it came from.
+type Replica struct {
+	roster   uint64
+	revision uint64
+	// round counts the rosters drawn from the beginning; records of an earlier
+	// round that the last one did not have are gone.
+	round     uint64
+	isDrawing bool
+	isWhole   bool
+	records   map[Key]*held
+}
+
+type held struct {
+	record *wire.AgentRecord
+	round  uint64
+	goneAt time.Duration
+}
+
+// NewReplica returns an empty replica.
+func NewReplica() *Replica {
+	return &Replica{records: make(map[Key]*held)}
+}
+
+// Position is what the next poll is to name.
+func (r *Replica) Position() (roster, revision uint64) {
+	return r.roster, r.revision
+}
+
+// IsWhole reports whether a whole roster has been drawn once.
+func (r *Replica) IsWhole() bool { return r.isWhole }
+
+// Apply takes in a delta and reports whether any agent changed.
+func (r *Replica) Apply(now time.Duration, delta Delta) (isChanged bool) {
+	if delta.Restart {
+		r.round++
+		r.isDrawing = true
+	}
+	r.roster, r.revision = delta.Roster, delta.Revision
+	for _, record := range delta.Records {
+		isChanged = r.take(now, record) || isChanged
+	}
+	if !delta.More && r.isDrawing {
+		r.isDrawing = false
+		isChanged = r.endRound(now) || isChanged || !r.isWhole
+		r.isWhole = true
+	}
+	return r.forget(now) || isChanged
+}
+
+func (r *Replica) take(now time.Duration, record *wire.AgentRecord) (isChanged bool) {
+	key := KeyOf(record)
+	h := r.records[key]
+	if h == nil {
+		h = &held{}
+		r.records[key] = h
+	}
+	h.round = r.round
+	isChanged = h.record == nil || !isSame(h.record, record)
+	if record.Gone && (h.record == nil || !h.record.Gone) {
+		h.goneAt = now
+	}
+	h.record = record
+	return isChanged
+}
+
+func isSame(a, b *wire.AgentRecord) bool {
+	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && a.Gone == b.Gone &&
+		a.Ready == b.Ready && a.Service == b.Service && a.Zone == b.Zone
+}
+
+// endRound marks the agents that the roster just drawn does not have as gone.
+func (r *Replica) endRound(now time.Duration) (isChanged bool) {
+	for _, h := range r.records {
+		if h.round == r.round || h.record.Gone {
+			continue
+		}
+		gone := &wire.AgentRecord{
+			Address: h.record.Address, Port: h.record.Port, Zone: h.record.Zone, Service: h.record.Service,
+			Incarnation: h.record.Incarnation, Sequence: h.record.Sequence, Gone: true,
+		}
+		h.record, h.goneAt = gone, now
+		isChanged = true
+	}
+	return isChanged
+}
+
+// GoneMemory is how long a node keeps offering open flows to agents that are
+// gone, after all others: they may be alive behind a cut.
+const GoneMemory = 30 * time.Second
+
+func (r *Replica) forget(now time.Duration) (isChanged bool) {
+	for key, h := range r.records {
+		if h.record.Gone && now-h.goneAt > GoneMemory {
+			delete(r.records, key)
+			isChanged = true
+		}
+	}
+	return isChanged
+}
+
+// Records returns all agents, those that are gone included.
+func (r *Replica) Records() []*wire.AgentRecord {
+	records := make([]*wire.AgentRecord, 0, len(r.records))
+	for _, h := range r.records {
+		records = append(records, h.record)
+	}
+	return records
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,258 @@
+// Package roster spreads which agents live in the opaque mode. Every agent
+// polls one control instance; the control instances tell one another whom they
+// have heard; every node draws the changes from one control instance.
+//
+// Roster is the side of a control instance, Replica that of a node. Both are
+// pure: time is passed in, as the time since the start of the process. They are
+// not safe for concurrent use.
+package roster
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+const (
+	// Timeout is how long an agent may be silent before it counts as gone: five
+	// polls and the time in which a node finds another control instance.
+	Timeout = 3500 * time.Millisecond
+	// goneRetention is how long the roster tells that an agent is gone; nodes
+	// whose revision is older begin anew.
+	goneRetention = time.Minute
+	// WarmUp is how long a new roster collects before it tells what it holds:
+	// three polls, in which every agent is heard by some control instance.
+	WarmUp = 1500 * time.Millisecond
+	// maxAgents bounds the records of a roster: ten times the design's size.
+	maxAgents = 31_000
+)
+
+// Key is an agent's envelope address.
+type Key uint64
+
+// KeyOf returns the key of a record.
+func KeyOf(record *wire.AgentRecord) Key {
+	return Key(uint64(record.Address)<<16 | uint64(uint16(record.Port)))
+}
+
+type entry struct {
+	record   *wire.AgentRecord
+	revision uint64
+	heardAt  time.Duration
+	// ownAt is when this instance heard the agent itself; changedAt when it last
+	// changed.
+	ownAt     time.Duration
+	changedAt time.Duration
+	isOwn     bool
+}
+
+// change says that a record changed at a revision.
+type change struct {
+	revision uint64
+	key      Key
+}
+
+// Roster is what one control instance knows of the agents.
+type Roster struct {
+	id       uint64
+	started  time.Duration
+	revision uint64
+	// floor is the revision below which changes have been forgotten.
+	floor   uint64
+	entries map[Key]*entry
+	// changes are sorted by revision; outdated ones are skipped.
+	changes []change
+}
+
+// New returns an empty roster; id tells it from every other one.
+func New(id uint64, now time.Duration) *Roster {
+	return &Roster{id: id, started: now, entries: make(map[Key]*entry)}
+}
+
+// IsWarm reports whether the roster has collected long enough to be used.
+func (r *Roster) IsWarm(now time.Duration) bool {
+	return now-r.started >= WarmUp
+}
+
+// isNewer reports whether a record replaces another of the same agent.
+func isNewer(a, b *wire.AgentRecord) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Hear takes in what an agent says about itself, and returns the incarnation
+// under which the roster holds it. An agent whose own is lower must take a
+// higher one: its wall clock went back between two starts.
+func (r *Roster) Hear(now time.Duration, record *wire.AgentRecord) uint64 {
+	e := r.take(now, record)
+	if e == nil {
+		return record.Incarnation
+	}
+	if e.record.Incarnation == record.Incarnation {
+		e.isOwn, e.ownAt = true, now
+	}
+	return e.record.Incarnation
+}
+
+// take merges a record and returns the entry of its agent, or nil when the
+// roster is full.
+func (r *Roster) take(now time.Duration, record *wire.AgentRecord) *entry {
+	key := KeyOf(record)
+	e := r.entries[key]
+	if e == nil {
+		if len(r.entries) >= maxAgents {
+			return nil
+		}
+		e = &entry{record: record}
+		r.entries[key] = e
+		r.note(now, key, e)
+	}
+	isBack := e.record.Gone && !record.Gone && !isNewer(e.record, record)
+	if isNewer(record, e.record) || isBack {
+		e.record = record
+		r.note(now, key, e)
+	}
+	if e.record.Incarnation == record.Incarnation {
+		e.heardAt = now
+	}
+	return e
+}
+
+func (r *Roster) note(now time.Duration, key Key, e *entry) {
+	r.revision++
+	e.revision, e.changedAt = r.revision, now
+	r.changes = append(r.changes, change{revision: r.revision, key: key})
+	if len(r.changes) > 2*len(r.entries)+64 {
+		r.changes = slices.DeleteFunc(r.changes, func(c change) bool { return !r.isCurrent(c) })
+	}
+}
+
+func (r *Roster) isCurrent(c change) bool {
+	e := r.entries[c.key]
+	return e != nil && e.revision == c.revision
+}
+
+// Sweep marks the agents that have been silent too long as gone, and forgets
+// those that have been gone long. It returns those that it marked.
+func (r *Roster) Sweep(now time.Duration) []*wire.AgentRecord {
+	var lost []*wire.AgentRecord
+	for key, e := range r.entries {
+		switch {
+		case !e.record.Gone && now-e.heardAt > Timeout:
+			e.record = proto.CloneOf(e.record)
+			e.record.Gone = true
+			r.note(now, key, e)
+			lost = append(lost, e.record)
+		case e.record.Gone && now-e.changedAt > goneRetention:
+			r.floor = max(r.floor, e.revision)
+			delete(r.entries, key)
+		}
+	}
+	return lost
+}
+
+// Gossip returns what the other control instances are to hear: the agents that
+// this instance has itself heard since a time, whole where they changed lately.
+func (r *Roster) Gossip(now, since time.Duration) (changed []*wire.AgentRecord, heard []uint64) {
+	for key, e := range r.entries {
+		switch {
+		case !e.isOwn || e.ownAt < since:
+		case now-e.changedAt < changeRepeat:
+			changed = append(changed, e.record)
+		default:
+			heard = append(heard, uint64(key))
+		}
+	}
+	return changed, heard
+}
+
+// changeRepeat is how long a change is told whole: several rounds of gossip, of
+// which some may be lost.
+const changeRepeat = 3 * time.Second
+
+// Merge takes in what another control instance has heard. It reports whether
+// the other one has heard agents that this one does not know.
+func (r *Roster) Merge(now time.Duration, changed []*wire.AgentRecord, heard []uint64) (isMissing bool) {
+	for _, record := range changed {
+		r.take(now, record)
+	}
+	for _, key := range heard {
+		e := r.entries[Key(key)]
+		if e == nil {
+			isMissing = true
+			continue
+		}
+		e.heardAt = now
+		if e.record.Gone {
+			isMissing = true
+		}
+	}
+	return isMissing
+}
+
+// RepeatAll makes the next gossip tell every record whole, for an instance that
+// lacks some.
+func (r *Roster) RepeatAll(now time.Duration) {
+	for _, e := range r.entries {
+		e.changedAt = now
+	}
+}
+
+// Delta is a part of the changes of a roster.
+type Delta struct {
+	Roster   uint64
+	Revision uint64
+	Records  []*wire.AgentRecord
+	// More: there are changes after Revision.
+	More bool
+	// Restart: the records begin at the first revision.
+	Restart bool
+}
+
+// Since returns the changes after a revision of the roster with the given ID,
+// as many as fit so many bytes. For another roster or a revision that is too
+// old it begins anew.
+func (r *Roster) Since(id, revision uint64, maxBytes int) Delta {
+	delta := Delta{Roster: r.id, Revision: revision}
+	if id != r.id || revision < r.floor || revision > r.revision {
+		delta.Revision, delta.Restart = 0, true
+	}
+	start := sort.Search(len(r.changes), func(i int) bool { return r.changes[i].revision > delta.Revision })
+	size := 0
+	for _, c := range r.changes[start:] {
+		if !r.isCurrent(c) {
+			continue
+		}
+		record := r.entries[c.key].record
+		size += proto.Size(record) + recordOverhead
+		if size > maxBytes && len(delta.Records) > 0 {
+			delta.More = true
+			return delta
+		}
+		delta.Records = append(delta.Records, record)
+		delta.Revision = c.revision
+	}
+	delta.Revision = r.revision
+	return delta
+}
+
+// recordOverhead is the tag and length of a record in its list.
+const recordOverhead = 3
+
+// Counts returns how many agents live and how many are gone.
+func (r *Roster) Counts() (living, gone int) {
+	for _, e := range r.entries {
+		if e.record.Gone {
+			gone++
+		} else {
+			living++
+		}
+	}
+	return living, gone
+}
--- /dev/null
+++ b/internal/settings/opaque.go
@@ -0,0 +1,109 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"sassafrasturn.example/internal/inifile"
+)
+
+// Mode says how callers' flows are carried.
+type Mode string
+
+// Modes.
+const (
+	// ModeQUIC: agents end the callers' QUIC connections.
+	ModeQUIC Mode = "quic"
+	// ModeOpaque: endpoints end the flows themselves, in packets whose content
+	// the system cannot read.
+	ModeOpaque Mode = "opaque"
+)
+
+const sectionOpaque = "opaque"
+
+// Opaque holds the settings of the opaque mode.
+type Opaque struct {
+	// Packets is the UDP address at which a balancer gets callers' packets.
+	Packets netip.AddrPort
+	// Ready is the HTTP address at which a balancer says whether it takes packets.
+	Ready netip.AddrPort
+	// CallerPort is the UDP port at which callers get packets.
+	CallerPort uint16
+	// Endpoint is the UDP address of an agent's endpoint.
+	Endpoint netip.AddrPort
+	// Outbound is the UDP address at which an agent gets its endpoint's packets.
+	Outbound netip.AddrPort
+	// Announce is the HTTP address at which an agent hears its endpoint.
+	Announce netip.AddrPort
+	// Operator is the HTTP address at which a control instance takes orders.
+	Operator netip.AddrPort
+	// MayFound lets a control instance found a group with its peers.
+	MayFound bool
+	// Voters is how many voters the control group is to have.
+	Voters int
+	// Heartbeat is how often endpoints announce themselves.
+	Heartbeat time.Duration
+	// AddressReuse is how long the address of an endpoint that is gone stays unused.
+	AddressReuse time.Duration
+	// FlowLifetime is how old a flow may grow.
+	FlowLifetime time.Duration
+	// ColdFactor and ColdSlack bound the requests in one second at a cold
+	// endpoint: what its service states, times the factor, and the slack.
+	ColdFactor float64
+	ColdSlack  int
+	// StopTime is how long a process has between the request to stop and its end.
+	StopTime time.Duration
+}
+
+// Defaults of the opaque mode, those of the smaller known deployments.
+const (
+	defaultVoters       = 5
+	maxVoters           = 7
+	defaultHeartbeat    = time.Second
+	defaultAddressReuse = 2 * time.Second
+	defaultFlowLifetime = time.Minute
+	defaultStopTime     = 6 * time.Second
+	defaultColdPercent  = 150
+	defaultColdSlack    = 5
+	maxColdPercent      = 10_000
+	maxColdSlack        = 10_000
+	percent             = 100
+)
+
+func readOpaque(file *inifile.File, s *Settings) {
+	s.Opaque = Opaque{
+		Voters:       file.Int(sectionOpaque, "voters", defaultVoters, 1, maxVoters),
+		Heartbeat:    file.Duration(sectionOpaque, "heartbeat", defaultHeartbeat, time.Millisecond, time.Minute),
+		AddressReuse: file.Duration(sectionOpaque, "address_reuse", defaultAddressReuse, time.Millisecond, time.Hour),
+		FlowLifetime: file.Duration(sectionOpaque, "flow_lifetime", defaultFlowLifetime, time.Second, 24*time.Hour),
+		StopTime:     file.Duration(sectionOpaque, "stop_time", defaultStopTime, time.Second, time.Hour),
+		ColdFactor:   float64(file.Int(sectionOpaque, "cold_percent", defaultColdPercent, 1, maxColdPercent)) / percent,
+		ColdSlack:    file.Int(sectionOpaque, "cold_slack", defaultColdSlack, 0, maxColdSlack),
+		MayFound:     readBool(file, sectionOpaque, "found"),
+	}
+	switch s.Role {
+	case RoleBalancer:
+		s.Opaque.Packets = file.RequiredAddrPort(sectionOpaque, "packets")
+		s.Opaque.Ready = file.RequiredAddrPort(sectionOpaque, "ready")
+	case RoleAgent:
+		s.Opaque.Endpoint = file.RequiredAddrPort(sectionOpaque, "endpoint")
+		s.Opaque.Outbound = file.RequiredAddrPort(sectionOpaque, "outbound")
+		s.Opaque.Announce = file.RequiredAddrPort(sectionOpaque, "announce")
+	case RoleControl:
+		s.Opaque.Operator = file.RequiredAddrPort(sectionOpaque, "operator")
+		if s.DataFolder == "" {
+			file.Reject(sectionInstance, "data", "", "the path of a folder on a disk; control keeps its state there")
+		}
+	default:
+		file.Reject(sectionInstance, "role", string(s.Role), "balancer, agent or control; the opaque mode has no role of several")
+	}
+	if s.Role != RoleControl {
+		s.Opaque.CallerPort = uint16(file.Int(sectionOpaque, "caller_port", 0, 1, 65535))
+		if s.Opaque.CallerPort == 0 {
+			file.Reject(sectionOpaque, "caller_port", "", "the UDP port at which callers get packets, 1 to 65535")
+		}
+	}
+	if !s.Link.Listen.Addr().Is4() {
+		file.Reject(sectionLink, "listen", s.Link.Listen.String(), "an IPv4 address and a port")
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,6 +51,8 @@
 // Settings are the checked settings of an instance.
 type Settings struct {
 	Role Role
+	// Mode is how callers' flows are carried.
+	Mode Mode
 	// Instance is the unique name of the instance.
 	Instance string
 	// Zone is the name of the availability zone that the instance stands in.
@@ -67,12 +69,15 @@
 	Balancer Balancer
 	Agent    Agent
 	Control  Control
+	Opaque   Opaque
 }
 
 // Cluster names the other instances and the shared keys.
 type Cluster struct {
-	// KeyFile is the path of the key file.
+	// KeyFile is the path of the key file; empty on an insecure cluster.
 	KeyFile string
+	// IsInsecure: datagrams between instances carry no authentication.
+	IsInsecure bool
 	// Peers are link addresses of instances to join.
 	Peers []netip.AddrPort
 	// TLSCertificate, TLSKey and TLSAuthority are paths of PEM files; all or none are set.
@@ -187,6 +192,7 @@
 func read(file *inifile.File) *Settings {
 	s := &Settings{
 		Role:            Role(file.Choice(sectionInstance, "role", "", string(RoleBalancer), string(RoleAgent), string(RoleControl), string(RoleAll))),
+		Mode:            Mode(file.Choice(sectionInstance, "mode", string(ModeQUIC), string(ModeQUIC), string(ModeOpaque))),
 		Instance:        file.Required(sectionInstance, "name", "a name that no other instance has"),
 		Zone:            file.Required(sectionInstance, "zone", "the name of an availability zone"),
 		DataFolder:      file.String(sectionInstance, "data", ""),
@@ -202,12 +208,16 @@
 
 func readCluster(file *inifile.File) Cluster {
 	cluster := Cluster{
-		KeyFile:        file.Required(sectionCluster, "keys", "the path of the cluster's key file"),
+		KeyFile:        file.String(sectionCluster, "keys", ""),
+		IsInsecure:     readBool(file, sectionCluster, "insecure"),
 		Peers:          file.AddrPorts(sectionCluster, "peers"),
 		TLSCertificate: file.String(sectionCluster, "tls_certificate", ""),
 		TLSKey:         file.String(sectionCluster, "tls_key", ""),
 		TLSAuthority:   file.String(sectionCluster, "tls_authority", ""),
 	}
+	if (cluster.KeyFile == "") != cluster.IsInsecure {
+		file.Reject(sectionCluster, "keys", cluster.KeyFile, "the path of the cluster's key file, or insecure = true in its place")
+	}
 	set := 0
 	for _, path := range []string{cluster.TLSCertificate, cluster.TLSKey, cluster.TLSAuthority} {
 		if path != "" {
@@ -227,7 +237,18 @@
 	}
 }
 
+func readBool(file *inifile.File, section, key string) bool {
+	return file.Choice(section, key, "false", "true", "false") == "true"
+}
+
 func readRoles(file *inifile.File, s *Settings) {
+	if s.Mode == ModeOpaque {
+		readOpaque(file, s)
+		return
+	}
+	if s.Cluster.IsInsecure {
+		file.Reject(sectionCluster, "insecure", "true", "false; only the opaque mode works without keys")
+	}
 	if s.Role == RoleBalancer || s.Role == RoleAll {
 		s.Balancer = readBalancer(file)
 	}
