Take over changed peers while running

The settings file is read again at SIGHUP and when it changes; peers take effect at once, the rest at the next start.

--- a/cmd/sassafrasturnd/run.go
+++ b/cmd/sassafrasturnd/run.go
@@ -52,13 +52,21 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	if err := runInstance(ctx, s); err != nil {
+	if err := r.runInstance(ctx, s); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
 
+// path returns where the settings file is.
+func (r *runCommand) path() string {
+	if r.onPlatform {
+		return os.Getenv(platform.ConfigVariable)
+	}
+	return r.settingsPath
+}
+
 // load reads the settings from the one place that the flags name.
 func (r *runCommand) load() (*settings.Settings, error) {
 	switch {
@@ -74,11 +82,12 @@
 	return settings.Load(r.settingsPath)
 }
 
-func runInstance(ctx context.Context, s *settings.Settings) error {
+func (r *runCommand) runInstance(ctx context.Context, s *settings.Settings) error {
 	instance, err := machine.New(s)
 	if err != nil {
 		return err
 	}
+	instance.Source = machine.SettingsSource{Path: r.path(), Load: r.load}
 	if s.Mode == settings.ModeOpaque {
 		err = addOpaqueRole(ctx, instance)
 	} else {
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -242,7 +242,7 @@
 		}
 	}
 	if !d.control.loop.isMember() {
-		for _, peer := range d.control.instance.Settings.Cluster.Peers {
+		for _, peer := range d.control.instance.Peers() {
 			add(peer)
 		}
 	}
--- a/internal/machine/control/joining.go
+++ b/internal/machine/control/joining.go
@@ -143,7 +143,7 @@
 // foundWithPeers forms a new group of the configured peers. Only the first of
 // them does, and only once all have said that they may and know no group.
 func (c *Control) foundWithPeers(ctx context.Context, found map[netip.AddrPort]*wire.DiskIdentity) {
-	peers := c.instance.Settings.Cluster.Peers
+	peers := c.instance.Peers()
 	if len(peers) == 0 || slices.MinFunc(peers, netip.AddrPort.Compare) != c.instance.Settings.Link.Listen {
 		return
 	}
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -68,6 +68,11 @@
 	zones   atomic.Pointer[zoneRecords]
 	zonesMu sync.Mutex
 
+	// Source is where changed settings are read from; the zero value is nowhere.
+	Source SettingsSource
+	// peers are the peers of the newest settings.
+	peers atomic.Pointer[[]netip.AddrPort]
+
 	publisher publisher
 	mesh      *exchange.Mesh
 	server    *link.Server
@@ -97,6 +102,7 @@
 		Lease:       zone.NewHolder(),
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
+	instance.peers.Store(&s.Cluster.Peers)
 	instance.server = &link.Server{TLS: serverTLS, Handler: instance}
 	instance.mesh = exchange.NewMesh(instance.meshConfig())
 	registerLinkMetrics(instance.Metrics, instance.Store, instance.mesh, instance.server)
@@ -154,6 +160,7 @@
 	if err := i.serveMetrics(linkCtx); err != nil {
 		return err
 	}
+	go i.followSettings(linkCtx)
 	if i.Settings.Mode == settings.ModeOpaque {
 		return i.runOpaque(ctx, linkCtx)
 	}
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -69,7 +69,7 @@
 		node: node, self: self,
 		answers: make(chan answer, answerQueue),
 		wanted:  make(chan struct{}, 1),
-		control: shuffled(slices.Clone(node.instance.Settings.Cluster.Peers)),
+		control: shuffled(slices.Clone(node.instance.Peers())),
 		replica: roster.NewReplica(),
 	}
 }
@@ -127,9 +127,11 @@
 		if message != nil {
 			p.learnControl(message.Control)
 		}
-		p.control = append(p.control[1:], p.control[0])
+		p.control = append(slices.Clone(p.control[1:]), p.control[0])
 	}
 	p.noteServed(false)
+	// The settings may name others by now.
+	p.learnControl(nil)
 	pause.For(ctx, retryPause)
 	return false
 }
@@ -290,22 +292,22 @@
 // that serves stays first, and the configured ones are kept at the end, for
 // the case that the whole group has been replaced.
 func (p *poller) learnControl(addresses []string) {
-	if len(addresses) == 0 {
-		return
-	}
-	known := p.control[:1:1]
-	var found []netip.AddrPort
+	wanted := slices.Clone(p.node.instance.Peers())
 	for _, text := range addresses {
-		address, err := netip.ParseAddrPort(text)
-		if err == nil && !slices.Contains(p.control, address) {
-			found = append(found, address)
+		if address, err := netip.ParseAddrPort(text); err == nil && !slices.Contains(wanted, address) {
+			wanted = append(wanted, address)
 		}
 	}
-	for _, address := range p.control[1:] {
-		isListed := slices.Contains(addresses, address.String())
-		if isListed || slices.Contains(p.node.instance.Settings.Cluster.Peers, address) {
+	var known, found []netip.AddrPort
+	for i, address := range p.control {
+		if i == 0 || slices.Contains(wanted, address) {
 			known = append(known, address)
 		}
 	}
+	for _, address := range wanted {
+		if !slices.Contains(p.control, address) {
+			found = append(found, address)
+		}
+	}
 	p.control = append(known, shuffled(found)...)
 }
