Let services without a cold allowance bear what they can while cold

Cause: cold-per-s 0 was read as an allowance of 0, so after a loss of power every endpoint took 4 new flows a second for 2 s.

--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -58,8 +58,9 @@
 	// Silence is how long an endpoint may be silent before it gets no new flows:
 	// less than the time after which its address may serve another service.
 	Silence time.Duration
-	// ColdFactor times the requests a second that a service bears while cold,
-	// and ColdSlack more, may reach a cold endpoint in any second.
+	// ColdFactor times the requests a second that a service states for cold
+	// endpoints, and ColdSlack more, may reach one in any second. A service that
+	// states none has no such bound: its cold endpoints get what they can work on.
 	ColdFactor float64
 	ColdSlack  int
 
@@ -102,7 +103,7 @@
 	if request.Busy >= limit {
 		return RefusedBusy
 	}
-	if now < endpoint.ColdUntil && !g.admitCold(now, coldPerSecond) {
+	if now < endpoint.ColdUntil && coldPerSecond > 0 && !g.admitCold(now, coldPerSecond) {
 		return RefusedCold
 	}
 	return Taken
--- /dev/null
+++ b/internal/flow/gate_test.go
@@ -0,0 +1,84 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func warmEndpoint() *Endpoint {
+	return &Endpoint{ID: "e", Service: "orders", Slots: 5}
+}
+
+func TestGateNamesWhyAFlowIsNotTaken(t *testing.T) {
+	cases := []struct {
+		name     string
+		endpoint func(*Endpoint) *Endpoint
+		request  func(*Request)
+		now      time.Duration
+		want     Reason
+	}{
+		{name: "ready", want: Taken},
+		{name: "no announcement", endpoint: func(*Endpoint) *Endpoint { return nil }, want: RefusedUnknown},
+		{name: "silent", now: 2 * time.Second, want: RefusedSilent},
+		{name: "draining", endpoint: func(e *Endpoint) *Endpoint { e.IsDraining = true; return e }, want: RefusedDraining},
+		{name: "agent leaves", request: func(r *Request) { r.IsLeaving = true }, want: RefusedLeaving},
+		{name: "other service", request: func(r *Request) { r.IsRouteAllowed = false }, want: RefusedOtherRoute},
+		{name: "zone out", request: func(r *Request) { r.IsZoneOut = true }, want: RefusedZoneOut},
+		{name: "busy with others left", request: func(r *Request) { r.Busy = 5 }, want: RefusedBusy},
+		{name: "busy and last", request: func(r *Request) { r.Busy, r.IsLast = 5, true }, want: Taken},
+		{name: "full and last", request: func(r *Request) { r.Busy, r.IsLast = 10, true }, want: RefusedBusy},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			endpoint, request := warmEndpoint(), Request{IsRouteAllowed: true}
+			if c.endpoint != nil {
+				endpoint = c.endpoint(endpoint)
+			}
+			if c.request != nil {
+				c.request(&request)
+			}
+			gate := Gate{Silence: time.Second, ColdFactor: 1.5, ColdSlack: 5}
+			NewWithT(t).Expect(gate.Decide(c.now, endpoint, 0, request)).To(Equal(c.want))
+		})
+	}
+}
+
+// In any second a cold endpoint gets no more than its allowance, wherever the
+// second begins.
+func TestGateKeepsTheColdAllowanceInEverySecond(t *testing.T) {
+	g := NewWithT(t)
+	gate := Gate{Silence: time.Hour, ColdFactor: 1.5, ColdSlack: 5}
+	endpoint := warmEndpoint()
+	endpoint.ColdUntil = time.Minute
+	var taken []time.Duration
+	for now := time.Duration(0); now < 10*time.Second; now += 7 * time.Millisecond {
+		if gate.Decide(now, endpoint, 4, Request{IsRouteAllowed: true}) == Taken {
+			taken = append(taken, now)
+		}
+	}
+	const allowance = 4*1.5 + 5
+	for i, from := range taken {
+		count := 0
+		for _, at := range taken[i:] {
+			if at-from < time.Second {
+				count++
+			}
+		}
+		g.Expect(count).To(BeNumerically("<=", allowance))
+	}
+	g.Expect(len(taken)).To(BeNumerically(">", 50), "the allowance is used")
+}
+
+// After a loss of power every endpoint is cold at once. A service that states
+// no allowance must not be cut down to the slack of some requests a second.
+func TestGateDoesNotThrottleColdEndpointsWithoutAnAllowance(t *testing.T) {
+	g := NewWithT(t)
+	gate := Gate{Silence: time.Hour, ColdFactor: 1.5, ColdSlack: 5}
+	endpoint := warmEndpoint()
+	endpoint.ColdUntil = time.Minute
+	for now := time.Duration(0); now < time.Second; now += 25 * time.Millisecond {
+		g.Expect(gate.Decide(now, endpoint, 0, Request{IsRouteAllowed: true})).To(Equal(Taken))
+	}
+}
