--- a/internal/machine/control/joining.go
+++ b/internal/machine/control/joining.go
@@ -24,24 +24,114 @@
 	idSpread = 64
 )
 
+// standing is what an instance knows of itself when it looks for its group.
+type standing struct {
+	address  netip.AddrPort
+	identity *wire.DiskIdentity
+	isMember bool
+	// peers are the configured control instances.
+	peers []netip.AddrPort
+}
+
+// joinStep is what an instance without a working group does next.
+type joinStep struct {
+	// renumberAbove, unless 0, calls for a new identity with a higher ID.
+	renumberAbove uint64
+	// leader, when valid, is to be asked to take the instance in.
+	leader netip.AddrPort
+	// found are the members of a group to found.
+	found []*wire.ControlMember
+}
+
+// planJoin decides the next step from what the known control instances say of
+// themselves, by their addresses; the instance itself is among them.
+//
+// A member gives its place up only when a leader says that the group no longer
+// has it. Only the first of the peers founds a group, and only once all of
+// them have said that they may and know none.
+func planJoin(own standing, found map[netip.AddrPort]*wire.DiskIdentity) joinStep {
+	leader, group := findLeader(own.address, found)
+	if group == nil {
+		if own.isMember {
+			return joinStep{}
+		}
+		return joinStep{found: founders(own, found)}
+	}
+	status := consensus.Status{Group: group}
+	isKnown := status.IsMember(own.identity.Id, own.identity.Disk)
+	isOfOther := own.isMember && group.Number != own.identity.Group.GetNumber()
+	if isKnown || isOfOther {
+		// The leader's messages are on their way; or there are two groups, which
+		// only people can mend.
+		return joinStep{}
+	}
+	step := joinStep{}
+	if own.isMember || own.identity.Id <= group.HighestId {
+		step.renumberAbove = group.HighestId
+	}
+	if !own.isMember {
+		step.leader = leader
+	}
+	return step
+}
+
+// findLeader returns the instance that leads and its committed group.
+func findLeader(own netip.AddrPort, found map[netip.AddrPort]*wire.DiskIdentity) (netip.AddrPort, *wire.ControlGroup) {
+	for address, identity := range found {
+		if address != own && identity.Leads && identity.Group.GetNumber() != 0 {
+			return address, identity.Group
+		}
+	}
+	return netip.AddrPort{}, nil
+}
+
+// founders returns the members of the group that this instance is to found, or
+// nil.
+func founders(own standing, found map[netip.AddrPort]*wire.DiskIdentity) []*wire.ControlMember {
+	if len(own.peers) == 0 || slices.MinFunc(own.peers, netip.AddrPort.Compare) != own.address {
+		return nil
+	}
+	var members []*wire.ControlMember
+	seen := make(map[uint64]bool)
+	for _, peer := range own.peers {
+		identity := found[peer]
+		if identity == nil || !identity.MayFound || seen[identity.Id] {
+			return nil
+		}
+		seen[identity.Id] = true
+		members = append(members, &wire.ControlMember{Id: identity.Id, Address: peer.String(), Disk: identity.Disk, Voter: true})
+	}
+	return members
+}
+
 // join keeps the instance in the control group without an operator: it founds
 // a group with its peers, joins the one that there is, and joins it again
 // after the group has given its place to another.
 func (c *Control) join(ctx context.Context) {
 	for pause.For(ctx, joinInterval) {
 		status := c.loop.status.Load()
-		isMember := c.loop.isMember()
-		if isMember && (status.Role == consensus.Leader || c.loop.now()-status.Contact < removedTimeout) {
-			continue
+		own := standing{
+			address: c.instance.Settings.Link.Listen, identity: c.identity(),
+			isMember: c.loop.isMember(), peers: c.instance.Peers(),
 		}
-		found := c.askAround(ctx)
-		switch {
-		case isMember:
-			c.leaveLostGroup(ctx, found)
-		case c.joinGroup(ctx, found):
-		default:
-			c.foundWithPeers(ctx, found)
+		isServed := status.Role == consensus.Leader || c.loop.now()-status.Contact < removedTimeout
+		if own.isMember && isServed {
+			continue
 		}
+		c.takeStep(ctx, planJoin(own, c.askAround(ctx)))
+	}
+}
+
+func (c *Control) takeStep(ctx context.Context, step joinStep) {
+	if step.renumberAbove != 0 {
+		c.instance.Log.Info().Uint64("id", c.loop.identity.Load().Id).Msg("the control group does not have this instance; it joins under a new identity")
+		c.renumber(ctx, step.renumberAbove)
+	}
+	if step.leader.IsValid() {
+		c.askToJoin(ctx, step.leader)
+	}
+	if step.found != nil {
+		c.form(ctx, step.found)
 	}
 }
 
@@ -71,48 +161,9 @@
 	return found
 }
 
-// leaveLostGroup takes a new identity when a leader says that the group no
-// longer has this instance. Without such word the instance keeps its vote.
-func (c *Control) leaveLostGroup(ctx context.Context, found map[netip.AddrPort]*wire.DiskIdentity) {
-	own := c.loop.identity.Load()
-	group := c.loop.status.Load().Group.GetNumber()
-	for _, identity := range found {
-		if !identity.Leads || identity.Group.GetNumber() != group {
-			continue
-		}
-		status := consensus.Status{Group: identity.Group}
-		if !status.IsMember(own.Id, own.Disk) {
-			c.instance.Log.Warn().Uint64("id", own.Id).Msg("the control group has replaced this instance; it joins again under a new identity")
-			c.renumber(ctx, identity.Group)
-			return
-		}
-	}
-}
-
-// joinGroup asks the leader of the group that there is to take this instance
-// in. It reports whether there is a group.
-func (c *Control) joinGroup(ctx context.Context, found map[netip.AddrPort]*wire.DiskIdentity) bool {
-	own := c.instance.Settings.Link.Listen
-	hasGroup := false
-	for address, identity := range found {
-		if address == own || identity.Group.GetNumber() == 0 {
-			continue
-		}
-		hasGroup = true
-		if !identity.Leads {
-			continue
-		}
-		if c.loop.identity.Load().Id <= identity.Group.HighestId {
-			c.renumber(ctx, identity.Group)
-		}
-		c.askToJoin(ctx, address)
-	}
-	return hasGroup
-}
-
 // renumber takes an ID that no member of the group has had.
-func (c *Control) renumber(ctx context.Context, group *wire.ControlGroup) {
-	id := group.HighestId + 1 + rand.Uint64N(idSpread)
+func (c *Control) renumber(ctx context.Context, above uint64) {
+	id := above + 1 + rand.Uint64N(idSpread)
 	err := c.loop.do(ctx, func(time.Duration) error { return c.replica.renumber(id) })
 	if err != nil {
 		c.instance.Log.Warn().Err(err).Msg("no new identity taken")
@@ -139,23 +190,3 @@
 	})
 	return consensusResponse(&wire.ConsensusResponse{Group: c.loop.status.Load().Group}), err
 }
-
-// foundWithPeers forms a new group of the configured peers. Only the first of
-// them does, and only once all have said that they may and know no group.
-func (c *Control) foundWithPeers(ctx context.Context, found map[netip.AddrPort]*wire.DiskIdentity) {
-	peers := c.instance.Peers()
-	if len(peers) == 0 || slices.MinFunc(peers, netip.AddrPort.Compare) != c.instance.Settings.Link.Listen {
-		return
-	}
-	var members []*wire.ControlMember
-	seen := make(map[uint64]bool)
-	for _, peer := range peers {
-		identity := found[peer]
-		if identity == nil || !identity.MayFound || seen[identity.Id] {
-			return
-		}
-		seen[identity.Id] = true
-		members = append(members, &wire.ControlMember{Id: identity.Id, Address: peer.String(), Disk: identity.Disk, Voter: true})
-	}
-	c.form(ctx, members)
-}
--- /dev/null
+++ b/internal/machine/control/selfgroup_test.go
@@ -0,0 +1,393 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/consensus"
+	"sassafrasturn.example/internal/journal"
+	"sassafrasturn.example/internal/journal/journaltest"
+	"sassafrasturn.example/internal/wire"
+)
+
+// The model of a group that founds and repairs itself: random schedules of
+// kills, losses of power and disks, cuts and replaced instances, within what a
+// group of five bears. No accepted routing table may be lost.
+
+const (
+	selfVoters = 5
+	selfSteps  = 500
+	// selfJoinSteps separates an instance's looks for its group: joinInterval.
+	selfJoinSteps = 4
+	selfEndSteps  = 500
+	// selfLost is how many disks a group of five bears to lose at a time.
+	selfLost = 2
+)
+
+// selfVariant is the product or a naive version of one part of it.
+type selfVariant struct {
+	name string
+	// keepsIdentity: an instance that has lost its disk comes back as itself.
+	keepsIdentity bool
+	// foundsAlone: an instance that finds no leader founds a group.
+	foundsAlone bool
+}
+
+type selfNode struct {
+	address  netip.AddrPort
+	folder   *journaltest.Folder
+	replica  *replica
+	mayFound bool
+	isGone   bool
+	// before is the identity that the node had before it lost its disk.
+	before              *wire.DiskIdentity
+	downUntil, cutUntil int
+}
+
+type selfModel struct {
+	t       *testing.T
+	variant selfVariant
+	random  *rand.Rand
+	step    int
+	nodes   []*selfNode
+	mail    []modelMessage
+	peers   []netip.AddrPort
+	// version is the newest routing table sent, accepted the newest acknowledged.
+	version, accepted uint64
+	isHealing         bool
+	violation         string
+}
+
+func (w *selfModel) now() time.Duration { return time.Duration(w.step) * modelStep }
+
+func newSelfModel(t *testing.T, v selfVariant, seed uint64) *selfModel {
+	w := &selfModel{t: t, variant: v, random: rand.New(rand.NewPCG(seed, 11))}
+	for range selfVoters {
+		w.add().mayFound = true
+	}
+	for _, n := range w.nodes[:3] {
+		w.peers = append(w.peers, n.address)
+	}
+	return w
+}
+
+func (w *selfModel) add() *selfNode {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(w.nodes) + 1)}), 7000)
+	n := &selfNode{address: address, folder: journaltest.New(w.random)}
+	w.nodes = append(w.nodes, n)
+	w.open(n)
+	return n
+}
+
+func (w *selfModel) open(n *selfNode) {
+	out := outputs{
+		send:    func(m *wire.ConsensusMessage) { w.send(n, m) },
+		publish: func([]*wire.Record) {},
+	}
+	if n.before != nil && w.variant.keepsIdentity {
+		if _, _, err := journal.Open(n.folder, n.before); err != nil {
+			w.fail(n, err)
+			return
+		}
+	}
+	r, err := openReplica(n.folder, 0, w.random, w.now(), out)
+	if err != nil {
+		w.fail(n, err)
+		return
+	}
+	r.voters, r.compactAfter = selfVoters, modelCompact
+	n.replica = r
+}
+
+func (w *selfModel) fail(n *selfNode, err error) {
+	if err != nil {
+		n.replica = nil
+		n.folder.Restart()
+		n.downUntil = w.step + 1 + w.random.IntN(modelFault)
+	}
+}
+
+func (w *selfModel) isCut(n *selfNode) bool { return n.cutUntil > w.step }
+
+func (w *selfModel) send(n *selfNode, m *wire.ConsensusMessage) {
+	if w.isCut(n) || !w.isHealing && w.random.IntN(modelLossOne) == 0 {
+		return
+	}
+	w.mail = append(w.mail, modelMessage{at: w.step + 1 + w.random.IntN(2), m: m})
+}
+
+func (w *selfModel) deliver() {
+	due := w.mail
+	w.mail = nil
+	for _, message := range due {
+		if message.at > w.step {
+			w.mail = append(w.mail, message)
+			continue
+		}
+		for _, n := range w.nodes {
+			isFor := n.replica != nil && n.replica.identity.Id == message.m.To && n.replica.identity.Disk == message.m.ToDisk
+			if isFor && !w.isCut(n) {
+				n.replica.core.Step(w.now(), message.m)
+				w.fail(n, n.replica.work(w.now()))
+			}
+		}
+	}
+}
+
+// identity is what a node says of itself, as Control.identity does.
+func (w *selfModel) identity(n *selfNode) *wire.DiskIdentity {
+	status := n.replica.core.Status(w.now())
+	isCurrent := status.Role == consensus.Leader && status.IsCurrent && w.now()-status.Contact < consensus.ElectionTimeout
+	return &wire.DiskIdentity{
+		Id: n.replica.identity.Id, Disk: n.replica.identity.Disk, Group: status.Group,
+		MayFound: n.mayFound && status.Group.GetNumber() == 0, Leads: isCurrent && status.IsGroupCommitted,
+	}
+}
+
+func (w *selfModel) join(n *selfNode) {
+	status := n.replica.core.Status(w.now())
+	own := standing{address: n.address, identity: w.identity(n), peers: w.peers}
+	own.isMember = status.IsMember(own.identity.Id, own.identity.Disk)
+	if own.isMember && (status.Role == consensus.Leader || w.now()-status.Contact < removedTimeout) {
+		return
+	}
+	found := map[netip.AddrPort]*wire.DiskIdentity{n.address: own.identity}
+	byAddress := make(map[netip.AddrPort]*selfNode)
+	for _, other := range w.nodes {
+		if other != n && other.replica != nil && !w.isCut(n) && !w.isCut(other) && !other.isGone {
+			found[other.address] = w.identity(other)
+			byAddress[other.address] = other
+		}
+	}
+	step := planJoin(own, found)
+	if w.variant.foundsAlone && !own.isMember && !step.leader.IsValid() {
+		step.found = []*wire.ControlMember{{Id: own.identity.Id, Disk: own.identity.Disk, Address: n.address.String(), Voter: true}}
+	}
+	w.takeStep(n, step, byAddress)
+}
+
+func (w *selfModel) takeStep(n *selfNode, step joinStep, byAddress map[netip.AddrPort]*selfNode) {
+	if step.renumberAbove != 0 {
+		w.fail(n, n.replica.renumber(step.renumberAbove+1+w.random.Uint64N(idSpread)))
+	}
+	if n.replica == nil {
+		return
+	}
+	if leader := byAddress[step.leader]; leader != nil {
+		identity := n.replica.identity
+		leader.replica.noteJoiner(w.now(), &wire.JoinControl{Id: identity.Id, Disk: identity.Disk, Address: n.address.String()})
+	}
+	if step.found != nil {
+		w.fail(n, n.replica.form(w.now(), step.found))
+	}
+}
+
+// submit sends the next routing table to every node that believes to lead.
+func (w *selfModel) submit() {
+	for _, n := range w.nodes {
+		if n.replica == nil || n.replica.core.Status(w.now()).Role != consensus.Leader {
+			continue
+		}
+		w.version++
+		version := w.version
+		command := &wire.Command{Body: &wire.Command_ReplaceRouting{ReplaceRouting: &wire.ReplaceRouting{
+			Version: version, Source: fmt.Appendf(nil, "table %d", version),
+		}}}
+		n.replica.propose(w.now(), command, func(result *wire.CommandResult, err error) {
+			if err == nil && result.GetOutcome() == wire.CommandResult_OUTCOME_ACCEPTED {
+				w.accepted = max(w.accepted, version)
+			}
+		})
+		w.fail(n, n.replica.work(w.now()))
+	}
+}
+
+func (w *selfModel) disturb() {
+	n := w.nodes[w.random.IntN(len(w.nodes))]
+	if n.isGone {
+		return
+	}
+	switch w.random.IntN(8) {
+	case 0, 1:
+		w.fail(n, journaltest.ErrCrashed)
+	case 2:
+		for _, other := range w.nodes {
+			if !other.isGone {
+				w.fail(other, journaltest.ErrCrashed)
+			}
+		}
+	case 3, 4:
+		n.cutUntil = w.step + 1 + w.random.IntN(3*modelFault)
+	case 5, 6:
+		w.loseDisk(n)
+	case 7:
+		// A member goes for good; an empty instance comes at another address.
+		if w.lost() < selfLost {
+			n.isGone, n.replica = true, nil
+			w.add()
+		}
+	}
+}
+
+func (w *selfModel) loseDisk(n *selfNode) {
+	if w.lost() >= selfLost {
+		return
+	}
+	if n.replica != nil {
+		n.before = proto.CloneOf(n.replica.identity)
+	}
+	n.replica, n.mayFound = nil, false
+	n.folder = journaltest.New(w.random)
+	n.downUntil = w.step + 1 + w.random.IntN(modelFault)
+}
+
+// lost counts the voters of the group whose disk is lost or that are cut off;
+// without a leader of a whole group it is as many as the group bears.
+func (w *selfModel) lost() int {
+	for _, leader := range w.nodes {
+		if leader.replica == nil || w.isCut(leader) {
+			continue
+		}
+		status := leader.replica.core.Status(w.now())
+		if status.Role == consensus.Leader && status.IsCurrent && status.IsGroupCommitted && len(status.Group.Members) == selfVoters {
+			return w.lostOf(status.Group)
+		}
+	}
+	return selfLost
+}
+
+func (w *selfModel) lostOf(group *wire.ControlGroup) int {
+	lost := selfVoters
+	for _, n := range w.nodes {
+		if n.replica != nil && !w.isCut(n) && w.isWhole(n) && (&consensus.Status{Group: group}).IsMember(n.replica.identity.Id, n.replica.identity.Disk) {
+			lost--
+		}
+	}
+	return lost
+}
+
+// isWhole reports whether a node is a voter in its own eyes.
+func (w *selfModel) isWhole(n *selfNode) bool {
+	status := n.replica.core.Status(w.now())
+	for _, member := range status.Group.GetMembers() {
+		if member.Id == n.replica.identity.Id && member.Disk == n.replica.identity.Disk {
+			return member.Voter
+		}
+	}
+	return false
+}
+
+func (w *selfModel) advance() {
+	w.step++
+	w.deliver()
+	for i, n := range w.nodes {
+		switch {
+		case n.isGone || n.downUntil > w.step:
+		case n.replica == nil:
+			w.open(n)
+		default:
+			w.fail(n, n.replica.tick(w.now()))
+			if n.replica != nil && (w.step+i)%selfJoinSteps == 0 {
+				w.join(n)
+			}
+		}
+	}
+}
+
+// run plays a schedule and returns what went wrong, or "".
+func (w *selfModel) run() string {
+	for w.step < selfSteps {
+		w.advance()
+		if w.random.IntN(3) == 0 {
+			w.submit()
+		}
+		if w.random.IntN(modelFaultOne) == 0 {
+			w.disturb()
+		}
+	}
+	w.isHealing = true
+	for _, n := range w.nodes {
+		n.cutUntil = 0
+	}
+	for range selfEndSteps {
+		w.advance()
+		if w.isSettled() {
+			break
+		}
+	}
+	return w.checkEnd()
+}
+
+func (w *selfModel) isSettled() bool {
+	living, whole := 0, 0
+	for _, n := range w.nodes {
+		if n.isGone {
+			continue
+		}
+		living++
+		if n.replica != nil && w.isWhole(n) && n.replica.catalog.Routing().GetVersion() >= w.accepted {
+			whole++
+		}
+	}
+	return whole == selfVoters || whole == living
+}
+
+func (w *selfModel) checkEnd() string {
+	group := uint64(0)
+	for _, n := range w.nodes {
+		if n.isGone || n.replica == nil || !w.isWhole(n) {
+			continue
+		}
+		number := n.replica.core.Status(w.now()).Group.Number
+		if group != 0 && number != group {
+			return "there are two groups"
+		}
+		group = number
+		if held := n.replica.catalog.Routing().GetVersion(); held < w.accepted {
+			return fmt.Sprintf("version %d was accepted, %d is in force", w.accepted, held)
+		}
+	}
+	switch {
+	case !w.isSettled():
+		return "the group is not whole again"
+	case w.accepted == 0:
+		return "nothing was accepted"
+	}
+	return ""
+}
+
+func TestSelfFoundedGroupKeepsWhatItAccepted(t *testing.T) {
+	g := NewWithT(t)
+	const seeds = 400
+	for seed := range uint64(seeds) {
+		w := newSelfModel(t, selfVariant{}, seed)
+		g.Expect(w.run()).To(BeEmpty(), "seed %d", seed)
+	}
+}
+
+func TestSelfFoundedGroupModelFindsNaiveVersions(t *testing.T) {
+	for _, c := range []struct {
+		variant selfVariant
+		want    string
+	}{
+		{selfVariant{name: "votes under the old identity after a lost disk", keepsIdentity: true}, "is in force"},
+		{selfVariant{name: "founds a group alone", foundsAlone: true}, "two groups"},
+	} {
+		t.Run(c.variant.name, func(t *testing.T) {
+			for seed := range uint64(2000) {
+				if violation := newSelfModel(t, c.variant, seed).run(); strings.Contains(violation, c.want) {
+					t.Logf("seed %d: %s", seed, violation)
+					return
+				}
+			}
+			t.Errorf("the model does not notice: no schedule ended with %q", c.want)
+		})
+	}
+}
