--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,196 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+func agent(address uint32, incarnation, sequence uint64) *wire.AgentRecord {
+	return &wire.AgentRecord{
+		Address: address, Port: 7000, Zone: "a", Service: "orders", Ready: true,
+		Incarnation: incarnation, Sequence: sequence,
+	}
+}
+
+// draw makes a replica follow a roster until there is no more.
+func draw(now time.Duration, replica *Replica, roster *Roster) {
+	for {
+		id, revision := replica.Position()
+		delta := roster.Since(id, revision, 200)
+		replica.Apply(now, delta)
+		if !delta.More {
+			return
+		}
+	}
+}
+
+func describe(records []*wire.AgentRecord) map[string]bool {
+	described := make(map[string]bool)
+	for _, r := range records {
+		if !r.Gone {
+			described[fmt.Sprintf("%d inc %d seq %d %s", r.Address, r.Incarnation, r.Sequence, r.Service)] = true
+		}
+	}
+	return described
+}
+
+func TestReplicaDrawsPartsAndDeltas(t *testing.T) {
+	g := NewWithT(t)
+	roster, replica := New(1, 0), NewReplica()
+	for i := range uint32(40) {
+		roster.Hear(0, agent(i, 1, 1))
+	}
+	draw(0, replica, roster)
+	g.Expect(replica.IsWhole()).To(BeTrue())
+	g.Expect(describe(replica.Records())).To(HaveLen(40))
+
+	roster.Hear(time.Second, agent(7, 1, 2))
+	id, revision := replica.Position()
+	delta := roster.Since(id, revision, 200)
+	g.Expect(delta.Records).To(HaveLen(1), "only what has changed")
+	g.Expect(delta.Restart).To(BeFalse())
+}
+
+func TestSilentAgentsAreGoneAndComeBack(t *testing.T) {
+	g := NewWithT(t)
+	roster, replica := New(1, 0), NewReplica()
+	roster.Hear(0, agent(1, 5, 1))
+	roster.Hear(0, agent(2, 5, 1))
+	roster.Hear(3*time.Second, agent(2, 5, 1))
+	g.Expect(roster.Sweep(4 * time.Second)).To(HaveLen(1))
+	draw(4*time.Second, replica, roster)
+	g.Expect(describe(replica.Records())).To(HaveLen(1))
+	g.Expect(replica.Records()).To(HaveLen(2), "the gone one is remembered for open flows")
+
+	roster.Hear(5*time.Second, agent(1, 5, 1))
+	draw(5*time.Second, replica, roster)
+	g.Expect(describe(replica.Records())).To(HaveLen(2))
+}
+
+// After its wall clock went back an agent starts under a lower incarnation. It
+// is told, and its old record does not stand for it meanwhile.
+func TestAgentWithALowerIncarnationIsTold(t *testing.T) {
+	g := NewWithT(t)
+	roster := New(1, 0)
+	g.Expect(roster.Hear(0, agent(1, 50, 3))).To(Equal(uint64(50)))
+	g.Expect(roster.Hear(time.Second, agent(1, 20, 0))).To(Equal(uint64(50)))
+	g.Expect(roster.Hear(time.Second, agent(1, 51, 0))).To(Equal(uint64(51)))
+	living, _ := roster.Counts()
+	g.Expect(living).To(Equal(1))
+}
+
+// A control instance that starts again has an empty roster: nodes must not
+// take the agents that it has not heard yet for gone once it is whole, and
+// must take those that it does not have for gone.
+func TestReplicaChangesRosters(t *testing.T) {
+	g := NewWithT(t)
+	first, second, replica := New(1, 0), New(2, 0), NewReplica()
+	for i := range uint32(10) {
+		first.Hear(0, agent(i, 1, 1))
+	}
+	for i := range uint32(8) {
+		second.Hear(0, agent(i, 1, 1))
+	}
+	draw(0, replica, first)
+	draw(0, replica, second)
+	g.Expect(describe(replica.Records())).To(HaveLen(8))
+	g.Expect(replica.Records()).To(HaveLen(10))
+	replica.Apply(GoneMemory+time.Second, second.Since(2, 8, 200))
+	g.Expect(replica.Records()).To(HaveLen(8), "the gone are forgotten in the end")
+}
+
+func TestRevisionBeforeForgottenChangesRestarts(t *testing.T) {
+	g := NewWithT(t)
+	roster, replica := New(1, 0), NewReplica()
+	roster.Hear(0, agent(1, 1, 1))
+	roster.Hear(0, agent(2, 1, 1))
+	draw(0, replica, roster)
+	now := 10 * time.Second
+	roster.Hear(now, agent(2, 1, 1))
+	roster.Sweep(now)
+	roster.Sweep(now + goneRetention + time.Second)
+	roster.Hear(now+goneRetention+time.Second, agent(2, 1, 2))
+	id, revision := replica.Position()
+	g.Expect(roster.Since(id, revision, 1000).Restart).To(BeTrue())
+	draw(now, replica, roster)
+	g.Expect(describe(replica.Records())).To(HaveLen(1))
+}
+
+// Three rosters hear agents that come, change, restart and go; gossip and
+// polls get lost. In the end all nodes know the same agents.
+func TestRostersAndReplicasConverge(t *testing.T) {
+	for seed := range uint64(60) {
+		convergeOnce(t, seed)
+	}
+}
+
+func convergeOnce(t *testing.T, seed uint64) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewPCG(seed, 3))
+	rosters := []*Roster{New(1, 0), New(2, 0), New(3, 0)}
+	replicas := []*Replica{NewReplica(), NewReplica(), NewReplica(), NewReplica()}
+	living := make(map[uint32]*wire.AgentRecord)
+	now := time.Duration(0)
+	step := func(loss float64, isChanging bool) {
+		now += 250 * time.Millisecond
+		if isChanging {
+			changeOne(random, living)
+		}
+		for _, record := range living {
+			if random.Float64() >= loss {
+				held := rosters[(int(record.Address)+int(now/(5*time.Second)))%3].Hear(now, record)
+				if held > record.Incarnation {
+					living[record.Address] = agent(record.Address, held+1, 0)
+				}
+			}
+		}
+		for i, from := range rosters {
+			from.Sweep(now)
+			changed, heard := from.Gossip(now, now-time.Second)
+			for j, to := range rosters {
+				if i != j && random.Float64() >= loss && to.Merge(now, changed, heard) {
+					to.Merge(now, from.Own(now-time.Second), nil)
+				}
+			}
+		}
+		for i, replica := range replicas {
+			if random.Float64() >= loss {
+				draw(now, replica, rosters[(i+int(now/(7*time.Second)))%3])
+			}
+		}
+	}
+	for range 200 {
+		step(0.3, random.IntN(4) == 0)
+	}
+	for range 40 {
+		step(0, false)
+	}
+	var want []*wire.AgentRecord
+	for _, record := range living {
+		want = append(want, record)
+	}
+	for _, replica := range replicas {
+		g.Expect(describe(replica.Records())).To(Equal(describe(want)), "seed %d", seed)
+	}
+}
+
+func changeOne(random *rand.Rand, living map[uint32]*wire.AgentRecord) {
+	address := random.Uint32N(12)
+	held := living[address]
+	switch {
+	case held == nil:
+		living[address] = agent(address, 100+random.Uint64N(1000), 1)
+	case random.IntN(3) == 0:
+		delete(living, address)
+	case random.IntN(2) == 0:
+		living[address] = agent(address, held.Incarnation+1, 0)
+	default:
+		living[address] = agent(address, held.Incarnation, held.Sequence+1)
+	}
+}
