Let flows of turned routes and misled shortcuts reach their holder

Found by the new path tests in virtual time (each failed first): - A node that started after a route turned to another service did not know the former one: all 30 open flows broke. Such packets now begin the order anew, and shortcuts to agents that are gone are not used.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/contract"
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/token"
 	"sassafrasturn.example/internal/wire"
 )
@@ -223,12 +224,29 @@
 // the same answer.
 func (c *Catalog) applyReplaceRouting(index uint64, replace *wire.ReplaceRouting) *wire.CommandResult {
 	if c.routing == nil || replace.Version > c.routing.Version {
-		c.routing = replace
+		c.routing = carried(c.routing, replace)
 		c.routingIndex = index
 	}
 	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: c.routingIndex, Version: c.routing.Version}
 }
 
+// carried returns the next routing table with what open flows need of the one
+// before.
+func carried(before, next *wire.ReplaceRouting) *wire.ReplaceRouting {
+	held, table := new(wire.RoutingTable), new(wire.RoutingTable)
+	// Both were marshalled by the instance that proposed them; what does not
+	// parse is kept as it is.
+	if proto.Unmarshal(before.GetTable(), held) != nil || proto.Unmarshal(next.Table, table) != nil {
+		return next
+	}
+	routing.Carry(held, table)
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(table)
+	if err != nil {
+		return next
+	}
+	return &wire.ReplaceRouting{Version: next.Version, Source: next.Source, Table: data}
+}
+
 // Routing returns the routing table, or nil before the first one. It must not
 // be changed.
 func (c *Catalog) Routing() *wire.ReplaceRouting {
--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -42,23 +42,26 @@
 // View is what a node knows of the agents. It is immutable.
 type View struct {
 	byService map[string][]Member
-	count     int
+	living    map[netip.AddrPort]bool
 }
 
 // NewView returns a view of the members.
 func NewView(members []Member) *View {
-	view := &View{byService: make(map[string][]Member)}
+	view := &View{byService: make(map[string][]Member), living: make(map[netip.AddrPort]bool, len(members))}
 	for _, member := range members {
 		view.byService[member.Service] = append(view.byService[member.Service], member)
 		if !member.IsGone {
-			view.count++
+			view.living[member.Address] = true
 		}
 	}
 	return view
 }
 
 // Count returns how many agents of the view are not gone.
-func (v *View) Count() int { return v.count }
+func (v *View) Count() int { return len(v.living) }
+
+// IsLiving reports whether the view has the agent at the address and it is not gone.
+func (v *View) IsLiving(address netip.AddrPort) bool { return v.living[address] }
 
 // Members returns the agents of a service; the slice must not be changed.
 func (v *View) Members(service string) []Member { return v.byService[service] }
@@ -128,6 +131,20 @@
 	return o.best(nil)
 }
 
+// Next returns the agent that a packet goes to after the one at the address.
+// Where that one was asked out of turn, by a shortcut, the order begins at its
+// start.
+func (o *Order) Next(address netip.AddrPort, isShortcut bool) (Member, bool) {
+	if !isShortcut {
+		return o.After(address)
+	}
+	first, ok := o.First()
+	if ok && first.Address == address {
+		return o.After(address)
+	}
+	return first, ok
+}
+
 // best returns the first agent after a position, or the first one of all.
 func (o *Order) best(after *position) (Member, bool) {
 	var found *Member
--- /dev/null
+++ b/internal/flow/order_test.go
@@ -0,0 +1,149 @@
+package flow
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func addressOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
+}
+
+// membersOf returns agents of one service, spread over three zones.
+func membersOf(service string, first, count int) []Member {
+	var members []Member
+	for i := range count {
+		members = append(members, NewMember(addressOf(first+i), fmt.Sprintf("zone-%d", i%3), service))
+	}
+	return members
+}
+
+func walk(order Order) []netip.AddrPort {
+	var visited []netip.AddrPort
+	next, ok := order.First()
+	for ok {
+		visited = append(visited, next.Address)
+		next, ok = order.After(next.Address)
+	}
+	return visited
+}
+
+// A packet that no agent holds passes every agent of the services once: those
+// of the first service before the others, own zone first, the gone ones last.
+func TestOrderVisitsEveryAgentOnce(t *testing.T) {
+	g := NewWithT(t)
+	members := append(membersOf("orders", 0, 9), membersOf("drawings", 20, 3)...)
+	members[0].IsGone = true
+	members[4].IsReady = false
+	view := NewView(members)
+	g.Expect(view.Count()).To(Equal(11))
+	for flow := range uint64(200) {
+		order := Order{View: view, Flow: flow * 7919, Origin: TagOf("zone-1"), Services: []string{"orders", "drawings"}}
+		visited := walk(order)
+		g.Expect(visited).To(HaveLen(12))
+		seen := make(map[netip.AddrPort]bool)
+		for _, address := range visited {
+			g.Expect(seen[address]).To(BeFalse())
+			seen[address] = true
+		}
+		for i := range 3 {
+			g.Expect(memberAt(members, visited[i]).Zone).To(Equal("zone-1"))
+		}
+		for _, address := range visited[8:11] {
+			g.Expect(memberAt(members, address).Service).To(Equal("drawings"))
+		}
+		g.Expect(visited[11]).To(Equal(members[0].Address))
+	}
+}
+
+func memberAt(members []Member, address netip.AddrPort) Member {
+	for _, m := range members {
+		if m.Address == address {
+			return m
+		}
+	}
+	return Member{}
+}
+
+// naivePick is the usual hash over a list, against which the order is measured.
+func naivePick(members []Member, flow uint64) netip.AddrPort {
+	return members[flow%uint64(len(members))].Address
+}
+
+// When one agent of ten goes, a tenth of the flows change their first agent;
+// with a hash modulo the list nearly all do.
+func TestOrderMovesFewFlowsWhenAnAgentGoes(t *testing.T) {
+	g := NewWithT(t)
+	members := membersOf("orders", 0, 10)
+	for i := range members {
+		members[i].Zone, members[i].zone = "zone-0", TagOf("zone-0")
+	}
+	without := append(append([]Member(nil), members[:3]...), members[4:]...)
+	random := rand.New(rand.NewPCG(5, 5))
+	const flows = 5000
+	moved, naiveMoved := 0, 0
+	for range flows {
+		flow := random.Uint64()
+		before, _ := (&Order{View: NewView(members), Flow: flow, Services: []string{"orders"}}).First()
+		after, _ := (&Order{View: NewView(without), Flow: flow, Services: []string{"orders"}}).First()
+		if before.Address != after.Address {
+			moved++
+		}
+		if naivePick(members, flow) != naivePick(without, flow) {
+			naiveMoved++
+		}
+	}
+	g.Expect(float64(moved) / flows).To(BeNumerically("~", 0.1, 0.02))
+	g.Expect(float64(naiveMoved) / flows).To(BeNumerically(">", 0.8))
+}
+
+func TestOffersLeaveOutWhoTakesNoNewFlows(t *testing.T) {
+	g := NewWithT(t)
+	members := membersOf("orders", 0, 6)
+	members[0].IsReady = false
+	members[1].IsGone = true
+	isOut := func(zone string) bool { return zone == "zone-2" }
+	offers := Offers(NewView(members), "orders", 42, TagOf("zone-1"), isOut)
+	var left []netip.AddrPort
+	for _, offer := range offers {
+		left = append(left, offer.Address)
+	}
+	g.Expect(left).To(ConsistOf(addressOf(3), addressOf(4)))
+	g.Expect(left[0]).To(Equal(addressOf(4)), "the own zone first")
+	g.Expect(Offers(NewView(nil), "orders", 42, 0, isOut)).To(BeEmpty())
+}
+
+// An agent that the view does not have yet goes on with the first of the order.
+func TestOrderAfterAnUnknownAgent(t *testing.T) {
+	g := NewWithT(t)
+	order := Order{View: NewView(membersOf("orders", 0, 3)), Flow: 1, Services: []string{"orders"}}
+	first, _ := order.First()
+	next, ok := order.After(addressOf(99))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(next.Address).To(Equal(first.Address))
+	_, ok = (&Order{View: NewView(nil), Services: []string{"orders"}}).After(addressOf(99))
+	g.Expect(ok).To(BeFalse())
+}
+
+// A packet that a shortcut led to the wrong agent still passes all of them.
+func TestOrderBeginsAnewAfterAShortcut(t *testing.T) {
+	g := NewWithT(t)
+	members := membersOf("orders", 0, 5)
+	order := Order{View: NewView(members), Flow: 99, Services: []string{"orders"}}
+	all := walk(order)
+	for _, member := range members {
+		visited := []netip.AddrPort{member.Address}
+		next, ok := order.Next(member.Address, true)
+		for ok {
+			visited = append(visited, next.Address)
+			next, ok = order.Next(next.Address, false)
+		}
+		for _, address := range all {
+			g.Expect(visited).To(ContainElement(address))
+		}
+	}
+}
--- /dev/null
+++ b/internal/flow/table_test.go
@@ -0,0 +1,161 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var (
+	caller = netip.MustParseAddrPort("100.64.0.7:40001")
+	dialed = netip.MustParseAddrPort("198.51.100.1:443")
+	key    = Key{Caller: caller, Dialed: dialed}
+)
+
+// endpointFirst is the number of the endpoint's SYN.
+const endpointFirst = 0xffff_fff0
+
+func fromCaller(ack uint32, length int) *Header {
+	return &Header{Source: caller, Destination: dialed, IsACK: true, Ack: ack, Length: length}
+}
+
+func fromEndpoint(seq uint32, length int) *Header {
+	return &Header{Source: dialed, Destination: caller, IsACK: true, Seq: seq, Length: length}
+}
+
+func synAck() *Header {
+	return &Header{Source: dialed, Destination: caller, IsSYN: true, IsACK: true, Seq: endpointFirst}
+}
+
+// opened returns a table whose endpoint has an open flow.
+func opened() *Table {
+	t := NewTable()
+	t.Offer(0, key)
+	t.FromEndpoint(0, synAck())
+	t.FromCaller(0, fromCaller(seqAfter(1), 0))
+	return t
+}
+
+// seqAfter gives the endpoint's numbers, which wrap around.
+func seqAfter(n uint32) uint32 {
+	first := uint32(endpointFirst)
+	return first + n
+}
+
+func TestFlowOpensWhenTheCallerAnswersThisEndpoint(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	table.Offer(0, key)
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(1), 0))).To(BeNil(), "the endpoint has not answered yet")
+	table.FromEndpoint(0, synAck())
+	g.Expect(table.Get(key).IsOpen()).To(BeFalse())
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(1), 0)).IsOpen()).To(BeTrue())
+}
+
+// Two endpoints have answered copies of one SYN. The caller goes on with one;
+// its packets are not for the other.
+func TestPacketsThatAnswerAnotherEndpointAreNotTaken(t *testing.T) {
+	g := NewWithT(t)
+	table := opened()
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(1)+1<<30, 0))).To(BeNil())
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(0)-1, 0))).To(BeNil())
+	table.FromEndpoint(0, fromEndpoint(seqAfter(1), 1200))
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(1201), 0))).NotTo(BeNil(), "over the wrap of the numbers")
+}
+
+func TestBusyCountsRequestsThatWait(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	table.Offer(0, key)
+	g.Expect(table.Busy()).To(Equal(1), "a new flow brings a request")
+	table.Offer(0, key)
+	g.Expect(table.Busy()).To(Equal(1), "a copy of the SYN brings none")
+	table.FromEndpoint(0, synAck())
+	table.FromCaller(0, fromCaller(seqAfter(1), 100))
+	table.FromEndpoint(0, fromEndpoint(seqAfter(1), 500))
+	g.Expect(table.Busy()).To(BeZero())
+	table.FromCaller(0, fromCaller(seqAfter(501), 100))
+	g.Expect(table.Busy()).To(Equal(1))
+	table.Sweep(busyTime+time.Millisecond, time.Minute)
+	g.Expect(table.Busy()).To(BeZero(), "neither end sends any more")
+	table.Remove(key)
+	g.Expect(table.Busy()).To(BeZero())
+}
+
+// An agent that has started again learns the flows of its endpoint from what
+// the endpoint sends.
+func TestFlowsOlderThanTheTableAreAdopted(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(5000), 0))).To(BeNil())
+	table.FromEndpoint(0, fromEndpoint(seqAfter(5000), 300))
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(5300), 100))).NotTo(BeNil())
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(4000), 0))).NotTo(BeNil(), "an old acknowledgement")
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(5300)+1<<30, 0))).To(BeNil(), "it answers another endpoint")
+}
+
+func TestSweepForgetsWhatHasEnded(t *testing.T) {
+	cases := []struct {
+		name  string
+		play  func(*Table)
+		after time.Duration
+		isOut bool
+	}{
+		{name: "open and in use", after: 10 * time.Second},
+		{name: "idle too long", after: 15*time.Second + closedTime + 1, isOut: true},
+		{name: "ended by one end", play: func(t *Table) { t.FromCaller(0, &Header{Source: caller, Destination: dialed, IsFIN: true}) }, after: 10 * time.Second},
+		{
+			name: "ended by both", play: func(t *Table) {
+				t.FromCaller(0, &Header{Source: caller, Destination: dialed, IsFIN: true})
+				t.FromEndpoint(0, &Header{Source: dialed, Destination: caller, IsFIN: true, Seq: seqAfter(1)})
+			}, after: closedTime + 1, isOut: true,
+		},
+		{name: "reset by the caller", play: func(t *Table) { t.FromCaller(0, &Header{Source: caller, Destination: dialed, IsRST: true}) }, isOut: true},
+		{name: "reset by the endpoint", play: func(t *Table) {
+			t.FromEndpoint(0, &Header{Source: dialed, Destination: caller, IsRST: true, Seq: seqAfter(1)})
+		}, isOut: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := opened()
+			if c.play != nil {
+				c.play(table)
+			}
+			table.Sweep(c.after, 15*time.Second)
+			NewWithT(t).Expect(table.Get(key) == nil).To(Equal(c.isOut))
+		})
+	}
+}
+
+func TestSweepForgetsOffersThatWereNotTakenUp(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	table.Offer(0, key)
+	table.Sweep(handshakeTime, time.Minute)
+	g.Expect(table.Get(key)).NotTo(BeNil())
+	table.Sweep(handshakeTime+closedTime+1, time.Minute)
+	g.Expect(table.Get(key)).To(BeNil())
+}
+
+func TestClearNamesTheOpenFlows(t *testing.T) {
+	g := NewWithT(t)
+	table := opened()
+	table.Offer(0, Key{Caller: dialed, Dialed: caller})
+	cleared := table.Clear()
+	g.Expect(cleared).To(HaveLen(1))
+	g.Expect(cleared[0].CallerAck).To(Equal(seqAfter(1)))
+	g.Expect(table.Len()).To(BeZero())
+	g.Expect(table.Busy()).To(BeZero())
+}
+
+func TestRefuseKeepsOpenFlows(t *testing.T) {
+	g := NewWithT(t)
+	table := opened()
+	table.Refuse(key)
+	g.Expect(table.Get(key)).NotTo(BeNil(), "a late copy of the SYN was bounced")
+	table.Offer(0, Key{Caller: dialed, Dialed: caller})
+	table.Refuse(Key{Caller: dialed, Dialed: caller})
+	g.Expect(table.Len()).To(Equal(1))
+}
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -134,7 +134,8 @@
 		View: state.View, Flow: hash, Origin: offer.Origin,
 		Services: state.Services(key, hash, a.services[:]),
 	}
-	next, ok := order.After(a.node.Address())
+	next, ok := order.Next(a.node.Address(), offer.IsShortcut)
+	offer.IsShortcut = false
 	offer.Hops++
 	if !ok || offer.Hops > state.View.Count()+goneHops {
 		a.metrics.dropped.WithLabelValues("no-holder").Inc()
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -172,11 +172,12 @@
 	b := w.balancer
 	key := h.FromCaller()
 	offer := opaque.Offer{Origin: b.origin, Balancer: b.node.Address()}
-	if holder, ok := b.holders.get(key); ok {
+	state := b.node.State()
+	if holder, ok := b.holders.get(key); ok && state.View.IsLiving(holder) {
+		offer.IsShortcut = true
 		b.node.SendOffer(&offer, buffer, holder)
 		return outcomeForwarded
 	}
-	state := b.node.State()
 	hash := key.Hash()
 	services := state.Services(key, hash, w.services[:])
 	if len(services) == 0 {
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -51,6 +51,9 @@
 type Offer struct {
 	// Hops counts the agents that have passed the packet on.
 	Hops int
+	// IsShortcut: the packet goes to the agent that the balancer remembers, not
+	// along the order.
+	IsShortcut bool
 	// Origin is the zone in which the packet came in.
 	Origin flow.ZoneTag
 	// Service is the service that the balancer chose for a SYN.
@@ -97,6 +100,9 @@
 	b[1] = byte(min(o.Hops, maxHops))
 	b[2] = byte(o.candidateCount)
 	b[3] = 0
+	if o.IsShortcut {
+		b[3] = 1
+	}
 	binary.BigEndian.PutUint32(b[4:], uint32(o.Origin))
 	binary.BigEndian.PutUint32(b[8:], uint32(o.Service))
 	putAddress(b[12:], o.Balancer)
@@ -118,6 +124,7 @@
 	}
 	*o = Offer{
 		Hops:           int(data[1]),
+		IsShortcut:     data[3] != 0,
 		Origin:         flow.ZoneTag(binary.BigEndian.Uint32(data[4:])),
 		Service:        ServiceTag(binary.BigEndian.Uint32(data[8:])),
 		Balancer:       getAddress(data[12:]),
--- /dev/null
+++ b/internal/machine/opaque/pathtest/codec_test.go
@@ -0,0 +1,72 @@
+// Package pathtest tests the way of a packet of the opaque mode through
+// balancers and agents to endpoints and back, over a network in memory and in
+// virtual time.
+package pathtest
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"sassafrasturn.example/internal/flow"
+)
+
+// codec is a packet format of the tests' own: flags, the copy of a SYN, the two
+// ends, the two numbers, and the data.
+type codec struct{}
+
+const (
+	flagSYN = 1 << iota
+	flagACK
+	flagFIN
+	flagRST
+	flagBounced
+
+	codecHeader = 22
+)
+
+func encode(h *flow.Header, data []byte) []byte {
+	flags := byte(0)
+	for _, f := range []struct {
+		is   bool
+		flag byte
+	}{{h.IsSYN, flagSYN}, {h.IsACK, flagACK}, {h.IsFIN, flagFIN}, {h.IsRST, flagRST}, {h.IsBounced, flagBounced}} {
+		if f.is {
+			flags |= f.flag
+		}
+	}
+	packet := []byte{flags, byte(h.Attempt)}
+	for _, end := range []netip.AddrPort{h.Source, h.Destination} {
+		ip := end.Addr().As4()
+		packet = append(packet, ip[:]...)
+		packet = binary.BigEndian.AppendUint16(packet, end.Port())
+	}
+	packet = binary.BigEndian.AppendUint32(packet, h.Seq)
+	packet = binary.BigEndian.AppendUint32(packet, h.Ack)
+	return append(packet, data...)
+}
+
+// Parse reads a header.
+func (codec) Parse(packet []byte) (flow.Header, bool) {
+	if len(packet) < codecHeader {
+		return flow.Header{}, false
+	}
+	end := func(at int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte(packet[at:at+4])), binary.BigEndian.Uint16(packet[at+4:]))
+	}
+	flags := packet[0]
+	return flow.Header{
+		Attempt: int(packet[1]), Source: end(2), Destination: end(8),
+		Seq: binary.BigEndian.Uint32(packet[14:]), Ack: binary.BigEndian.Uint32(packet[18:]),
+		Length: len(packet) - codecHeader,
+		IsSYN:  flags&flagSYN != 0, IsACK: flags&flagACK != 0, IsFIN: flags&flagFIN != 0,
+		IsRST: flags&flagRST != 0, IsBounced: flags&flagBounced != 0,
+	}, true
+}
+
+// ClearMarks takes back that an endpoint bounced the packet.
+func (codec) ClearMarks(packet []byte) { packet[0] &^= flagBounced }
+
+// AppendReset appends a reset of a flow.
+func (codec) AppendReset(to []byte, key flow.Key, seq uint32) []byte {
+	return append(to, encode(&flow.Header{Source: key.Dialed, Destination: key.Caller, Seq: seq, IsRST: true}, nil)...)
+}
--- /dev/null
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -0,0 +1,298 @@
+package pathtest
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/flow"
+)
+
+// disturbance is something that must break no open flow.
+type disturbance struct {
+	name string
+	play func(w *world)
+}
+
+var disturbances = []disturbance{
+	{"a balancer joins", func(w *world) {
+		w.addBalancer()
+		time.Sleep(2 * time.Second)
+	}},
+	{"a balancer leaves", func(w *world) {
+		w.balancers[0].isReady = false
+	}},
+	{"a balancer starts again with nothing in its memory", func(w *world) {
+		b := w.balancers[1]
+		b.isReady = false
+		b.stop()
+		time.Sleep(time.Second)
+		w.startBalancer(b, 2)
+		time.Sleep(2 * time.Second)
+		b.isReady = true
+	}},
+	{"an agent starts again with nothing in its memory", func(w *world) {
+		for _, s := range w.sites {
+			s.restartAgent(100 * time.Millisecond)
+			s.endpoint.announce()
+		}
+		time.Sleep(2 * time.Second)
+	}},
+	{"endpoints are added", func(w *world) {
+		w.addSite("orders")
+		w.addSite("orders")
+		time.Sleep(2 * time.Second)
+	}},
+	{"an endpoint drains", func(w *world) {
+		w.sites[0].endpoint.isDraining = true
+		w.sites[0].endpoint.announce()
+		time.Sleep(2 * time.Second)
+	}},
+	{"the route turns to another service", func(w *world) {
+		w.addSite("drawings")
+		w.control.route(5, orders, "drawings")
+		time.Sleep(3 * time.Second)
+	}},
+	{"the route gets a second service", func(w *world) {
+		w.addSite("drawings")
+		w.control.route(5, orders, "orders", "drawings")
+		time.Sleep(3 * time.Second)
+	}},
+	{"a zone is taken out of service", func(w *world) {
+		w.control.zones, w.control.out = 3, []string{zoneOf(0)}
+		time.Sleep(2 * time.Second)
+	}},
+	{"control is gone", func(w *world) {
+		w.control.isDown = true
+		time.Sleep(8 * time.Second)
+	}},
+	{"callers move to another zone", func(w *world) {
+		for _, f := range w.flows {
+			f.zone = 2
+		}
+	}},
+}
+
+// countBroken plays a disturbance on a world with open flows and counts those
+// that do not go on.
+func countBroken(t *testing.T, isNaive bool, d disturbance) int {
+	broken := 0
+	play(t, isNaive, 4, 5, func(w *world) {
+		var flows []*callerFlow
+		for range 30 {
+			f := w.dial(orders, anyZone)
+			w.g.Expect(f.request()).NotTo(BeEmpty(), "flow %s", f.key)
+			flows = append(flows, f)
+		}
+		d.play(w)
+		for _, f := range flows {
+			if f.request() == "" || f.wasResetOpen {
+				broken++
+			}
+		}
+	})
+	return broken
+}
+
+func TestOpenFlowsOutliveEveryPlannedChange(t *testing.T) {
+	for _, d := range disturbances {
+		t.Run(d.name, func(t *testing.T) {
+			NewWithT(t).Expect(countBroken(t, false, d)).To(BeZero())
+		})
+	}
+}
+
+// A hash over the list of endpoints breaks flows whenever the list changes.
+func TestNaiveForwardingBreaksFlows(t *testing.T) {
+	for _, d := range disturbances {
+		if d.name == "endpoints are added" {
+			NewWithT(t).Expect(countBroken(t, true, d)).To(BeNumerically(">", 10))
+		}
+	}
+}
+
+// Only flows that an endpoint holds reach it, but for the moments after its
+// agent has started again; packets that no endpoint wrote reach no caller.
+func TestPacketsOfUnknownFlowsReachNoEndpoint(t *testing.T) {
+	play(t, false, 2, 4, func(w *world) {
+		open := w.dial(orders, anyZone)
+		for i := range 50 {
+			caller := netip.AddrPortFrom(open.key.Caller.Addr(), uint16(5000+i))
+			h := &flow.Header{Source: caller, Destination: orders, IsACK: true, Seq: uint32(i), Ack: uint32(i * 1000)}
+			packet := encode(h, []byte("stray"))
+			if i%5 == 0 {
+				packet = packet[:i/5]
+			}
+			w.network.send(packet, netip.AddrPortFrom(caller.Addr(), packetPort), w.balancers[i%2].address)
+			// Garbage between instances.
+			w.network.send(append([]byte{byte(i % 9)}, packet...), controlAddress, netip.AddrPortFrom(w.sites[i%4].address, linkPort))
+		}
+		time.Sleep(time.Second)
+		for _, s := range w.sites {
+			w.g.Expect(s.endpoint.foreign).To(BeZero())
+		}
+		w.g.Expect(open.request()).NotTo(BeEmpty())
+		w.g.Expect(open.isReset).To(BeFalse())
+	})
+}
+
+// The way to the first agent is so slow that a copy of the SYN is taken by a
+// second one. The caller goes on with the one whose answer came first.
+func TestCopiesOfASYNAtTwoEndpoints(t *testing.T) {
+	play(t, false, 3, 3, func(w *world) {
+		for _, s := range w.sites[:2] {
+			w.network.delays[netip.AddrPortFrom(s.address, linkPort)] = 350 * time.Millisecond
+		}
+		taken := 0
+		for range 12 {
+			f := w.dial(orders, anyZone)
+			w.g.Expect(f.isOpen).To(BeTrue())
+			first := f.request()
+			w.g.Expect(first).NotTo(BeEmpty())
+			w.g.Expect(f.request()).To(Equal(first), "all answers come from one endpoint")
+			w.g.Expect(f.wasResetOpen).To(BeFalse())
+			for _, s := range w.sites {
+				taken += s.endpoint.opened[f.key]
+			}
+		}
+		w.g.Expect(taken).To(BeNumerically(">", 12), "some SYN was taken twice")
+	})
+}
+
+// An address is used again by an endpoint of another service, and the
+// balancers do not know yet. It must not get flows of the former service.
+func TestReusedAddressGetsNoFlowsOfTheFormerService(t *testing.T) {
+	play(t, false, 3, 3, func(w *world) {
+		w.control.isDown = true
+		w.sites[0].startEndpoint("drawings")
+		w.sites[1].endpoint.isMute = true
+		time.Sleep(3 * time.Second)
+		for range 40 {
+			w.g.Expect(w.isServed(orders)).To(BeTrue())
+		}
+		w.g.Expect(w.sites[0].endpoint.opened).To(BeEmpty(), "it serves drawings now")
+		w.g.Expect(w.sites[1].endpoint.opened).To(BeEmpty(), "it has been silent for 3 s")
+	})
+}
+
+// Once the agent has acknowledged that its endpoint drains, no new flow reaches
+// the endpoint, whatever the balancers know.
+func TestDrainingHoldsFromTheAcknowledgementOn(t *testing.T) {
+	play(t, false, 3, 3, func(w *world) {
+		w.control.isDown = true
+		drained := w.sites[1].endpoint
+		drained.isDraining = true
+		drained.announce()
+		for range 30 {
+			w.g.Expect(w.isServed(orders)).To(BeTrue())
+		}
+		w.g.Expect(drained.opened).To(BeEmpty())
+	})
+}
+
+func TestZoneOutGetsNoNewFlows(t *testing.T) {
+	play(t, false, 3, 6, func(w *world) {
+		w.control.zones, w.control.out = 1, []string{zoneOf(1)}
+		time.Sleep(time.Second)
+		for range 30 {
+			w.g.Expect(w.isServed(orders)).To(BeTrue())
+		}
+		for _, s := range w.sites {
+			if zoneOf(s.number) == zoneOf(1) {
+				w.g.Expect(s.endpoint.opened).To(BeEmpty())
+			}
+		}
+		w.control.zones, w.control.out = 2, nil
+		time.Sleep(time.Second)
+		for range 60 {
+			w.g.Expect(w.isServed(orders)).To(BeTrue())
+		}
+		w.g.Expect(w.sites[1].endpoint.opened).NotTo(BeEmpty())
+	})
+}
+
+// An endpoint that has started again has lost its flows: callers are told at
+// once and need not wait for their deadline.
+func TestCallersOfARestartedEndpointAreReset(t *testing.T) {
+	play(t, false, 3, 1, func(w *world) {
+		f := w.dial(orders, anyZone)
+		w.g.Expect(f.request()).NotTo(BeEmpty())
+		time.Sleep(1500 * time.Millisecond)
+		w.sites[0].startEndpoint("orders")
+		time.Sleep(50 * time.Millisecond)
+		w.g.Expect(f.isReset).To(BeTrue())
+		w.g.Expect(w.dial(orders, anyZone).request()).NotTo(BeEmpty())
+	})
+}
+
+// What cannot be served is refused at once, not after the caller's patience.
+func TestRefusalsComeAtOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(w *world) netip.AddrPort
+	}{
+		{"no route", func(*world) netip.AddrPort { return drawings }},
+		{"no endpoint", func(w *world) netip.AddrPort {
+			w.control.route(2, drawings, "drawings")
+			time.Sleep(time.Second)
+			return drawings
+		}},
+		{"all endpoints drain", func(w *world) netip.AddrPort {
+			for _, s := range w.sites {
+				s.endpoint.isDraining = true
+				s.endpoint.announce()
+			}
+			return orders
+		}},
+		{"all endpoints bounce", func(w *world) netip.AddrPort {
+			for _, s := range w.sites {
+				s.endpoint.isFull = true
+			}
+			return orders
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, false, 3, 3, func(w *world) {
+				dialed := c.play(w)
+				start := time.Now()
+				f := w.dial(dialed, anyZone)
+				w.g.Expect(f.isOpen).To(BeFalse())
+				w.g.Expect(f.isReset).To(BeTrue())
+				w.g.Expect(time.Since(start)).To(BeNumerically("<=", firstCopy))
+			})
+		})
+	}
+}
+
+// An endpoint that bounces a SYN since it is full costs the caller nothing.
+func TestBouncedSYNGoesToAnotherEndpoint(t *testing.T) {
+	play(t, false, 3, 3, func(w *world) {
+		w.sites[0].endpoint.isFull = true
+		for range 20 {
+			f := w.dial(orders, anyZone)
+			w.g.Expect(f.isOpen).To(BeTrue())
+			w.g.Expect(strings.HasSuffix(f.request(), w.sites[0].address.String())).To(BeFalse())
+		}
+	})
+}
+
+// A dead agent that the views still have costs a copy of the SYN, 200 ms, not
+// the whole attempt.
+func TestDeadAgentCostsOneCopy(t *testing.T) {
+	play(t, false, 3, 4, func(w *world) {
+		w.control.isDown = true
+		w.network.cut[netip.AddrPortFrom(w.sites[0].address, linkPort)] = true
+		for i := range 20 {
+			start := time.Now()
+			f := w.dial(orders, anyZone)
+			w.g.Expect(f.isOpen).To(BeTrue(), fmt.Sprintf("flow %d", i))
+			w.g.Expect(time.Since(start)).To(BeNumerically("<", secondCopy))
+			w.g.Expect(f.request()).NotTo(BeEmpty())
+		}
+	})
+}
--- /dev/null
+++ b/internal/machine/opaque/pathtest/network_test.go
@@ -0,0 +1,102 @@
+package pathtest
+
+import (
+	"bytes"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// linkDelay is how long a datagram is on its way.
+const linkDelay = time.Millisecond
+
+type datagram struct {
+	data []byte
+	from netip.AddrPort
+}
+
+// network carries datagrams between sockets in memory.
+type network struct {
+	mu      sync.Mutex
+	sockets map[netip.AddrPort]*socket
+	// delays are longer ways to some addresses, and cut addresses get nothing.
+	delays map[netip.AddrPort]time.Duration
+	cut    map[netip.AddrPort]bool
+}
+
+func newNetwork() *network {
+	return &network{
+		sockets: make(map[netip.AddrPort]*socket),
+		delays:  make(map[netip.AddrPort]time.Duration),
+		cut:     make(map[netip.AddrPort]bool),
+	}
+}
+
+func (n *network) listen(address netip.AddrPort) *socket {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := &socket{network: n, address: address, queue: make(chan datagram, 4096), closed: make(chan struct{})}
+	n.sockets[address] = s
+	return s
+}
+
+func (n *network) send(data []byte, from, to netip.AddrPort) {
+	n.mu.Lock()
+	delay := linkDelay + n.delays[to]
+	isCut := n.cut[to] || n.cut[from]
+	n.mu.Unlock()
+	if isCut {
+		return
+	}
+	d := datagram{data: bytes.Clone(data), from: from}
+	time.AfterFunc(delay, func() {
+		n.mu.Lock()
+		s := n.sockets[to]
+		n.mu.Unlock()
+		if s == nil {
+			return
+		}
+		select {
+		case s.queue <- d:
+		default:
+		}
+	})
+}
+
+// socket is a UDP socket of the network.
+type socket struct {
+	network *network
+	address netip.AddrPort
+	queue   chan datagram
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (s *socket) ReadFromUDPAddrPort(buffer []byte) (int, netip.AddrPort, error) {
+	select {
+	case d := <-s.queue:
+		return copy(buffer, d.data), d.from, nil
+	case <-s.closed:
+		return 0, netip.AddrPort{}, net.ErrClosed
+	}
+}
+
+func (s *socket) WriteToUDPAddrPort(data []byte, to netip.AddrPort) (int, error) {
+	s.network.send(data, s.address, to)
+	return len(data), nil
+}
+
+func (s *socket) LocalAddr() net.Addr { return net.UDPAddrFromAddrPort(s.address) }
+
+func (s *socket) Close() error {
+	s.once.Do(func() {
+		close(s.closed)
+		s.network.mu.Lock()
+		defer s.network.mu.Unlock()
+		if s.network.sockets[s.address] == s {
+			delete(s.network.sockets, s.address)
+		}
+	})
+	return nil
+}
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -217,7 +217,7 @@
 		p.takeZones(message)
 		isChanged = true
 	}
-	table := p.takeTable(now, message)
+	table := p.takeTable(message)
 	if isChanged || table != nil {
 		p.publish(table)
 	}
@@ -234,7 +234,7 @@
 }
 
 // takeTable draws the newest routing table, and returns it when it is complete.
-func (p *poller) takeTable(now time.Duration, message *wire.PollAnswer) *routing.Table {
+func (p *poller) takeTable(message *wire.PollAnswer) *routing.Table {
 	held := p.node.State().Table
 	if message.RoutingVersion <= held.Version {
 		p.fetch = fetch{}
@@ -257,7 +257,7 @@
 		p.node.instance.Log.Error().Err(err).Uint64("version", message.RoutingVersion).Msg("routing table not readable")
 		return nil
 	}
-	return held.Next(table, now, p.node.instance.Settings.Opaque.FlowLifetime)
+	return routing.New(table)
 }
 
 // publish puts what is known in force.
--- /dev/null
+++ b/internal/routing/carry.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"net/netip"
+	"slices"
+
+	"sassafrasturn.example/internal/wire"
+)
+
+// Bounds on what a table carries of earlier ones.
+const (
+	// maxFormer bounds the former services of a route; a flow lives a minute, in
+	// which a route rarely has more.
+	maxFormer = 4
+	// maxDropped bounds the dropped routes, the newest of which are kept.
+	maxDropped = 256
+)
+
+// Carry adds to the next table what open flows need of the one before: the
+// services that its routes had, and the routes that are dropped. It depends on
+// nothing else, so that every control instance carries the same.
+func Carry(before, next *wire.RoutingTable) {
+	kept := make(map[netip.AddrPort]*wire.Route, len(next.Routes))
+	for _, route := range next.Routes {
+		kept[dialedOf(route)] = route
+	}
+	dropped := 0
+	for _, held := range before.GetRoutes() {
+		if route := kept[dialedOf(held)]; route != nil {
+			route.Former = former(held, route)
+			continue
+		}
+		if names := former(held, &wire.Route{}); len(names) > 0 && dropped < maxDropped {
+			dropped++
+			next.Routes = append(next.Routes, &wire.Route{Address: held.Address, Port: held.Port, Former: names})
+		}
+	}
+}
+
+// former returns the services that a route had and next has not, the newest first.
+func former(before, next *wire.Route) []string {
+	var names []string
+	add := func(name string) {
+		isCurrent := slices.ContainsFunc(next.Services, func(s *wire.WeightedService) bool { return s.Service == name && s.Weight > 0 })
+		if !isCurrent && !slices.Contains(names, name) && len(names) < maxFormer {
+			names = append(names, name)
+		}
+	}
+	for _, service := range before.Services {
+		if service.Weight > 0 {
+			add(service.Service)
+		}
+	}
+	for _, name := range before.Former {
+		add(name)
+	}
+	return names
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,8 +1,8 @@
 // Package routing is the routing table of the opaque mode: which services take
 // the flows of an address that callers dial.
 //
-// A table is immutable. A newer one remembers the services that its
-// predecessors had for each route, because open flows stay with them.
+// Tables carry the services that earlier ones had for each route, because open
+// flows stay with them: a node that has just started must find them too.
 package routing
 
 import (
@@ -28,8 +28,6 @@
 	Holders []string
 
 	totalWeight uint64
-	// formerUntil tells until when each service outside Services may hold flows.
-	formerUntil map[string]time.Duration
 }
 
 // WeightedService is the share of a service in a route.
@@ -50,9 +48,9 @@
 	Version     uint64
 	IdleTimeout time.Duration
 
-	routes   map[netip.AddrPort]*Route
-	former   map[netip.AddrPort]*Route
-	services map[string]Service
+	// routes are those that take new flows, dropped those that did.
+	routes, dropped map[netip.AddrPort]*Route
+	services        map[string]Service
 }
 
 // Empty is the table before the first configuration.
@@ -112,56 +110,40 @@
 	return netip.AddrPortFrom(NumberAddress(route.Address), uint16(route.Port))
 }
 
-// Next builds the table that follows t at the time now. Services that lose a
-// route keep its open flows for the given time.
-func (t *Table) Next(table *wire.RoutingTable, now, flowLifetime time.Duration) *Table {
-	next := &Table{
+// New makes a table ready for use.
+func New(table *wire.RoutingTable) *Table {
+	t := &Table{
 		Version:     table.Version,
 		IdleTimeout: time.Duration(table.IdleTimeoutMs) * time.Millisecond,
 		routes:      make(map[netip.AddrPort]*Route, len(table.Routes)),
-		former:      make(map[netip.AddrPort]*Route),
+		dropped:     make(map[netip.AddrPort]*Route),
 		services:    make(map[string]Service, len(table.Services)),
 	}
 	for _, service := range table.Services {
-		next.services[service.Service] = Service{ColdPerSecond: service.ColdPerSecond, MaxFlows: int(service.MaxFlows)}
+		t.services[service.Service] = Service{ColdPerSecond: service.ColdPerSecond, MaxFlows: int(service.MaxFlows)}
 	}
 	for _, route := range table.Routes {
-		dialed := dialedOf(route)
-		next.routes[dialed] = newRoute(route.Services, t.Holding(dialed), now, flowLifetime)
-	}
-	for _, held := range []map[netip.AddrPort]*Route{t.routes, t.former} {
-		for dialed, route := range held {
-			if next.routes[dialed] != nil || next.former[dialed] != nil {
-				continue
-			}
-			if former := newRoute(nil, route, now, flowLifetime); len(former.Holders) > 0 {
-				next.former[dialed] = former
-			}
+		routes := t.routes
+		if len(route.Services) == 0 {
+			routes = t.dropped
 		}
+		routes[dialedOf(route)] = newRoute(route)
 	}
-	return next
+	return t
 }
 
-func newRoute(services []*wire.WeightedService, before *Route, now, flowLifetime time.Duration) *Route {
-	route := &Route{formerUntil: make(map[string]time.Duration)}
-	for _, service := range services {
+func newRoute(from *wire.Route) *Route {
+	route := new(Route)
+	for _, service := range from.Services {
 		if service.Weight > 0 {
 			route.Services = append(route.Services, WeightedService{Name: service.Service, Weight: service.Weight})
 			route.Holders = append(route.Holders, service.Service)
 			route.totalWeight += uint64(service.Weight)
 		}
 	}
-	if before == nil {
-		return route
-	}
-	for _, name := range before.Holders {
-		until, isFormer := before.formerUntil[name]
-		if !isFormer {
-			until = now + flowLifetime
-		}
-		if until > now && !slices.Contains(route.Holders, name) {
+	for _, name := range from.Former {
+		if !slices.Contains(route.Holders, name) {
 			route.Holders = append(route.Holders, name)
-			route.formerUntil[name] = until
 		}
 	}
 	return route
@@ -178,7 +160,7 @@
 	if route := t.routes[dialed]; route != nil {
 		return route
 	}
-	return t.former[dialed]
+	return t.dropped[dialed]
 }
 
 // Service returns what the endpoints of a service bear.
