--- a/internal/machine/opaque/pathtest/ends_test.go
+++ b/internal/machine/opaque/pathtest/ends_test.go
@@ -81,7 +81,9 @@
 		case <-e.done:
 			return
 		case <-ticker.C:
+			e.site.world.mu.Lock()
 			e.announce()
+			e.site.world.mu.Unlock()
 		}
 	}
 }
@@ -94,7 +96,9 @@
 			return
 		}
 		if h, ok := (codec{}).Parse(buffer[:n]); ok {
+			e.site.world.mu.Lock()
 			e.take(&h, buffer[:n])
+			e.site.world.mu.Unlock()
 		}
 	}
 }
@@ -177,7 +181,9 @@
 				return
 			}
 			if h, ok := (codec{}).Parse(buffer[:n]); ok {
+				w.mu.Lock()
 				w.takeReply(&h, string(buffer[codecHeader:n]))
+				w.mu.Unlock()
 			}
 		}
 	}()
@@ -248,6 +254,8 @@
 }
 
 func (f *callerFlow) await(patience time.Duration) bool {
+	f.world.mu.Unlock()
+	defer f.world.mu.Lock()
 	select {
 	case <-f.opened:
 		return true
@@ -273,16 +281,25 @@
 	deadline := time.Now().Add(callerPatience)
 	for wait := 200 * time.Millisecond; time.Now().Before(deadline) && !f.isReset; wait *= 2 {
 		f.send(&flow.Header{IsACK: true, Seq: f.seq, Ack: f.ack}, data)
-		select {
-		case answer := <-f.answers:
+		if answer := f.awaitAnswer(wait); answer != "" {
 			f.seq += uint32(len(data))
 			return answer
-		case <-time.After(wait):
 		}
 	}
 	return ""
 }
 
+func (f *callerFlow) awaitAnswer(patience time.Duration) string {
+	f.world.mu.Unlock()
+	defer f.world.mu.Lock()
+	select {
+	case answer := <-f.answers:
+		return answer
+	case <-time.After(patience):
+		return ""
+	}
+}
+
 // runNaiveBalancer forwards each packet by the hash over the list of endpoints.
 func (w *world) runNaiveBalancer(ctx context.Context, s *socket) {
 	context.AfterFunc(ctx, func() { s.Close() })
@@ -293,7 +310,9 @@
 			return
 		}
 		h, _ := (codec{}).Parse(buffer[:n])
+		w.mu.Lock()
 		site := w.sites[h.FromCaller().Hash()%uint64(len(w.sites))]
+		w.mu.Unlock()
 		w.network.send(buffer[:n], s.address, netip.AddrPortFrom(site.address, servicePort))
 	}
 }
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -21,7 +21,7 @@
 var disturbances = []disturbance{
 	{"a balancer joins", func(w *world) {
 		w.addBalancer()
-		time.Sleep(2 * time.Second)
+		w.sleep(2 * time.Second)
 	}},
 	{"a balancer leaves", func(w *world) {
 		w.balancers[0].isReady = false
@@ -30,9 +30,9 @@
 		b := w.balancers[1]
 		b.isReady = false
 		b.stop()
-		time.Sleep(time.Second)
+		w.sleep(time.Second)
 		w.startBalancer(b, 2)
-		time.Sleep(2 * time.Second)
+		w.sleep(2 * time.Second)
 		b.isReady = true
 	}},
 	{"an agent starts again with nothing in its memory", func(w *world) {
@@ -40,35 +40,35 @@
 			s.restartAgent(100 * time.Millisecond)
 			s.endpoint.announce()
 		}
-		time.Sleep(2 * time.Second)
+		w.sleep(2 * time.Second)
 	}},
 	{"endpoints are added", func(w *world) {
 		w.addSite("orders")
 		w.addSite("orders")
-		time.Sleep(2 * time.Second)
+		w.sleep(2 * time.Second)
 	}},
 	{"an endpoint drains", func(w *world) {
 		w.sites[0].endpoint.isDraining = true
 		w.sites[0].endpoint.announce()
-		time.Sleep(2 * time.Second)
+		w.sleep(2 * time.Second)
 	}},
 	{"the route turns to another service", func(w *world) {
 		w.addSite("drawings")
 		w.control.route(5, orders, "drawings")
-		time.Sleep(3 * time.Second)
+		w.sleep(3 * time.Second)
 	}},
 	{"the route gets a second service", func(w *world) {
 		w.addSite("drawings")
 		w.control.route(5, orders, "orders", "drawings")
-		time.Sleep(3 * time.Second)
+		w.sleep(3 * time.Second)
 	}},
 	{"a zone is taken out of service", func(w *world) {
 		w.control.zones, w.control.out = 3, []string{zoneOf(0)}
-		time.Sleep(2 * time.Second)
+		w.sleep(2 * time.Second)
 	}},
 	{"control is gone", func(w *world) {
 		w.control.isDown = true
-		time.Sleep(8 * time.Second)
+		w.sleep(8 * time.Second)
 	}},
 	{"callers move to another zone", func(w *world) {
 		for _, f := range w.flows {
@@ -131,7 +131,7 @@
 			// Garbage between instances.
 			w.network.send(append([]byte{byte(i % 9)}, packet...), controlAddress, netip.AddrPortFrom(w.sites[i%4].address, linkPort))
 		}
-		time.Sleep(time.Second)
+		w.sleep(time.Second)
 		for _, s := range w.sites {
 			w.g.Expect(s.endpoint.foreign).To(BeZero())
 		}
@@ -145,7 +145,7 @@
 func TestCopiesOfASYNAtTwoEndpoints(t *testing.T) {
 	play(t, false, 3, 3, func(w *world) {
 		for _, s := range w.sites[:2] {
-			w.network.delays[netip.AddrPortFrom(s.address, linkPort)] = 350 * time.Millisecond
+			w.network.slow(netip.AddrPortFrom(s.address, linkPort), 350*time.Millisecond)
 		}
 		taken := 0
 		for range 12 {
@@ -170,7 +170,7 @@
 		w.control.isDown = true
 		w.sites[0].startEndpoint("drawings")
 		w.sites[1].endpoint.isMute = true
-		time.Sleep(3 * time.Second)
+		w.sleep(3 * time.Second)
 		for range 40 {
 			w.g.Expect(w.isServed(orders)).To(BeTrue())
 		}
@@ -197,7 +197,7 @@
 func TestZoneOutGetsNoNewFlows(t *testing.T) {
 	play(t, false, 3, 6, func(w *world) {
 		w.control.zones, w.control.out = 1, []string{zoneOf(1)}
-		time.Sleep(time.Second)
+		w.sleep(time.Second)
 		for range 30 {
 			w.g.Expect(w.isServed(orders)).To(BeTrue())
 		}
@@ -207,7 +207,7 @@
 			}
 		}
 		w.control.zones, w.control.out = 2, nil
-		time.Sleep(time.Second)
+		w.sleep(time.Second)
 		for range 60 {
 			w.g.Expect(w.isServed(orders)).To(BeTrue())
 		}
@@ -221,9 +221,9 @@
 	play(t, false, 3, 1, func(w *world) {
 		f := w.dial(orders, anyZone)
 		w.g.Expect(f.request()).NotTo(BeEmpty())
-		time.Sleep(1500 * time.Millisecond)
+		w.sleep(1500 * time.Millisecond)
 		w.sites[0].startEndpoint("orders")
-		time.Sleep(50 * time.Millisecond)
+		w.sleep(50 * time.Millisecond)
 		w.g.Expect(f.isReset).To(BeTrue())
 		w.g.Expect(w.dial(orders, anyZone).request()).NotTo(BeEmpty())
 	})
@@ -238,7 +238,7 @@
 		{"no route", func(*world) netip.AddrPort { return drawings }},
 		{"no endpoint", func(w *world) netip.AddrPort {
 			w.control.route(2, drawings, "drawings")
-			time.Sleep(time.Second)
+			w.sleep(time.Second)
 			return drawings
 		}},
 		{"all endpoints drain", func(w *world) netip.AddrPort {
@@ -286,7 +286,7 @@
 func TestDeadAgentCostsOneCopy(t *testing.T) {
 	play(t, false, 3, 4, func(w *world) {
 		w.control.isDown = true
-		w.network.cut[netip.AddrPortFrom(w.sites[0].address, linkPort)] = true
+		w.network.cutOff(netip.AddrPortFrom(w.sites[0].address, linkPort))
 		for i := range 20 {
 			start := time.Now()
 			f := w.dial(orders, anyZone)
--- a/internal/machine/opaque/pathtest/network_test.go
+++ b/internal/machine/opaque/pathtest/network_test.go
@@ -33,6 +33,20 @@
 	}
 }
 
+// slow makes the way to an address longer.
+func (n *network) slow(to netip.AddrPort, by time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays[to] = by
+}
+
+// cutOff lets nothing reach or leave an address.
+func (n *network) cutOff(address netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = true
+}
+
 func (n *network) listen(address netip.AddrPort) *socket {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"io"
 	"net/netip"
-	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,7 +46,11 @@
 
 // world is a network with a control stand-in, balancers, agents with endpoints,
 // and callers behind a router that hashes by the list of balancers.
+//
+// The goroutine of a test holds mu but while it waits, so that tests may read
+// and change all parts of the world as they stand.
 type world struct {
+	mu      sync.Mutex
 	g       Gomega
 	t       *testing.T
 	network *network
@@ -68,6 +72,7 @@
 			g: NewWithT(t), t: t, network: newNetwork(), isNaive: isNaive,
 			callers: make(map[netip.Addr]*socket), flows: make(map[flow.Key]*callerFlow), nextPort: 1000,
 		}
+		w.mu.Lock()
 		w.control = newControlStandIn(w)
 		w.control.route(1, orders, "orders")
 		for range sites {
@@ -77,12 +82,27 @@
 			w.addBalancer()
 		}
 		defer w.end()
-		time.Sleep(2 * time.Second)
+		w.sleep(2 * time.Second)
 		run(w)
 	})
 }
 
+// sleep lets the world go on for a while.
+func (w *world) sleep(length time.Duration) {
+	w.mu.Unlock()
+	time.Sleep(length)
+	w.mu.Lock()
+}
+
+// settle lets the world go on until nothing happens but the passing of time.
+func (w *world) settle() {
+	w.mu.Unlock()
+	synctest.Wait()
+	w.mu.Lock()
+}
+
 func (w *world) end() {
+	w.mu.Unlock()
 	for _, stop := range w.stops {
 		stop()
 	}
@@ -145,14 +165,22 @@
 			return
 		}
 		poll := new(wire.Poll)
-		if opaque.Kind(buffer[0]) != opaque.KindPoll || proto.Unmarshal(buffer[1:n], poll) != nil || c.isDown {
+		if opaque.Kind(buffer[0]) != opaque.KindPoll || proto.Unmarshal(buffer[1:n], poll) != nil || c.isSilent() {
 			continue
 		}
+		c.world.mu.Lock()
 		data, _ := proto.Marshal(c.answer(poll))
+		c.world.mu.Unlock()
 		_, _ = s.WriteToUDPAddrPort(append([]byte{byte(opaque.KindPollAnswer)}, data...), from)
 	}
 }
 
+func (c *controlStandIn) isSilent() bool {
+	c.world.mu.Lock()
+	defer c.world.mu.Unlock()
+	return c.isDown
+}
+
 func (c *controlStandIn) answer(poll *wire.Poll) *wire.PollAnswer {
 	now := time.Since(c.start)
 	c.roster.Sweep(now)
@@ -257,8 +285,8 @@
 // restartAgent ends the agent and starts another one after a moment.
 func (s *site) restartAgent(after time.Duration) {
 	s.stop()
-	synctest.Wait()
-	time.Sleep(after)
+	s.world.settle()
+	s.world.sleep(after)
 	s.startAgent()
 }
 
@@ -270,8 +298,3 @@
 	s.endpoint = newEndpoint(s, service)
 	s.endpoint.announce()
 }
-
-func (w *world) siteAt(address netip.Addr) *site {
-	i := slices.IndexFunc(w.sites, func(s *site) bool { return s.address == address })
-	return w.sites[i]
-}
