--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -226,3 +226,59 @@
 		})
 	}
 }
+
+func replaceRouting(version uint64, source string) *wire.Command {
+	table := &wire.RoutingTable{Version: version, Routes: []*wire.Route{{
+		Address: 1, Port: 1, Services: []*wire.WeightedService{{Service: source, Weight: 1}},
+	}}}
+	data, _ := proto.Marshal(table)
+	return &wire.Command{Body: &wire.Command_ReplaceRouting{ReplaceRouting: &wire.ReplaceRouting{
+		Version: version, Source: []byte(source), Table: data,
+	}}}
+}
+
+// The highest version wins. Others are accepted and change nothing, also one
+// with other content under the version that is held.
+func TestRoutingTablesHighestVersionWins(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	g.Expect(c.Routing()).To(BeNil())
+	index := uint64(0)
+	for _, step := range []struct {
+		version uint64
+		source  string
+		want    string
+	}{{5, "a", "a"}, {3, "b", "a"}, {5, "c", "a"}, {9, "d", "d"}, {5, "a", "d"}} {
+		index++
+		result, err := c.Apply(index, replaceRouting(step.version, step.source))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Outcome).To(Equal(wire.CommandResult_OUTCOME_ACCEPTED))
+		g.Expect(string(c.Routing().Source)).To(Equal(step.want))
+	}
+	data, err := c.Snapshot()
+	g.Expect(err).NotTo(HaveOccurred())
+	restored, err := catalog.Restore(data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(restored.Routing().Version).To(Equal(uint64(9)))
+	g.Expect(string(restored.Routing().Source)).To(Equal("d"))
+	table := new(wire.RoutingTable)
+	g.Expect(proto.Unmarshal(restored.Routing().Table, table)).To(Succeed())
+	g.Expect(table.Routes[0].Former).To(Equal([]string{"a"}), "open flows stay with the former service")
+}
+
+func TestZonesThatAreNotKnownAreRegisteredOnRequest(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	set := func(index uint64, name string, isOut, register bool) *wire.CommandResult {
+		result, err := c.Apply(index, &wire.Command{Body: &wire.Command_SetZone{SetZone: &wire.SetZone{Name: name, Out: isOut, Register: register}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		return result
+	}
+	g.Expect(set(1, "a", true, false).Outcome).To(Equal(wire.CommandResult_OUTCOME_INVALID))
+	g.Expect(set(2, "a", true, true).Outcome).To(Equal(wire.CommandResult_OUTCOME_ACCEPTED))
+	g.Expect(c.ZonesOut()).To(Equal([]string{"a"}))
+	g.Expect(c.ZoneIndex()).To(Equal(uint64(2)))
+	g.Expect(set(3, "a", false, true).Outcome).To(Equal(wire.CommandResult_OUTCOME_ACCEPTED))
+	g.Expect(c.ZonesOut()).To(BeEmpty())
+	g.Expect(c.ZoneIndex()).To(Equal(uint64(3)))
+}
