--- /dev/null
+++ b/internal/flow/orphans_test.go
@@ -0,0 +1,37 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestOrphansAreToldOnlyWhenAllAgentsWereAsked(t *testing.T) {
+	type packet struct {
+		at, knownAt time.Duration
+		want        bool
+	}
+	const ms = time.Millisecond
+	cases := []struct {
+		name    string
+		packets []packet
+	}{
+		{"one packet", []packet{{0, 0, false}}},
+		{"copies of one moment", []packet{{0, 0, false}, {10 * ms, 5 * ms, false}, {200 * ms, 150 * ms, false}}},
+		{"unknown for long", []packet{{0, 0, false}, {200 * ms, 150 * ms, false}, {600 * ms, 550 * ms, true}}},
+		{"told once", []packet{{0, 0, false}, {600 * ms, 550 * ms, true}, {601 * ms, 550 * ms, false}}},
+		{"no list of agents since", []packet{{100 * ms, 90 * ms, false}, {700 * ms, 90 * ms, false}, {1500 * ms, 100 * ms, false}}},
+		{"packets of another time", []packet{{0, 0, false}, {5000 * ms, 4900 * ms, false}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			orphans := NewOrphans()
+			for i, p := range c.packets {
+				NewWithT(t).Expect(orphans.Note(p.at, p.knownAt, key)).To(Equal(p.want), "packet %d", i)
+			}
+			orphans.Sweep(time.Hour)
+			NewWithT(t).Expect(orphans.seen).To(BeEmpty())
+		})
+	}
+}
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -11,12 +11,15 @@
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/roster"
 	"sassafrasturn.example/internal/wire"
 )
 
 const (
 	gossipInterval = 500 * time.Millisecond
+	// changeDelay separates a change from the gossip that tells it.
+	changeDelay = 10 * time.Millisecond
 	// An answer fits one datagram on networks with an MTU of 1,500 bytes: a part
 	// of the routing table and some records.
 	answerRecordBytes = 700
@@ -35,6 +38,8 @@
 	control *Control
 	node    *opaque.Node
 
+	changed chan struct{}
+
 	mu     sync.Mutex
 	roster *roster.Roster
 	// heard is when each control instance was last heard, and told when another
@@ -49,7 +54,7 @@
 }
 
 func newDiscovery(c *Control) (*discovery, error) {
-	d := &discovery{control: c, heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration), repeatAt: make(map[netip.AddrPort]time.Duration)}
+	d := &discovery{control: c, changed: make(chan struct{}, 1), heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration), repeatAt: make(map[netip.AddrPort]time.Duration)}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.take})
 	if err != nil {
 		return nil, err
@@ -68,8 +73,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			d.gossip()
+		case <-d.changed:
+			// Changes of other agents that come at the same time go along.
+			pause.For(ctx, changeDelay)
 		}
+		d.gossip()
+	}
+}
+
+// signalChange makes the next gossip come at once.
+func (d *discovery) signalChange() {
+	select {
+	case d.changed <- struct{}{}:
+	default:
 	}
 }
 
@@ -115,7 +131,11 @@
 		answer.Control = append(answer.Control, address.String())
 	}
 	if poll.Self != nil {
+		before := d.roster.Revision()
 		answer.Incarnation = d.roster.Hear(now, poll.Self)
+		if d.roster.Revision() != before {
+			d.signalChange()
+		}
 	}
 	if !answer.Fresh {
 		return answer
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -50,6 +50,7 @@
 	// agent: it gets packets of flows that the agent does not know, and what it
 	// bounces goes on to the next agent.
 	adoptUntil time.Duration
+	orphans    *flow.Orphans
 	// record is what the agent says about itself.
 	record    wire.AgentRecord
 	isLeaving bool
@@ -67,13 +68,15 @@
 			ColdFactor: s.Opaque.ColdFactor, ColdSlack: s.Opaque.ColdSlack,
 		},
 		given:      make(given),
+		orphans:    flow.NewOrphans(),
 		adoptUntil: s.Opaque.FlowLifetime,
 		metrics:    newMetrics(instance.Metrics),
 	}
 	a.gate.Silence = max(a.gate.Silence, s.Opaque.Heartbeat+heartbeatSlack)
 	a.record = wire.AgentRecord{
 		Address: routing.AddressNumber(s.Link.Listen.Addr()), Port: uint32(s.Link.Listen.Port()),
-		Zone: s.Zone, Incarnation: instance.Incarnation,
+		// The endpoint may hold flows from before the agent's start.
+		Zone: s.Zone, Service: s.Opaque.Service, Incarnation: instance.Incarnation,
 	}
 	node, err := opaque.NewNode(instance, a.describe, opaque.Handlers{Offer: a.takeOffer})
 	if err != nil {
@@ -106,7 +109,7 @@
 
 // refreshRecord follows the endpoint's state.
 func (a *Agent) refreshRecord() {
-	service, isReady := "", false
+	service, isReady := a.record.Service, false
 	if a.endpoint != nil {
 		service = a.endpoint.Service
 		isReady = !a.endpoint.IsDraining && !a.isLeaving && a.node.Now()-a.endpoint.HeardAt <= a.gate.Silence
@@ -150,6 +153,7 @@
 		a.mu.Lock()
 		a.table.Sweep(a.node.Now(), a.node.State().Table.IdleTimeout)
 		a.given.sweep(a.node.Now())
+		a.orphans.Sweep(a.node.Now())
 		a.metrics.flows.Set(float64(a.table.Len()))
 		a.metrics.inFlight.Set(float64(a.table.Busy()))
 		before := a.record.Sequence
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -81,7 +81,8 @@
 	if isOwn {
 		a.instance.Log.Info().Str("endpoint", id).Msg("endpoint left")
 		a.endEndpoint("endpoint-left")
-		a.refreshRecord()
+		a.record.Service, a.record.Ready = "", false
+		a.record.Sequence++
 	}
 	a.mu.Unlock()
 	if isOwn {
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -119,15 +119,20 @@
 		}
 		return
 	}
-	if a.table.Get(key) == nil && now < a.adoptUntil && a.given.note(now, key, offer) {
+	isAdopting := a.table.Get(key) == nil && now < a.adoptUntil
+	if isAdopting && a.endpoint != nil && a.given.note(now, key, offer) {
 		a.deliver(buffer[opaque.OfferSpace:])
 		return
 	}
-	a.passOn(key, offer, buffer)
+	// An endpoint that has not announced itself may be starting, and would reset
+	// the flow of another one.
+	offer.IsIncomplete = offer.IsIncomplete || isAdopting
+	a.passOn(h, offer, buffer)
 }
 
 // passOn sends a packet to the next agent that may hold its flow.
-func (a *Agent) passOn(key flow.Key, offer *opaque.Offer, buffer []byte) {
+func (a *Agent) passOn(h *flow.Header, offer *opaque.Offer, buffer []byte) {
+	key := h.FromCaller()
 	state := a.node.State()
 	hash := key.Hash()
 	order := flow.Order{
@@ -137,6 +142,10 @@
 	next, ok := order.Next(a.node.Address(), offer.IsShortcut)
 	offer.IsShortcut = false
 	offer.Hops++
+	if (!ok || next.IsGone) && a.isOrphan(h, offer) {
+		a.sendReset(key, h.Ack, "no-agent-holds-flow")
+		return
+	}
 	if !ok || offer.Hops > state.View.Count()+goneHops {
 		a.metrics.dropped.WithLabelValues("no-holder").Inc()
 		a.instance.Decisions.Decision("drop").Str("flow", key.String()).Int("hops", offer.Hops).
@@ -146,6 +155,21 @@
 	a.node.SendOffer(offer, buffer, next.Address)
 }
 
+// isOrphan reports whether the caller of a flow is to be told that no agent
+// holds it. All living agents have been asked, this one being the last; those
+// that are gone are still given the packet, and were they alive behind a cut,
+// the caller would have their answer and not repeat itself.
+func (a *Agent) isOrphan(h *flow.Header, offer *opaque.Offer) bool {
+	if h.IsRST || !h.IsACK || offer.IsIncomplete {
+		return false
+	}
+	if a.orphans.Note(a.node.Now(), a.node.KnownAt(), h.FromCaller()) {
+		return true
+	}
+	a.node.Refresh()
+	return false
+}
+
 // goneHops is how many agents beyond the living ones a packet may pass.
 const goneHops = 4
 
@@ -176,7 +200,11 @@
 		a.takeBounced(&h, buffer)
 		return
 	}
-	a.table.FromEndpoint(a.node.Now(), &h)
+	if a.table.FromEndpoint(a.node.Now(), &h) == nil && a.endpoint == nil {
+		// An endpoint that is only starting resets whatever reaches it.
+		a.metrics.dropped.WithLabelValues("endpoint-starting").Inc()
+		return
+	}
 	a.node.SendPacket(packet, h.Destination.Addr())
 }
 
@@ -203,5 +231,5 @@
 		a.handOn(h, key, &offer, buffer, flow.RefusedByEndpoint)
 		return
 	}
-	a.passOn(key, &offer, buffer)
+	a.passOn(h, &offer, buffer)
 }
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -54,6 +54,9 @@
 	// IsShortcut: the packet goes to the agent that the balancer remembers, not
 	// along the order.
 	IsShortcut bool
+	// IsIncomplete: an agent that could not tell whether its endpoint holds the
+	// flow has passed the packet on.
+	IsIncomplete bool
 	// Origin is the zone in which the packet came in.
 	Origin flow.ZoneTag
 	// Service is the service that the balancer chose for a SYN.
@@ -101,7 +104,10 @@
 	b[2] = byte(o.candidateCount)
 	b[3] = 0
 	if o.IsShortcut {
-		b[3] = 1
+		b[3] |= markShortcut
+	}
+	if o.IsIncomplete {
+		b[3] |= markIncomplete
 	}
 	binary.BigEndian.PutUint32(b[4:], uint32(o.Origin))
 	binary.BigEndian.PutUint32(b[8:], uint32(o.Service))
@@ -114,6 +120,12 @@
 	return b
 }
 
+// Marks of an offer.
+const (
+	markShortcut = 1 << iota
+	markIncomplete
+)
+
 // maxHops bounds the way of a packet over agents.
 const maxHops = 255
 
@@ -124,7 +136,8 @@
 	}
 	*o = Offer{
 		Hops:           int(data[1]),
-		IsShortcut:     data[3] != 0,
+		IsShortcut:     data[3]&markShortcut != 0,
+		IsIncomplete:   data[3]&markIncomplete != 0,
 		Origin:         flow.ZoneTag(binary.BigEndian.Uint32(data[4:])),
 		Service:        ServiceTag(binary.BigEndian.Uint32(data[8:])),
 		Balancer:       getAddress(data[12:]),
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -61,7 +61,9 @@
 	started  time.Time
 	state    atomic.Pointer[State]
 	poller   *poller
-	metrics  nodeMetrics
+	// knownAt is the time as of which all agents are known, in nanoseconds.
+	knownAt atomic.Int64
+	metrics nodeMetrics
 }
 
 type nodeMetrics struct {
@@ -125,6 +127,9 @@
 // State returns what the instance knows now.
 func (n *Node) State() *State { return n.state.Load() }
 
+// KnownAt is the time as of which the state holds all agents that control knows.
+func (n *Node) KnownAt() time.Duration { return time.Duration(n.knownAt.Load()) }
+
 // Address is where other instances reach this one.
 func (n *Node) Address() netip.AddrPort { return n.instance.Settings.Link.Listen }
 
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -47,6 +47,14 @@
 		w.addSite("orders")
 		w.sleep(2 * time.Second)
 	}},
+	{"an agent comes seconds before its endpoint, which resets what it gets", func(w *world) {
+		for range 2 {
+			s := w.addSite("orders")
+			s.endpoint.isStarting, s.endpoint.isMute = true, true
+			s.restartAgent(0)
+		}
+		w.sleep(2 * time.Second)
+	}},
 	{"an endpoint drains", func(w *world) {
 		w.sites[0].endpoint.isDraining = true
 		w.sites[0].endpoint.announce()
@@ -229,6 +237,36 @@
 	})
 }
 
+// All endpoints and agents lose power. Nobody knows the flows of before; their
+// callers are told within a second, after an agent has asked all others.
+func TestCallersOfForgottenFlowsAreReset(t *testing.T) {
+	play(t, false, 3, 4, func(w *world) {
+		var flows []*callerFlow
+		for range 10 {
+			f := w.dial(orders, anyZone)
+			w.g.Expect(f.request()).NotTo(BeEmpty())
+			flows = append(flows, f)
+		}
+		for _, s := range w.sites {
+			s.stop()
+			s.startEndpoint("orders")
+		}
+		w.sleep(100 * time.Millisecond)
+		for _, s := range w.sites {
+			s.startAgent()
+			s.endpoint.announce()
+		}
+		w.sleep(700 * time.Millisecond)
+		for _, f := range flows {
+			start := time.Now()
+			w.g.Expect(f.request()).To(BeEmpty())
+			w.g.Expect(f.isReset).To(BeTrue())
+			w.g.Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+			w.g.Expect(w.isServed(orders)).To(BeTrue())
+		}
+	})
+}
+
 // What cannot be served is refused at once, not after the caller's patience.
 func TestRefusalsComeAtOnce(t *testing.T) {
 	cases := []struct {
@@ -296,3 +334,30 @@
 		}
 	})
 }
+
+// An agent and its endpoint are gone for good. Callers of their flows are told
+// while the system still remembers the agent, not only once it has forgotten.
+func TestCallersOfAGoneEndpointAreReset(t *testing.T) {
+	play(t, false, 3, 4, func(w *world) {
+		var flows []*callerFlow
+		for range 24 {
+			f := w.dial(orders, anyZone)
+			w.g.Expect(f.request()).NotTo(BeEmpty())
+			flows = append(flows, f)
+		}
+		lost := w.sites[1]
+		lost.stop()
+		lost.endpoint.stop()
+		w.sleep(4 * time.Second)
+		for _, f := range flows {
+			if lost.endpoint.opened[f.key] == 0 {
+				w.g.Expect(f.request()).NotTo(BeEmpty())
+				continue
+			}
+			start := time.Now()
+			w.g.Expect(f.request()).To(BeEmpty())
+			w.g.Expect(f.isReset).To(BeTrue())
+			w.g.Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+		}
+	})
+}
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -49,6 +49,8 @@
 	control []netip.AddrPort
 	// isServed: the current instance has given a usable answer.
 	isServed bool
+	// askedAt is when the newest poll was sent.
+	askedAt time.Duration
 	// interval is how long to wait for the next poll.
 	interval time.Duration
 
@@ -161,6 +163,7 @@
 // ask polls the current control instance once.
 func (p *poller) ask(ctx context.Context) *wire.PollAnswer {
 	asked := time.Now()
+	p.askedAt = p.node.Now()
 	p.sequence++
 	p.node.SendMessage(KindPoll, p.question(), p.control[0])
 	timer := time.NewTimer(answerTimeout)
@@ -213,6 +216,9 @@
 		More: message.More, Restart: message.Restart,
 	}
 	isChanged := p.replica.Apply(now, delta)
+	if !delta.More {
+		p.node.knownAt.Store(int64(p.askedAt))
+	}
 	if message.ZoneIndex > p.zoneIndex {
 		p.takeZones(message)
 		isChanged = true
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -18,9 +18,10 @@
 )
 
 const (
-	// Timeout is how long an agent may be silent before it counts as gone: five
-	// polls and the time in which a node finds another control instance.
-	Timeout = 3500 * time.Millisecond
+	// Timeout is how long an agent may be silent before it counts as gone: a poll,
+	// the time in which a node finds another control instance, a round of gossip,
+	// and as much again for lost datagrams.
+	Timeout = 2 * time.Second
 	// goneRetention is how long the roster tells that an agent is gone; nodes
 	// whose revision is older begin anew.
 	goneRetention = time.Minute
@@ -248,6 +249,9 @@
 // recordOverhead is the tag and length of a record in its list.
 const recordOverhead = 3
 
+// Revision counts the changes of the roster.
+func (r *Roster) Revision() uint64 { return r.revision }
+
 // Counts returns how many agents live and how many are gone.
 func (r *Roster) Counts() (living, gone int) {
 	for _, e := range r.entries {
--- a/internal/settings/opaque.go
+++ b/internal/settings/opaque.go
@@ -31,6 +31,8 @@
 	CallerPort uint16
 	// Endpoint is the UDP address of an agent's endpoint.
 	Endpoint netip.AddrPort
+	// Service is the service of an agent's endpoint, until the endpoint says it.
+	Service string
 	// Outbound is the UDP address at which an agent gets its endpoint's packets.
 	Outbound netip.AddrPort
 	// Announce is the HTTP address at which an agent hears its endpoint.
@@ -87,6 +89,7 @@
 		s.Opaque.Ready = file.RequiredAddrPort(sectionOpaque, "ready")
 	case RoleAgent:
 		s.Opaque.Endpoint = file.RequiredAddrPort(sectionOpaque, "endpoint")
+		s.Opaque.Service = file.String(sectionOpaque, "service", "")
 		s.Opaque.Outbound = file.RequiredAddrPort(sectionOpaque, "outbound")
 		s.Opaque.Announce = file.RequiredAddrPort(sectionOpaque, "announce")
 	case RoleControl:
