Emulate loads on endpoints, and let the last agents queue more

The last of four agents refused at 10 in flight of 5 slots; after an outage that refused callers whom the endpoints would have served in time (emulated: more than twice what the endpoints' queues cannot hold).

--- /dev/null
+++ b/internal/emulate/emulate.go
@@ -0,0 +1,253 @@
+// Package emulate plays loads on a model of endpoints in virtual time and tells
+// what callers get under each way of placing new flows. It compares the
+// product's own decisions with simpler ones; it opens no socket.
+package emulate
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Endpoint is one endpoint of the model.
+type Endpoint struct {
+	Zone  string
+	Slots int
+	// Queue is how many requests wait at the endpoint before it bounces flows.
+	Queue int
+	// Slow is by how much work takes longer; 0 counts as 1.
+	Slow float64
+	// ColdFor is how long the endpoint is cold from the beginning, and ColdSlow by
+	// how much work takes longer meanwhile.
+	ColdFor  time.Duration
+	ColdSlow float64
+}
+
+// Load is what callers ask for.
+type Load struct {
+	Length time.Duration
+	// PerSecond is the rate of requests, and Burst the factor on it between
+	// BurstFrom and BurstTo.
+	PerSecond          float64
+	Burst              float64
+	BurstFrom, BurstTo time.Duration
+	// Waiting is how many requests come at the very beginning, as after an outage.
+	Waiting int
+	// Work is the mean work of a request.
+	Work time.Duration
+	// Aim is the time within which callers want their answer, and Deadline that
+	// at which they give up.
+	Aim, Deadline time.Duration
+	// Retries is how often a caller tries again after a refusal.
+	Retries int
+}
+
+// Placer chooses the endpoint of a new flow.
+type Placer interface {
+	// Place returns the endpoint for a flow from a zone, or false to refuse it.
+	Place(world *World, flow uint64, zone string) (endpoint int, ok bool)
+}
+
+// Result is what callers got.
+type Result struct {
+	Requests, InAim, Late, Failed int
+	// Refusals counts refused tries, also of requests that were answered later.
+	Refusals int
+	P50, P99 time.Duration
+}
+
+// ShareInAim is the share of requests answered within their aim.
+func (r Result) ShareInAim() float64 { return share(r.InAim, r.Requests) }
+
+// ShareFailed is the share of requests that got no answer.
+func (r Result) ShareFailed() float64 { return share(r.Failed, r.Requests) }
+
+func share(part, whole int) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+const (
+	// networkDelay is the way from a caller to an endpoint and back.
+	networkDelay = 4 * time.Millisecond
+	// retryDelay is how long a caller waits before it tries again.
+	retryDelay = 20 * time.Millisecond
+	// workSpread is the standard deviation of the logarithm of the work.
+	workSpread = 0.5
+)
+
+// World is the state of a run, as placers see it.
+type World struct {
+	Now       time.Duration
+	Endpoints []Endpoint
+	// InFlight is how many requests each endpoint works on or holds waiting.
+	InFlight []int
+
+	load    Load
+	random  *rand.Rand
+	events  eventHeap
+	waiting [][]*request
+	result  Result
+	times   []time.Duration
+}
+
+type request struct {
+	flow   uint64
+	zone   string
+	asked  time.Duration
+	tries  int
+	isDone bool
+}
+
+type event struct {
+	at   time.Duration
+	turn int
+	do   func()
+}
+
+type eventHeap struct {
+	events []event
+	turns  int
+}
+
+// Len, Less, Swap, Push and Pop make a heap by time and order of scheduling.
+func (h *eventHeap) Len() int { return len(h.events) }
+
+// Less orders events.
+func (h *eventHeap) Less(a, b int) bool {
+	if h.events[a].at != h.events[b].at {
+		return h.events[a].at < h.events[b].at
+	}
+	return h.events[a].turn < h.events[b].turn
+}
+
+// Swap swaps events.
+func (h *eventHeap) Swap(a, b int) { h.events[a], h.events[b] = h.events[b], h.events[a] }
+
+// Push appends an event.
+func (h *eventHeap) Push(x any) { h.events = append(h.events, x.(event)) }
+
+// Pop removes the last event.
+func (h *eventHeap) Pop() any {
+	last := h.events[len(h.events)-1]
+	h.events = h.events[:len(h.events)-1]
+	return last
+}
+
+func (w *World) after(delay time.Duration, do func()) {
+	w.events.turns++
+	heap.Push(&w.events, event{at: w.Now + delay, turn: w.events.turns, do: do})
+}
+
+// Run plays a load and returns what callers got. The same seed gives the same run.
+func Run(endpoints []Endpoint, load Load, placer Placer, seed uint64) Result {
+	w := &World{
+		Endpoints: endpoints, InFlight: make([]int, len(endpoints)), load: load,
+		random: rand.New(rand.NewPCG(seed, 17)), waiting: make([][]*request, len(endpoints)),
+	}
+	for range load.Waiting {
+		w.ask(placer)
+	}
+	w.scheduleNext(placer)
+	for len(w.events.events) > 0 {
+		next := heap.Pop(&w.events).(event)
+		w.Now = next.at
+		next.do()
+	}
+	return w.finish()
+}
+
+func (w *World) scheduleNext(placer Placer) {
+	rate := w.load.PerSecond
+	if w.Now >= w.load.BurstFrom && w.Now < w.load.BurstTo {
+		rate *= w.load.Burst
+	}
+	if rate <= 0 || w.Now >= w.load.Length {
+		return
+	}
+	w.after(time.Duration(w.random.ExpFloat64()/rate*float64(time.Second)), func() {
+		w.ask(placer)
+		w.scheduleNext(placer)
+	})
+}
+
+func (w *World) ask(placer Placer) {
+	r := &request{asked: w.Now, zone: w.Endpoints[w.random.IntN(len(w.Endpoints))].Zone}
+	w.result.Requests++
+	w.after(w.load.Deadline, func() {
+		if !r.isDone {
+			r.isDone = true
+			w.result.Failed++
+		}
+	})
+	w.try(placer, r)
+}
+
+// try opens a flow for a request.
+func (w *World) try(placer Placer, r *request) {
+	if r.isDone {
+		return
+	}
+	r.flow = w.random.Uint64()
+	chosen, ok := placer.Place(w, r.flow, r.zone)
+	if ok && w.InFlight[chosen] < w.Endpoints[chosen].Slots+w.Endpoints[chosen].Queue {
+		w.accept(chosen, r)
+		return
+	}
+	w.result.Refusals++
+	r.tries++
+	if r.tries > w.load.Retries {
+		r.isDone = true
+		w.result.Failed++
+		return
+	}
+	w.after(retryDelay, func() { w.try(placer, r) })
+}
+
+func (w *World) accept(chosen int, r *request) {
+	w.InFlight[chosen]++
+	if w.InFlight[chosen] <= w.Endpoints[chosen].Slots {
+		w.work(chosen, r)
+		return
+	}
+	w.waiting[chosen] = append(w.waiting[chosen], r)
+}
+
+func (w *World) work(chosen int, r *request) {
+	w.after(w.workTime(chosen), func() {
+		w.InFlight[chosen]--
+		if !r.isDone {
+			r.isDone = true
+			w.answered(w.Now - r.asked + networkDelay)
+		}
+		if queue := w.waiting[chosen]; len(queue) > 0 {
+			w.waiting[chosen] = queue[1:]
+			w.work(chosen, queue[0])
+		}
+	})
+}
+
+func (w *World) workTime(chosen int) time.Duration {
+	endpoint := &w.Endpoints[chosen]
+	// The mean of this distribution is the load's mean work.
+	work := float64(w.load.Work) * math.Exp(workSpread*w.random.NormFloat64()-workSpread*workSpread/2)
+	if endpoint.Slow > 0 {
+		work *= endpoint.Slow
+	}
+	if w.Now < endpoint.ColdFor && endpoint.ColdSlow > 0 {
+		work *= endpoint.ColdSlow
+	}
+	return time.Duration(work)
+}
+
+func (w *World) answered(took time.Duration) {
+	w.times = append(w.times, took)
+	if took <= w.load.Aim {
+		w.result.InAim++
+	} else {
+		w.result.Late++
+	}
+}
--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -45,15 +45,15 @@
 	IsRouteAllowed bool
 	IsZoneOut      bool
 	IsLeaving      bool
-	// IsLast: no other agent is left to offer the flow to.
-	IsLast bool
+	// Others is how many other agents are left to offer the flow to.
+	Others int
 	// Busy is how many requests are in flight at the endpoint.
 	Busy int
 }
 
 // Gate decides which new flows the agent's endpoint gets. It answers bursts,
 // slow endpoints and cold ones: a flow that would wait is offered to the next
-// agent, and only the last one lets it wait, up to a bound.
+// agents, and only the last ones let it wait, up to a bound.
 type Gate struct {
 	// Silence is how long an endpoint may be silent before it gets no new flows:
 	// less than the time after which its address may serve another service.
@@ -75,11 +75,26 @@
 	coldWindow = time.Second
 	// coldWindowSlack covers the way between agent and endpoint.
 	coldWindowSlack = 20 * time.Millisecond
-	// queuePerSlot is how many requests may wait for each slot when all agents
-	// are busy: more than that would wait longer than callers want.
-	queuePerSlot = 1
+	// maxQueuePerSlot is how many requests may wait for each slot of the last
+	// agent that is offered a flow: as many as the known endpoints hold themselves.
+	// Callers who wait for four others still get their answer well within their
+	// deadline; a refusal would cost them a try.
+	maxQueuePerSlot = 4
 )
 
+// queuePerSlot is how many requests may wait for each slot at an agent that is
+// not the last: none where two or more others may have a free slot.
+func queuePerSlot(others int) int {
+	switch others {
+	case 0:
+		return maxQueuePerSlot
+	case 1:
+		return maxQueuePerSlot / 2
+	default:
+		return 0
+	}
+}
+
 // Decide says whether the endpoint gets a new flow now.
 func (g *Gate) Decide(now time.Duration, endpoint *Endpoint, coldPerSecond float64, request Request) Reason {
 	switch {
@@ -96,11 +111,7 @@
 	case request.IsZoneOut:
 		return RefusedZoneOut
 	}
-	limit := endpoint.Slots
-	if request.IsLast {
-		limit += endpoint.Slots * queuePerSlot
-	}
-	if request.Busy >= limit {
+	if request.Busy >= endpoint.Slots*(1+queuePerSlot(request.Others)) {
 		return RefusedBusy
 	}
 	if now < endpoint.ColdUntil && coldPerSecond > 0 && !g.admitCold(now, coldPerSecond) {
--- a/internal/flow/gate_test.go
+++ b/internal/flow/gate_test.go
@@ -26,9 +26,11 @@
 		{name: "agent leaves", request: func(r *Request) { r.IsLeaving = true }, want: RefusedLeaving},
 		{name: "other service", request: func(r *Request) { r.IsRouteAllowed = false }, want: RefusedOtherRoute},
 		{name: "zone out", request: func(r *Request) { r.IsZoneOut = true }, want: RefusedZoneOut},
-		{name: "busy with others left", request: func(r *Request) { r.Busy = 5 }, want: RefusedBusy},
-		{name: "busy and last", request: func(r *Request) { r.Busy, r.IsLast = 5, true }, want: Taken},
-		{name: "full and last", request: func(r *Request) { r.Busy, r.IsLast = 10, true }, want: RefusedBusy},
+		{name: "busy with others left", request: func(r *Request) { r.Busy, r.Others = 5, 2 }, want: RefusedBusy},
+		{name: "busy with one left", request: func(r *Request) { r.Busy, r.Others = 14, 1 }, want: Taken},
+		{name: "a queue with one left", request: func(r *Request) { r.Busy, r.Others = 15, 1 }, want: RefusedBusy},
+		{name: "a queue and last", request: func(r *Request) { r.Busy = 24 }, want: Taken},
+		{name: "full and last", request: func(r *Request) { r.Busy = 25 }, want: RefusedBusy},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -76,7 +76,7 @@
 	request := flow.Request{
 		IsZoneOut: state.IsOut(a.instance.Settings.Zone),
 		IsLeaving: a.isLeaving,
-		IsLast:    len(offer.Candidates()) == 0,
+		Others:    len(offer.Candidates()),
 		Busy:      a.table.Busy(),
 	}
 	var coldPerSecond float64
