--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"sassafrasturn.example/internal/consensus"
 	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/pause"
@@ -53,6 +54,7 @@
 		return nil, err
 	}
 	c.loop = newLoop(c.replica, started, c.learn)
+	c.loop.changed = c.logChange
 	registerMetrics(instance.Metrics, c.loop)
 	if instance.Settings.Mode == settings.ModeOpaque {
 		c.replica.voters = instance.Settings.Opaque.Voters
@@ -75,6 +77,16 @@
 	}
 }
 
+// logChange logs what the instance newly believes of its group.
+func (c *Control) logChange(before, after *consensus.Status) {
+	if before.Role == after.Role && before.Leader == after.Leader && before.Term == after.Term &&
+		len(before.Group.GetMembers()) == len(after.Group.GetMembers()) {
+		return
+	}
+	c.instance.Log.Info().Stringer("role", after.Role).Uint64("leader", after.Leader).Uint64("term", after.Term).
+		Uint64("committed", after.Commit).Int("members", len(after.Group.GetMembers())).Msg("control group changed")
+}
+
 // Run takes part in the agreement and registers zones until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
 	s := c.instance.Settings
--- a/internal/machine/control/loop.go
+++ b/internal/machine/control/loop.go
@@ -29,6 +29,8 @@
 	done     chan struct{}
 	status   atomic.Pointer[consensus.Status]
 	identity atomic.Pointer[wire.DiskIdentity]
+	// changed is told the status before and now, each time it is noted; it may be nil.
+	changed func(before, after *consensus.Status)
 	// learn is told the address of each member.
 	learn func(id uint64, address string)
 }
@@ -109,7 +111,10 @@
 	for _, member := range status.Group.GetMembers() {
 		l.learn(member.Id, member.Address)
 	}
-	l.status.Store(&status)
+	before := l.status.Swap(&status)
+	if l.changed != nil && before != nil {
+		l.changed(before, &status)
+	}
 	l.identity.Store(l.replica.identity)
 }
 
--- a/internal/machine/control/serve.go
+++ b/internal/machine/control/serve.go
@@ -96,6 +96,7 @@
 	c.instance.Log.Info().Str("submission", command.SubmissionId).
 		Str("service", command.GetSubmit().GetService()+command.GetWithdraw().GetService()).
 		Str("zone", command.GetSetZone().GetName()).Bool("out", command.GetSetZone().GetOut()).
+		Uint64("routing_version", command.GetReplaceRouting().GetVersion()).
 		Stringer("outcome", result.Outcome).Uint64("index", result.Index).Uint64("version", result.Version).
 		Msg("command answered")
 }
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -73,6 +73,7 @@
 	// peers are the peers of the newest settings.
 	peers atomic.Pointer[[]netip.AddrPort]
 
+	logWriter *logWriter
 	publisher publisher
 	mesh      *exchange.Mesh
 	server    *link.Server
@@ -89,7 +90,8 @@
 	if err != nil {
 		return nil, err
 	}
-	logger := newLogger(s)
+	writer := newLogWriter(os.Stdout)
+	logger := newLogger(s, writer)
 	instance := &Instance{
 		Settings:    s,
 		Log:         logger,
@@ -102,6 +104,8 @@
 		Lease:       zone.NewHolder(),
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
+	instance.logWriter = writer
+	writer.register(instance.Metrics)
 	instance.peers.Store(&s.Cluster.Peers)
 	instance.server = &link.Server{TLS: serverTLS, Handler: instance}
 	instance.mesh = exchange.NewMesh(instance.meshConfig())
@@ -133,14 +137,6 @@
 	return config
 }
 
-func newLogger(s *settings.Settings) *log.Logger {
-	return &log.Logger{
-		Level:   log.ParseLevel(s.Log.Level),
-		Writer:  &log.IOWriter{Writer: os.Stderr},
-		Context: log.NewContext(nil).Str("instance", s.Instance).Value(),
-	}
-}
-
 // AddRole adds a role. Roles drain in the order in which they were added.
 func (i *Instance) AddRole(role Role) {
 	i.roles = append(i.roles, role)
@@ -149,6 +145,7 @@
 // Run works until ctx ends, then drains the roles one after the other and
 // stops. It returns the first error that stopped a role.
 func (i *Instance) Run(ctx context.Context) error {
+	defer i.logWriter.flush()
 	// The links outlive the roles, so that draining can still be published.
 	linkCtx, stopLinks := context.WithCancel(context.Background())
 	defer stopLinks()
