Let agents without an endpoint step out of the way of other flows' packets

An agent that stops without an endpoint says so, and one whose endpoint does not announce itself withdraws.

--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -13,6 +13,7 @@
 	"sassafrasturn.example/internal/machine/opaque"
 	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/roster"
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -181,7 +182,7 @@
 	known := d.heardAddresses()
 	d.mu.Unlock()
 	for _, record := range lost {
-		d.control.instance.Log.Info().Uint32("address", record.Address).Str("service", record.Service).
+		d.control.instance.Log.Info().Stringer("agent", routing.NumberAddress(record.Address)).Str("service", record.Service).
 			Str("zone", record.Zone).Msg("agent not heard for long, taken for gone")
 	}
 	own := d.node.Address()
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -199,7 +199,8 @@
 	for _, role := range i.roles {
 		go func() { failed <- role.Run(roleCtx) }()
 	}
-	i.Log.Info().Str("role", string(i.Settings.Role)).Str("zone", i.Settings.Zone).Msg("instance started")
+	i.Log.Info().Str("role", string(i.Settings.Role)).Str("zone", i.Settings.Zone).
+		Stringer("link", i.Settings.Link.Listen).Msg("instance started")
 	select {
 	case err := <-failed:
 		if err != nil {
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -30,6 +30,9 @@
 	// leaveTime is how long an agent that stops hands new flows on: until the
 	// balancers know, two polls each way.
 	leaveTime = 1500 * time.Millisecond
+	// withdrawTime lets the last poll reach a control instance, or a second one
+	// when the first does not answer.
+	withdrawTime = 400 * time.Millisecond
 )
 
 // Agent is the agent role of an instance.
@@ -110,6 +113,10 @@
 // refreshRecord follows the endpoint's state.
 func (a *Agent) refreshRecord() {
 	service, isReady := a.record.Service, false
+	if a.endpoint == nil && a.node.Now() > a.gate.Silence {
+		// No endpoint has survived the start of the agent.
+		service = ""
+	}
 	if a.endpoint != nil {
 		service = a.endpoint.Service
 		isReady = !a.endpoint.IsDraining && !a.isLeaving && a.node.Now()-a.endpoint.HeardAt <= a.gate.Silence
@@ -166,16 +173,26 @@
 	}
 }
 
-// Drain hands new flows on until the balancers know.
+// Drain hands new flows on until the balancers know. An agent without an
+// endpoint says that it holds no flows, so that no packet is sent its way.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
 	a.isLeaving = true
-	hasEndpoint := a.endpoint != nil
+	wait := leaveTime
+	if a.endpoint == nil {
+		a.withdraw()
+		wait = withdrawTime
+	}
 	a.mu.Unlock()
 	a.node.Refresh()
-	if hasEndpoint {
-		pause.For(ctx, min(leaveTime, a.instance.Settings.Opaque.StopTime/2))
-	}
+	pause.For(ctx, min(wait, a.instance.Settings.Opaque.StopTime/2))
+}
+
+// withdraw takes the agent out of the views: its endpoint is gone, and its flows
+// with it.
+func (a *Agent) withdraw() {
+	a.record.Service, a.record.Ready = "", false
+	a.record.Sequence++
 }
 
 // ServeStream serves no requests.
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -81,8 +81,7 @@
 	if isOwn {
 		a.instance.Log.Info().Str("endpoint", id).Msg("endpoint left")
 		a.endEndpoint("endpoint-left")
-		a.record.Service, a.record.Ready = "", false
-		a.record.Sequence++
+		a.withdraw()
 	}
 	a.mu.Unlock()
 	if isOwn {
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -1,6 +1,7 @@
 package pathtest
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -361,3 +362,51 @@
 		}
 	})
 }
+
+// Agents come back without their endpoints, and stop again. None of them may
+// swallow the packets that pass along the order to the holder of a flow.
+func TestAgentsWithoutEndpointStepOutOfTheWay(t *testing.T) {
+	cases := []struct {
+		name string
+		stop func(w *world, s *site)
+	}{
+		{"they stop at once and say so", func(w *world, s *site) {
+			w.mu.Unlock()
+			s.agent.Drain(context.Background())
+			w.mu.Lock()
+			s.stop()
+		}},
+		{"they are killed after a while", func(w *world, s *site) {
+			w.sleep(3 * time.Second)
+			s.stop()
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, false, 2, 8, func(w *world) {
+				for _, s := range w.sites[:5] {
+					s.endpoint.stop()
+					s.endpoint.isMute = true
+					s.restartAgent(0)
+				}
+				w.sleep(1600 * time.Millisecond)
+				f := w.dial(orders, anyZone)
+				w.g.Expect(f.request()).NotTo(BeEmpty())
+				for _, s := range w.sites[:5] {
+					c.stop(w, s)
+				}
+				// Another balancer knows nothing of the flow's holder.
+				for _, b := range w.balancers {
+					b.isReady = false
+				}
+				w.addBalancer()
+				w.sleep(200 * time.Millisecond)
+				for range 5 {
+					start := time.Now()
+					w.g.Expect(f.request()).NotTo(BeEmpty())
+					w.g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+				}
+			})
+		})
+	}
+}
