--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,7 +1,9 @@
 package settings_test
 
 import (
+	"os"
 	"path/filepath"
+	"regexp"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -61,3 +63,48 @@
 		}
 	})
 }
+
+func TestOpaqueExamplesHaveNoFindings(t *testing.T) {
+	g := NewWithT(t)
+	paths, err := filepath.Glob("../../examples/opaque/*.ini")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(paths).To(HaveLen(3))
+	for _, path := range paths {
+		s, err := settings.Load(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(s.Mode).To(Equal(settings.ModeOpaque))
+	}
+}
+
+func TestFindingsOfTheOpaqueModeComeTogether(t *testing.T) {
+	const text = `
+[instance]
+mode = opaque
+role = agent
+name = a
+zone = z
+[cluster]
+[link]
+listen = [::1]:7400
+[opaque]
+caller_port = 70000
+heartbeat = soon
+cold_percent = 0
+`
+	_, err := settings.Parse("agent.ini", []byte(text))
+	for _, place := range []string{
+		"[cluster] keys", "[link] listen", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
+		"[opaque] endpoint", "[opaque] outbound", "[opaque] announce",
+	} {
+		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(place)))
+	}
+}
+
+func TestOnlyTheOpaqueModeIsInsecure(t *testing.T) {
+	data, err := os.ReadFile("../../examples/settings/balancer.ini")
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	text := regexp.MustCompile(`(?m)^keys = .*$`).ReplaceAllString(string(data), "insecure = true")
+	_, err = settings.Parse("balancer.ini", []byte(text))
+	g.Expect(err).To(MatchError(ContainSubstring("insecure")))
+}
