--- a/cmd/sassafrasturnbench/main.go
+++ b/cmd/sassafrasturnbench/main.go
@@ -23,6 +23,7 @@
 	subcommands.Register(&imbalanceCommand{}, "measures")
 	subcommands.Register(&zoneMoveCommand{}, "measures")
 	subcommands.Register(&slopesCommand{}, "measures")
+	subcommands.Register(&emulateCommand{}, "measures")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- /dev/null
+++ b/internal/emulate/compare.go
@@ -0,0 +1,127 @@
+package emulate
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Scenario is a load on a set of endpoints.
+type Scenario struct {
+	Name      string
+	Endpoints []Endpoint
+	Load      Load
+}
+
+// Row is what callers got in one scenario with one placer, as means over seeds;
+// the percentiles are those of the worst seed.
+type Row struct {
+	Scenario, Placer    string
+	InAim, Late, Failed float64
+	P50, P99            time.Duration
+}
+
+// site gives endpoints like those of the smaller known deployments, spread over
+// three zones.
+func site(count int, change func(i int, e *Endpoint)) []Endpoint {
+	endpoints := make([]Endpoint, count)
+	for i := range endpoints {
+		endpoints[i] = Endpoint{Zone: string(rune('a' + i%3)), Slots: 5, Queue: 20}
+		if change != nil {
+			change(i, &endpoints[i])
+		}
+	}
+	return endpoints
+}
+
+// usual is a load of 45% of what seven endpoints bear.
+func usual() Load {
+	return Load{
+		Length: 20 * time.Second, PerSecond: 500, Work: 32 * time.Millisecond,
+		Aim: 150 * time.Millisecond, Deadline: time.Second, Retries: 2,
+	}
+}
+
+// Scenarios are the loads that the placers are compared under.
+func Scenarios() []Scenario {
+	burst := usual()
+	burst.Burst, burst.BurstFrom, burst.BurstTo = 2.6, 5*time.Second, 8*time.Second
+	outage := usual()
+	outage.Waiting, outage.Length = 300, 3*time.Second
+	return []Scenario{
+		{Name: "calm", Endpoints: site(7, nil), Load: usual()},
+		{Name: "slow-endpoints", Endpoints: site(7, func(i int, e *Endpoint) {
+			if i < 2 {
+				e.Slow = 5
+			}
+		}), Load: usual()},
+		{Name: "burst", Endpoints: site(7, nil), Load: burst},
+		{Name: "after-outage", Endpoints: site(9, func(_ int, e *Endpoint) { e.ColdFor, e.ColdSlow = 2*time.Second, 1.6 }), Load: outage},
+	}
+}
+
+// placers are the ways of placing that are compared, made anew for each run.
+var placers = []struct {
+	name string
+	make func() Placer
+}{
+	{"offering", func() Placer { return &Offering{Candidates: 4} }},
+	{"hash", func() Placer { return Hash{} }},
+	{"least-reported", func() Placer { return &LeastReported{Every: 500 * time.Millisecond} }},
+}
+
+// Compare plays all scenarios with all placers.
+func Compare(seeds int) []Row {
+	var rows []Row
+	for _, scenario := range Scenarios() {
+		for _, p := range placers {
+			row := Play(scenario, p.make, seeds)
+			row.Placer = p.name
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// Play plays one scenario with the seeds from 0 on.
+func Play(scenario Scenario, placer func() Placer, seeds int) Row {
+	row := Row{Scenario: scenario.Name}
+	for seed := range uint64(seeds) {
+		result := Run(scenario.Endpoints, scenario.Load, placer(), seed)
+		row.InAim += share(result.InAim, result.Requests) / float64(seeds)
+		row.Late += share(result.Late, result.Requests) / float64(seeds)
+		row.Failed += share(result.Failed, result.Requests) / float64(seeds)
+		row.P50, row.P99 = max(row.P50, result.P50), max(row.P99, result.P99)
+	}
+	return row
+}
+
+// Sizes of the chart, in pixels.
+const (
+	barHeight   = 18
+	barGap      = 6
+	labelWidth  = 240
+	chartWidth  = 500
+	chartMargin = 10
+)
+
+// Plot draws the shares in aim, late and failed as an SVG bar chart.
+func Plot(w io.Writer, rows []Row) error {
+	height := 2*chartMargin + len(rows)*(barHeight+barGap)
+	text := fmt.Sprintf(`<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n",
+		labelWidth+chartWidth+2*chartMargin, height)
+	for i, row := range rows {
+		y := chartMargin + i*(barHeight+barGap)
+		text += fmt.Sprintf(`<text x="%d" y="%d">%s, %s</text>`+"\n", chartMargin, y+barHeight-5, row.Scenario, row.Placer)
+		x := float64(labelWidth)
+		for _, part := range []struct {
+			share float64
+			color string
+		}{{row.InAim, "#4c9a4c"}, {row.Late, "#e0b040"}, {row.Failed, "#c04040"}} {
+			text += fmt.Sprintf(`<rect x="%.1f" y="%d" width="%.1f" height="%d" fill="%s"/>`+"\n", x, y, part.share*chartWidth, barHeight, part.color)
+			x += part.share * chartWidth
+		}
+	}
+	_, err := io.WriteString(w, text+"</svg>\n")
+	return err
+}
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -57,12 +57,7 @@
 	P50, P99 time.Duration
 }
 
-// ShareInAim is the share of requests answered within their aim.
-func (r Result) ShareInAim() float64 { return share(r.InAim, r.Requests) }
-
-// ShareFailed is the share of requests that got no answer.
-func (r Result) ShareFailed() float64 { return share(r.Failed, r.Requests) }
-
+// share returns a part of a whole, 0 of nothing.
 func share(part, whole int) float64 {
 	if whole == 0 {
 		return 0
