--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -67,6 +67,7 @@
 
 func (d *discovery) run(ctx context.Context) {
 	go d.node.Run(ctx)
+	go d.askAtStart(ctx)
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	for {
@@ -82,6 +83,24 @@
 	}
 }
 
+// askAtStart asks the other control instances for their records, more than
+// once, since datagrams may be lost.
+func (d *discovery) askAtStart(ctx context.Context) {
+	for range startQuestions {
+		for _, address := range d.controlAddresses() {
+			if address != d.node.Address() {
+				d.node.SendMessage(opaque.KindRepeat, &wire.Gossip{From: d.node.Address().String()}, address)
+			}
+		}
+		if !pause.For(ctx, roster.WarmUp/startQuestions) {
+			return
+		}
+	}
+}
+
+// startQuestions is how often an instance asks at its start.
+const startQuestions = 3
+
 // signalChange makes the next gossip come at once.
 func (d *discovery) signalChange() {
 	select {
--- a/internal/machine/control/transport.go
+++ b/internal/machine/control/transport.go
@@ -23,8 +23,8 @@
 	redialInterval  = 100 * time.Millisecond
 	// dialTimeout is short, since a machine that is off does not answer and the
 	// kernel asks it again only after a second.
-	dialTimeout = 300 * time.Millisecond
-	writeTimeout    = 2 * time.Second
+	dialTimeout  = 300 * time.Millisecond
+	writeTimeout = 2 * time.Second
 	// maxSenders bounds the members that messages are sent to.
 	maxSenders = 64
 )
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,8 +26,9 @@
 	// whose revision is older begin anew.
 	goneRetention = time.Minute
 	// WarmUp is how long a new roster collects before it tells what it holds: a
-	// round of gossip, which comes every 500 ms, and the records that it asks for.
-	WarmUp = 700 * time.Millisecond
+	// control instance asks the others for their records at its start, and agents
+	// whom nobody serves ask all control instances several times within it.
+	WarmUp = 300 * time.Millisecond
 	// maxAgents bounds the records of a roster: ten times the design's size.
 	maxAgents = 31_000
 )
