Soak real processes of the opaque mode under seeded faults

sassafrasturnbench soak runs 14 processes a seed, and disturbs them by signals, lost data folders, endpoints that drain and restart, lost and late packets and broken orders.

--- a/cmd/sassafrasturnbench/main.go
+++ b/cmd/sassafrasturnbench/main.go
@@ -24,6 +24,7 @@
 	subcommands.Register(&zoneMoveCommand{}, "measures")
 	subcommands.Register(&slopesCommand{}, "measures")
 	subcommands.Register(&emulateCommand{}, "measures")
+	subcommands.Register(&soakCommand{}, "measures")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -66,7 +66,7 @@
 // Start starts every process of the plan, submits the documents and returns
 // when every endpoint has announced itself.
 func Start(binaries Binaries, folder string, plan Plan) (*Cluster, error) {
-	c := &Cluster{plan: plan, folder: folder, binaries: binaries, subnet: subnet(), processes: make(map[string]*Process)}
+	c := &Cluster{plan: plan, folder: folder, binaries: binaries, subnet: Subnet(), processes: make(map[string]*Process)}
 	if err := c.writeKeys(); err != nil {
 		return nil, err
 	}
@@ -81,7 +81,7 @@
 
 // subnet gives each cluster a loopback /24 of its own, from the process ID and
 // the number of the cluster within the process.
-func subnet() string {
+func Subnet() string {
 	const clustersPerProcess = 64
 	id := os.Getpid()*clustersPerProcess + int(clusters.Add(1))
 	return fmt.Sprintf("127.%d.%d", 1+(id>>8)%250, id%256)
@@ -134,7 +134,7 @@
 	if err := c.startInstance(name, c.agentSettings(name, i, host)); err != nil {
 		return err
 	}
-	return c.start(newProcess(c.folder, EndpointName(service.Name, i), c.binaries.Bench, "endpoint",
+	return c.start(NewProcess(c.folder, EndpointName(service.Name, i), c.binaries.Bench, "endpoint",
 		"-listen", c.address(host, endpointPort),
 		"-announce", c.address(host, announcePort),
 		"-service", service.Name,
@@ -162,7 +162,7 @@
 		host := firstBalancerHost + i
 		targets = append(targets, fmt.Sprintf("%s=http://%s/healthz", c.address(host, service.Port), c.address(host, metricsPort)))
 	}
-	return newProcess(c.folder, fabricName(service.Name), c.binaries.Bench, "fabric",
+	return NewProcess(c.folder, fabricName(service.Name), c.binaries.Bench, "fabric",
 		"-listen", c.address(fabricHost, service.Port), "-targets", strings.Join(targets, ","))
 }
 
@@ -171,7 +171,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return Error.Wrap(err)
 	}
-	return c.start(newProcess(c.folder, name, c.binaries.Daemon, "run", "--settings", path))
+	return c.start(NewProcess(c.folder, name, c.binaries.Daemon, "run", "--settings", path))
 }
 
 func (c *Cluster) start(p *Process) error {
--- a/internal/harness/naive.go
+++ b/internal/harness/naive.go
@@ -25,7 +25,7 @@
 // StartNaive starts the naive baseline of a plan.
 func StartNaive(binaries Binaries, folder string, plan Plan) (*NaiveCluster, error) {
 	n := &NaiveCluster{
-		Cluster: &Cluster{plan: plan, folder: folder, binaries: binaries, subnet: subnet(), processes: make(map[string]*Process)},
+		Cluster: &Cluster{plan: plan, folder: folder, binaries: binaries, subnet: Subnet(), processes: make(map[string]*Process)},
 		isOut:   make(map[string]bool),
 	}
 	if err := n.startAll(); err != nil {
@@ -44,7 +44,7 @@
 		for i := range service.Endpoints {
 			listen := n.endpointAddress(service.Name, i)
 			name := EndpointName(service.Name, i)
-			if err := n.start(newProcess(n.folder, name, n.binaries.Bench, "naive-endpoint", "-listen", listen, "-name", name)); err != nil {
+			if err := n.start(NewProcess(n.folder, name, n.binaries.Bench, "naive-endpoint", "-listen", listen, "-name", name)); err != nil {
 				return err
 			}
 		}
@@ -60,12 +60,12 @@
 	for i := range n.plan.Balancers {
 		listen := n.address(firstBalancerHost+i, service.Port)
 		targets = append(targets, listen)
-		process := newProcess(n.folder, naiveBalancerName(service.Name, i), n.binaries.Bench, "naive-balancer", "-listen", listen, "-list", n.listPath(service.Name))
+		process := NewProcess(n.folder, naiveBalancerName(service.Name, i), n.binaries.Bench, "naive-balancer", "-listen", listen, "-list", n.listPath(service.Name))
 		if err := n.start(process); err != nil {
 			return err
 		}
 	}
-	return n.start(newProcess(n.folder, fabricName(service.Name), n.binaries.Bench, "fabric",
+	return n.start(NewProcess(n.folder, fabricName(service.Name), n.binaries.Bench, "fabric",
 		"-listen", n.address(fabricHost, service.Port), "-targets", strings.Join(targets, ",")))
 }
 
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -45,7 +45,8 @@
 	done    chan struct{}
 }
 
-func newProcess(folder, name, path string, args ...string) *Process {
+// NewProcess prepares a process whose output goes to a file in the folder.
+func NewProcess(folder, name, path string, args ...string) *Process {
 	return &Process{name: name, path: path, args: args, logPath: filepath.Join(folder, name+".log")}
 }
 
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,271 @@
+// Package soak runs the programs of the opaque mode as separate processes on
+// loopback, disturbs them from outside by a seeded schedule, and checks the
+// promises from what callers, endpoints and the operator see.
+//
+// It injects kills, pauses, graceful stops, lost data folders, endpoints that
+// drain and restart, lost and late packets between callers and balancers, and
+// operators' connections that are reset, silent or late. It cannot cut instances
+// off from one another: they talk by their own addresses.
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasturn.example/internal/harness"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("soak")
+
+// Config says what to run.
+type Config struct {
+	Daemon string
+	// Folder gets settings, data folders and logs.
+	Folder string
+	Seed   uint64
+	// Length is how long faults are injected.
+	Length time.Duration
+}
+
+// Report is what a run gave.
+type Report struct {
+	Served, Unserved int
+	Orders, Faults   int
+	// Violations are the broken promises, with their times.
+	Violations []string
+}
+
+const (
+	controls  = 5
+	balancers = 3
+	sites     = 6
+	callers   = 12
+	// startTime bounds the time until the first flow is served.
+	startTime = 15 * time.Second
+	// settleTime is how long the control group may take to grow to all its voters.
+	settleTime = 4 * time.Second
+	// recoveryTime bounds the time after the last fault until all is served again.
+	recoveryTime = 12 * time.Second
+	// finalFlows is how many flows are opened at the end, and minServed the share
+	// of them that must be served.
+	finalFlows = 100
+	minServed  = 0.95
+)
+
+// world is a running system with what surrounds it.
+type world struct {
+	config  Config
+	subnet  string
+	random  *rand.Rand
+	started time.Time
+
+	controls, balancers []*instance
+	sites               []*site
+	operator            *operator
+
+	mu         sync.Mutex
+	violations []string
+	served     atomic.Int64
+	unserved   atomic.Int64
+	faults     int
+	// disturbedAt is when anything was last disturbed.
+	disturbedAt atomic.Int64
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.violations = append(w.violations, fmt.Sprintf("%7.3f s  ", time.Since(w.started).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// instance is one process of the system with its settings.
+type instance struct {
+	*harness.Process
+	name, host string
+	// isStopped: the soak has ended or paused it.
+	isStopped atomic.Bool
+	lostDisk  bool
+}
+
+const (
+	linkPort     = 7400
+	metricsPort  = 7401
+	operatorPort = 8166
+	readyPort    = 8167
+	packetPort   = 8172
+	outboundPort = 8162
+	endpointPort = 8165
+
+	firstControl  = 10
+	firstBalancer = 30
+	firstSite     = 60
+	firstCaller   = 120
+)
+
+func (w *world) host(number int) string { return fmt.Sprintf("%s.%d", w.subnet, number) }
+
+func zoneOf(i int) string { return string(rune('a' + i%3)) }
+
+func (w *world) start(role, name string, number, zone int, extra string) (*instance, error) {
+	i := &instance{name: name, host: w.host(number)}
+	path := filepath.Join(w.config.Folder, name+".ini")
+	if err := os.WriteFile(path, []byte(w.settings(role, i, zone)+extra), 0o600); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	i.Process = harness.NewProcess(w.config.Folder, name, w.config.Daemon, "run", "--settings", path)
+	return i, i.Start()
+}
+
+func (w *world) settings(role string, i *instance, zone int) string {
+	peers := ""
+	for n := range 3 {
+		peers += fmt.Sprintf("%s:%d, ", w.host(firstControl+n), linkPort)
+	}
+	return fmt.Sprintf(`[instance]
+mode = opaque
+role = %s
+name = %s
+zone = %s
+data = %s.data
+[cluster]
+insecure = true
+peers = %s
+[link]
+listen = %s:%d
+[metrics]
+listen = %s:%d
+[log]
+decisions_per_second = 200
+[opaque]
+heartbeat = 500ms
+`, role, i.name, zoneOf(zone), i.name, peers, i.host, linkPort, i.host, metricsPort)
+}
+
+// startAll starts every process of the system.
+func (w *world) startAll() error {
+	for n := range controls {
+		host := w.host(firstControl + n)
+		i, err := w.start("control", fmt.Sprintf("control-%d", n), firstControl+n, n, fmt.Sprintf("operator = %s:%d\nfound = true\n", host, operatorPort))
+		if err != nil {
+			return err
+		}
+		w.controls = append(w.controls, i)
+	}
+	for n := range balancers {
+		host := w.host(firstBalancer + n)
+		i, err := w.start("balancer", fmt.Sprintf("balancer-%d", n), firstBalancer+n, n,
+			fmt.Sprintf("packets = %s:%d\nready = %s:%d\ncaller_port = %d\n", host, packetPort, host, readyPort, packetPort))
+		if err != nil {
+			return err
+		}
+		w.balancers = append(w.balancers, i)
+	}
+	for n := range sites {
+		host := w.host(firstSite + n)
+		i, err := w.start("agent", fmt.Sprintf("agent-%d", n), firstSite+n, n, fmt.Sprintf(
+			"endpoint = %s:%d\nservice = %s\noutbound = %s:%d\nannounce = %s:%d\ncaller_port = %d\n",
+			host, endpointPort, serviceOf(n), host, outboundPort, host, operatorPort, packetPort))
+		if err != nil {
+			return err
+		}
+		w.sites = append(w.sites, newSite(w, i, n))
+	}
+	return nil
+}
+
+// all returns every process of the system.
+func (w *world) all() []*instance {
+	all := append(append([]*instance(nil), w.controls...), w.balancers...)
+	for _, s := range w.sites {
+		all = append(all, s.agent)
+	}
+	return all
+}
+
+func (w *world) close() {
+	for _, i := range w.all() {
+		i.isStopped.Store(true)
+		// What has ended already cannot be killed.
+		_ = i.Kill()
+	}
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, config Config) (Report, error) {
+	w := &world{config: config, subnet: harness.Subnet(), random: rand.New(rand.NewPCG(config.Seed, 23)), started: time.Now()}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer w.close()
+	if err := w.startAll(); err != nil {
+		return Report{}, err
+	}
+	w.operator = newOperator(w)
+	for _, s := range w.sites {
+		if err := s.start(ctx); err != nil {
+			return Report{}, err
+		}
+	}
+	pool, err := newCallers(ctx, w)
+	if err != nil {
+		return Report{}, err
+	}
+	if err := w.awaitService(ctx, pool); err != nil {
+		return Report{}, err
+	}
+	time.Sleep(settleTime)
+	w.play(ctx, pool)
+	w.checkEnd(ctx, pool)
+	return Report{
+		Served: int(w.served.Load()), Unserved: int(w.unserved.Load()), Orders: w.operator.sent, Faults: w.faults,
+		Violations: w.violations,
+	}, nil
+}
+
+// awaitService sends the first routing table and waits until a flow is served.
+func (w *world) awaitService(ctx context.Context, pool []*caller) error {
+	deadline := time.Now().Add(startTime)
+	for time.Now().Before(deadline) {
+		if w.operator.accepted == 0 {
+			w.operator.replace(ctx)
+		}
+		if pool[0].serve(ctx, routeOf("orders")) {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return Error.New("no flow is served %s after the start; see the logs in %s", startTime, w.config.Folder)
+}
+
+// checkEnd checks, after all faults, that everything recovers and that nothing
+// that was accepted is gone.
+func (w *world) checkEnd(ctx context.Context, pool []*caller) {
+	w.heal()
+	time.Sleep(recoveryTime)
+	w.operator.checkRead(ctx)
+	served := 0
+	for n := range finalFlows {
+		if pool[n%len(pool)].serve(ctx, routeOf(serviceOf(n))) {
+			served++
+		}
+	}
+	if float64(served) < minServed*finalFlows {
+		w.violate("%d of %d flows served %s after the last fault", served, finalFlows, recoveryTime)
+	}
+	if w.operator.read < w.operator.accepted {
+		w.violate("version %d was accepted, %d is read at the end", w.operator.accepted, w.operator.read)
+	}
+}
+
+func replaceFounding(data []byte) []byte {
+	return bytes.ReplaceAll(data, []byte("found = true"), []byte("found = false"))
+}
