--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -194,3 +194,42 @@
 		living[address] = agent(address, held.Incarnation, held.Sequence+1)
 	}
 }
+
+// designAgents is the design's size.
+const designAgents = 3100
+
+func designRoster() *Roster {
+	roster := New(1, 0)
+	for i := range uint32(designAgents) {
+		record := agent(0x0a000000+i, 1_790_000_000_000, 3)
+		record.Zone, record.Service = fmt.Sprintf("zone-%d", i%7), fmt.Sprintf("service-%d", i%200)
+		roster.Hear(0, record)
+	}
+	return roster
+}
+
+// What a control instance does for one poll without changes, at the design's size.
+func BenchmarkHearAndSince(b *testing.B) {
+	roster := designRoster()
+	record := agent(0x0a000000, 1_790_000_000_000, 3)
+	delta := roster.Since(1, 0, 1<<30)
+	b.ReportAllocs()
+	for b.Loop() {
+		roster.Hear(time.Second, record)
+		roster.Since(1, delta.Revision, 700)
+	}
+}
+
+// A round of gossip of a control instance that a fifth of the agents polls.
+func BenchmarkGossip(b *testing.B) {
+	roster := New(1, 0)
+	for i := range uint32(designAgents / 5) {
+		roster.Hear(10*time.Second, agent(i, 1, 1))
+	}
+	for b.Loop() {
+		_, heard := roster.Gossip(20*time.Second, 9*time.Second)
+		if len(heard) != designAgents/5 {
+			b.Fatal("agents are missing")
+		}
+	}
+}
