--- a/internal/machine/control/selfgroup_test.go
+++ b/internal/machine/control/selfgroup_test.go
@@ -62,7 +62,6 @@
 	// version is the newest routing table sent, accepted the newest acknowledged.
 	version, accepted uint64
 	isHealing         bool
-	violation         string
 }
 
 func (w *selfModel) now() time.Duration { return time.Duration(w.step) * modelStep }
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -132,20 +131,8 @@
 func (a *Agent) Run(ctx context.Context) error {
 	go a.node.Run(ctx)
 	go a.sweep(ctx)
-	stop := context.AfterFunc(ctx, func() { a.outbound.Close() })
-	defer stop()
-	buffer := make([]byte, opaque.OfferSpace+opaque.MaxPacketBytes)
-	for {
-		size, _, err := a.outbound.ReadFromUDPAddrPort(buffer[opaque.OfferSpace:])
-		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			a.instance.Log.Warn().Err(err).Msg("packet of the endpoint not received")
-			continue
-		}
-		a.takeOutbound(buffer[:opaque.OfferSpace+size])
-	}
+	opaque.ReceivePackets(ctx, a.outbound, a.instance.Log, a.takeOutbound)
+	return nil
 }
 
 func (a *Agent) sweep(ctx context.Context) {
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -72,21 +71,9 @@
 // Run forwards until ctx ends.
 func (b *Balancer) Run(ctx context.Context) error {
 	go b.node.Run(ctx)
-	stop := context.AfterFunc(ctx, func() { b.conn.Close() })
-	defer stop()
-	buffer := make([]byte, opaque.OfferSpace+opaque.MaxPacketBytes)
-	worker := &worker{balancer: b, counts: b.counters()}
-	for {
-		size, _, err := b.conn.ReadFromUDPAddrPort(buffer[opaque.OfferSpace:])
-		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			b.instance.Log.Warn().Err(err).Msg("packet not received")
-			continue
-		}
-		worker.take(buffer[:opaque.OfferSpace+size])
-	}
+	w := &worker{balancer: b, counts: b.counters()}
+	opaque.ReceivePackets(ctx, b.conn, b.instance.Log, w.take)
+	return nil
 }
 
 func (b *Balancer) counters() map[string]prometheus.Counter {
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 	"google.golang.org/protobuf/proto"
@@ -198,7 +199,7 @@
 	}
 }
 
-// Send sends a datagram to another instance.
+// send sends a datagram to another instance.
 func (n *Node) send(datagram []byte, to netip.AddrPort) {
 	if n.sealer != nil {
 		sealed, err := n.sealer.SealBytes(nil, datagram)
@@ -282,6 +283,25 @@
 	return services
 }
 
+// ReceivePackets hands each packet of a socket to take until ctx ends; a packet
+// begins at OfferSpace of the buffer, which take must not keep.
+func ReceivePackets(ctx context.Context, conn machine.Socket, logger *log.Logger, take func(buffer []byte)) {
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	buffer := make([]byte, OfferSpace+MaxPacketBytes)
+	for {
+		size, _, err := conn.ReadFromUDPAddrPort(buffer[OfferSpace:])
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			logger.Warn().Err(err).Msg("packet not received")
+			continue
+		}
+		take(buffer[:OfferSpace+size])
+	}
+}
+
 func shuffled(addresses []netip.AddrPort) []netip.AddrPort {
 	rand.Shuffle(len(addresses), func(a, b int) { addresses[a], addresses[b] = addresses[b], addresses[a] })
 	return addresses
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -107,7 +107,7 @@
 		if p.round(ctx) {
 			continue
 		}
-		timer.Reset(p.interval)
+		timer.Reset(max(p.interval, retryStep))
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,6 +29,8 @@
 	// control instance asks the others for their records at its start, and agents
 	// whom nobody serves ask all control instances several times within it.
 	WarmUp = 300 * time.Millisecond
+	// maxNameBytes bounds the names in a record, so that answers fit a datagram.
+	maxNameBytes = 100
 	// maxAgents bounds the records of a roster: ten times the design's size.
 	maxAgents = 31_000
 )
@@ -103,8 +105,11 @@
 }
 
 // take merges a record and returns the entry of its agent, or nil when the
-// roster is full.
+// record is out of bounds or the roster is full.
 func (r *Roster) take(now time.Duration, record *wire.AgentRecord) *entry {
+	if len(record.Zone) > maxNameBytes || len(record.Service) > maxNameBytes {
+		return nil
+	}
 	key := KeyOf(record)
 	e := r.entries[key]
 	if e == nil {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,6 +86,16 @@
 	g.Expect(living).To(Equal(1))
 }
 
+func TestRecordsOutOfBoundsAreNotHeld(t *testing.T) {
+	g := NewWithT(t)
+	roster := New(1, 0)
+	record := agent(1, 1, 1)
+	record.Service = strings.Repeat("s", maxNameBytes+1)
+	roster.Hear(0, record)
+	living, _ := roster.Counts()
+	g.Expect(living).To(BeZero())
+}
+
 // A control instance that starts again has an empty roster: nodes must not
 // take the agents that it has not heard yet for gone once it is whole, and
 // must take those that it does not have for gone.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -123,11 +123,12 @@
 		t.services[service.Service] = Service{ColdPerSecond: service.ColdPerSecond, MaxFlows: int(service.MaxFlows)}
 	}
 	for _, route := range table.Routes {
-		routes := t.routes
-		if len(route.Services) == 0 {
-			routes = t.dropped
+		made := newRoute(route)
+		if len(made.Services) == 0 {
+			t.dropped[dialedOf(route)] = made
+		} else {
+			t.routes[dialedOf(route)] = made
 		}
-		routes[dialedOf(route)] = newRoute(route)
 	}
 	return t
 }
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -111,6 +111,14 @@
 	g.Expect(float64(moved)/flows).To(BeNumerically("~", 0.1, 0.01), "ten in a hundred points of weight move")
 }
 
+// A route without any weight takes no new flows, wherever it comes from.
+func TestRouteWithoutWeightIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	made := New(table(1, route(share("old", 0))))
+	g.Expect(made.Lookup(dialed)).To(BeNil())
+	g.Expect(made.Holding(dialed).Holders).To(BeEmpty())
+}
+
 func TestServiceBounds(t *testing.T) {
 	g := NewWithT(t)
 	next := New(table(1))
--- a/internal/settings/opaque.go
+++ b/internal/settings/opaque.go
@@ -106,6 +106,9 @@
 			file.Reject(sectionOpaque, "caller_port", "", "the UDP port at which callers get packets, 1 to 65535")
 		}
 	}
+	if len(s.Cluster.Peers) == 0 {
+		file.Reject(sectionCluster, "peers", "", "the link addresses of some control instances")
+	}
 	if !s.Link.Listen.Addr().Is4() {
 		file.Reject(sectionLink, "listen", s.Link.Listen.String(), "an IPv4 address and a port")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -93,7 +93,7 @@
 `
 	_, err := settings.Parse("agent.ini", []byte(text))
 	for _, place := range []string{
-		"[cluster] keys", "[link] listen", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
+		"[cluster] keys", "[cluster] peers", "[link] listen", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
 		"[opaque] endpoint", "[opaque] outbound", "[opaque] announce",
 	} {
 		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(place)))
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -148,14 +148,14 @@
 func (w *world) loseDisk(undoing *sync.WaitGroup, i *instance, down time.Duration) {
 	lost := 0
 	for _, other := range w.controls {
-		if other.lostDisk || other.isStopped.Load() {
+		if time.Now().Before(other.lostUntil) || other.isStopped.Load() {
 			lost++
 		}
 	}
-	if lost >= maxLost || i.lostDisk || !i.claim() {
+	if lost >= maxLost || time.Now().Before(i.lostUntil) || !i.claim() {
 		return
 	}
-	i.lostDisk = true
+	i.lostUntil = time.Now().Add(down + repairTime)
 	undoing.Go(func() {
 		defer w.release(i)
 		w.end(i, syscall.SIGKILL)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -94,7 +94,8 @@
 	name, host string
 	// isStopped: the soak has ended or paused it.
 	isStopped atomic.Bool
-	lostDisk  bool
+	// lostUntil is until when the disk of a control instance counts as lost.
+	lostUntil time.Time
 }
 
 const (
