--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -55,7 +55,11 @@
 }
 
 func newDiscovery(c *Control) (*discovery, error) {
-	d := &discovery{control: c, changed: make(chan struct{}, 1), heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration), repeatAt: make(map[netip.AddrPort]time.Duration)}
+	d := &discovery{
+		control: c, changed: make(chan struct{}, 1),
+		heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration),
+		repeatAt: make(map[netip.AddrPort]time.Duration),
+	}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.take})
 	if err != nil {
 		return nil, err
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -156,9 +156,9 @@
 }
 
 // isOrphan reports whether the caller of a flow is to be told that no agent
-// holds it. All living agents have been asked, this one being the last; those
-// that are gone are still given the packet, and were they alive behind a cut,
-// the caller would have their answer and not repeat itself.
+// holds it. All living agents have been asked, this one being the last. Agents
+// that are gone still get the packet: if one is alive behind a cut and holds the
+// flow, its endpoint answers, and the caller does not send the packet again.
 func (a *Agent) isOrphan(h *flow.Header, offer *opaque.Offer) bool {
 	if h.IsRST || !h.IsACK || offer.IsIncomplete {
 		return false
@@ -181,7 +181,13 @@
 
 func (a *Agent) sendReset(key flow.Key, seq uint32, reason string) {
 	a.metrics.resets.WithLabelValues(reason).Inc()
-	a.instance.Decisions.Decision("reset").Str("flow", key.String()).Str("reason", reason).Msg("")
+	state := a.node.State()
+	entry := a.instance.Decisions.Decision("reset").Str("flow", key.String()).Str("reason", reason)
+	if a.endpoint != nil {
+		entry = entry.Str("endpoint", a.endpoint.ID)
+	}
+	entry.Int("in_flight", a.table.Busy()).Int("agents", state.View.Count()).
+		Dur("agents_known_ago_ms", a.node.Now()-a.node.KnownAt()).Uint64("routing_version", state.Table.Version).Msg("")
 	a.reset = a.codec.AppendReset(a.reset[:0], key, seq)
 	a.node.SendPacket(a.reset, key.Caller.Addr())
 }
