--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -182,7 +183,10 @@
 	var findings finding.List
 	file := inifile.Parse(name, data, &findings)
 	s := read(file)
-	file.ReportUnknown()
+	// Without a role nothing tells which sections belong here.
+	if s.Role != "" {
+		file.ReportUnknown()
+	}
 	if err := findings.Err(); err != nil {
 		return nil, err
 	}
@@ -202,6 +206,9 @@
 		Metrics:         Metrics{Listen: file.AddrPort(sectionMetrics, "listen")},
 		Log:             readLog(file),
 	}
+	if strings.ContainsAny(s.Zone, " \t") {
+		file.Reject(sectionInstance, "zone", s.Zone, "a name without blanks")
+	}
 	readRoles(file, s)
 	return s
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -108,3 +108,23 @@
 	_, err = settings.Parse("balancer.ini", []byte(text))
 	g.Expect(err).To(MatchError(ContainSubstring("insecure")))
 }
+
+// A wrong role is one finding; the sections of the roles are not found fault with.
+func TestWrongRoleIsOneFinding(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile("../../examples/settings/balancer.ini")
+	g.Expect(err).NotTo(HaveOccurred())
+	text := regexp.MustCompile(`(?m)^role = .*$`).ReplaceAllString(string(data), "role = blancer")
+	_, err = settings.Parse("balancer.ini", []byte(text))
+	g.Expect(err).To(MatchError(ContainSubstring("[instance] role")))
+	g.Expect(err).NotTo(MatchError(ContainSubstring("[balancer]")))
+}
+
+func TestZoneNamesHaveNoBlanks(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile("../../examples/settings/balancer.ini")
+	g.Expect(err).NotTo(HaveOccurred())
+	text := regexp.MustCompile(`(?m)^zone = .*$`).ReplaceAllString(string(data), "zone = hall a")
+	_, err = settings.Parse("balancer.ini", []byte(text))
+	g.Expect(err).To(MatchError(ContainSubstring("[instance] zone")))
+}
