--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -3,7 +3,7 @@
 // takes, and which agent a later packet belongs to.
 //
 // All decisions are pure: time is passed in, as the time since the start of the
-// process by a clock that keeps running while the machine is suspended.
+// process by the steady clock.
 package flow
 
 import (
--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -82,8 +82,8 @@
 	maxQueuePerSlot = 4
 )
 
-// queuePerSlot is how many requests may wait for each slot at an agent that is
-// not the last: none where two or more others may have a free slot.
+// queuePerSlot is how many requests may wait for each slot at an agent with so
+// many others left: none where two or more of them may have a free slot.
 func queuePerSlot(others int) int {
 	switch others {
 	case 0:
--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -9,7 +9,7 @@
 
 // Member is an agent with its endpoint, as the order of offers sees it.
 type Member struct {
-	// Address is where envelopes reach the agent.
+	// Address is where other instances reach the agent.
 	Address netip.AddrPort
 	Zone    string
 	Service string
@@ -63,9 +63,6 @@
 // IsLiving reports whether the view has the agent at the address and it is not gone.
 func (v *View) IsLiving(address netip.AddrPort) bool { return v.living[address] }
 
-// Members returns the agents of a service; the slice must not be changed.
-func (v *View) Members(service string) []Member { return v.byService[service] }
-
 // position is a place in the order of offers; lower ranks come first and
 // higher scores within a rank.
 type position struct {
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -39,14 +39,9 @@
 	isOpen                     bool
 	isBusy                     bool
 	callerIsDone, endpointDone bool
-	opened, seen               time.Duration
-	requestAt                  time.Duration
+	seen                       time.Duration
 }
 
-// Answers reports whether a caller's packet answers what the flow's endpoint
-// has sent.
-func (f *Flow) Answers(h *Header) bool { return f.isOwn(h) }
-
 // IsOpen reports whether the caller has acknowledged the endpoint's SYN.
 func (f *Flow) IsOpen() bool { return f.isOpen }
 
@@ -80,11 +75,11 @@
 		if len(t.flows) >= maxFlows {
 			return nil
 		}
-		f = &Flow{Key: key, opened: now}
+		f = &Flow{Key: key}
 		t.flows[key] = f
 	}
 	f.seen = now
-	t.setBusy(now, f, true)
+	t.setBusy(f, true)
 	return f
 }
 
@@ -103,13 +98,12 @@
 }
 
 func (t *Table) remove(f *Flow) {
-	t.setBusy(f.seen, f, false)
+	t.setBusy(f, false)
 	delete(t.flows, f.Key)
 }
 
-func (t *Table) setBusy(now time.Duration, f *Flow, isBusy bool) {
+func (t *Table) setBusy(f *Flow, isBusy bool) {
 	if isBusy && !f.isBusy {
-		f.requestAt = now
 		t.busy++
 	} else if !isBusy && f.isBusy {
 		t.busy--
@@ -122,7 +116,7 @@
 // known, or the packet acknowledges what another endpoint has sent.
 func (t *Table) FromCaller(now time.Duration, h *Header) *Flow {
 	f := t.flows[h.FromCaller()]
-	if f == nil || !f.isOwn(h) {
+	if f == nil || !f.Answers(h) {
 		return nil
 	}
 	f.seen = now
@@ -131,7 +125,7 @@
 	}
 	f.isOpen = true
 	if h.Length > 0 {
-		t.setBusy(now, f, true)
+		t.setBusy(f, true)
 	}
 	if h.IsFIN {
 		f.callerIsDone = true
@@ -142,9 +136,9 @@
 	return f
 }
 
-// isOwn reports whether a caller's packet answers this agent's endpoint. Two
+// Answers reports whether a caller's packet answers this agent's endpoint. Two
 // endpoints may have answered copies of one SYN; the caller goes on with one.
-func (f *Flow) isOwn(h *Header) bool {
+func (f *Flow) Answers(h *Header) bool {
 	if !f.hasFirst {
 		return false
 	}
@@ -171,7 +165,7 @@
 		if h.IsRST || len(t.flows) >= maxFlows {
 			return nil
 		}
-		f = &Flow{Key: key, opened: now, isAdopted: !h.IsSYN, isOpen: !h.IsSYN}
+		f = &Flow{Key: key, isAdopted: !h.IsSYN, isOpen: !h.IsSYN}
 		t.flows[key] = f
 	}
 	f.seen = now
@@ -186,7 +180,7 @@
 		f.highest = end
 	}
 	if h.Length > 0 || h.IsFIN {
-		t.setBusy(now, f, false)
+		t.setBusy(f, false)
 	}
 	if h.IsFIN {
 		f.endpointDone = true
@@ -208,7 +202,7 @@
 			idleTimeout > 0 && idle > idleTimeout+closedTime:
 			t.remove(f)
 		case f.isBusy && idle > busyTime:
-			t.setBusy(now, f, false)
+			t.setBusy(f, false)
 		}
 	}
 }
