Recognise a closed link by the connection's own errors too

Which error appears depends on how far the request has got: yamux hands on those of the connection. Ruled out: a slow machine, since no time limit takes part.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -99,8 +100,16 @@
 }
 
 // IsClosed reports whether the peer closed the link before it answered, as one
-// with TLS does to a caller without.
+// with TLS does to a caller without. Which error says so depends on how far the
+// request had got: yamux hands on those of the connection as they are.
 func IsClosed(err error) bool {
-	return errors.Is(err, yamux.ErrStreamClosed) || errors.Is(err, yamux.ErrSessionShutdown) ||
-		errors.Is(err, yamux.ErrConnectionReset) || errors.Is(err, io.EOF)
+	for _, closed := range []error{
+		yamux.ErrStreamClosed, yamux.ErrSessionShutdown, yamux.ErrConnectionReset,
+		io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, syscall.EPIPE, syscall.ECONNRESET,
+	} {
+		if errors.Is(err, closed) {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -9,15 +9,18 @@
 	"crypto/x509/pkix"
 	"encoding/binary"
 	"encoding/pem"
+	"io"
 	"math/big"
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
 
 	"sassafrasturn.example/internal/wire"
@@ -125,6 +128,33 @@
 	g.Expect(call(&Dialer{TLS: client}, startServer(t, &Server{TLS: impostorTLS}))).NotTo(Succeed())
 }
 
+// The peer closes while the request is on its way: before it is written, while
+// it is written, or before it is answered.
+func TestIsClosedWhereverTheRequestWas(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	cases := []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"stream closed", yamux.ErrStreamClosed, true},
+		{"session ended", yamux.ErrSessionShutdown, true},
+		{"reset by yamux", yamux.ErrConnectionReset, true},
+		{"end before the answer", io.EOF, true},
+		{"end within the answer", io.ErrUnexpectedEOF, true},
+		{"broken pipe while writing", &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", syscall.EPIPE)}, true},
+		{"reset while reading", &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ECONNRESET)}, true},
+		{"closed by this end", &net.OpError{Op: "write", Net: "tcp", Err: net.ErrClosed}, true},
+		{"nobody listens", refused, false},
+		{"deadline", os.ErrDeadlineExceeded, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect(IsClosed(Error.Wrap(c.err))).To(Equal(c.want))
+		})
+	}
+}
+
 func TestBadInputIsCountedAndTheServerLives(t *testing.T) {
 	g := NewWithT(t)
 	server := new(Server)
