Dial a control member as soon as it is heard, and follow young rosters closely

(2) With elections over sooner, nodes drew lists of 2 to 6 of 10 agents and went on with them for 0.5 s, the time between polls. Ruled out: the election itself, whose messages took 3 ms.

A message of a member now ends a dial that began before and starts another, and only messages that have waited longer than a heartbeat are dropped at a new link, so that the answer is not among them. Nodes poll a control instance that has not settled every 0.1 s. A member no longer dials itself. Links to control members are logged when they are lost and regained.

Both tests fail without the change.

--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -77,6 +77,12 @@
 	}
 }
 
+func (c *Control) hear(id uint64) {
+	if t := c.transport.Load(); t != nil {
+		t.hear(id)
+	}
+}
+
 // logChange logs what the instance newly believes of its group.
 func (c *Control) logChange(before, after *consensus.Status) {
 	if before.Role == after.Role && before.Leader == after.Leader && before.Term == after.Term &&
@@ -90,7 +96,10 @@
 // Run takes part in the agreement and registers zones until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
 	s := c.instance.Settings
-	c.transport.Store(newTransport(ctx, c.instance.Dialer, uint64(s.Control.ID), s.Link.Listen.String()))
+	c.transport.Store(&transport{
+		ctx: ctx, dial: c.instance.Dialer.Dial, log: c.instance.Log, id: uint64(s.Control.ID),
+		address: s.Link.Listen.String(), senders: make(map[uint64]*sender),
+	})
 	if s.Mode == settings.ModeOpaque {
 		go c.join(ctx)
 		go c.discovery.run(ctx)
--- a/internal/machine/control/serve.go
+++ b/internal/machine/control/serve.go
@@ -148,6 +148,7 @@
 			continue
 		}
 		c.learn(m.From, m.FromAddress)
+		c.hear(m.From)
 		if !c.loop.deliver(ctx, m) {
 			return
 		}
--- a/internal/machine/control/transport.go
+++ b/internal/machine/control/transport.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/yamux"
+	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
+
+	"sassafrasturn.example/internal/consensus"
 	"sassafrasturn.example/internal/link"
-	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -25,6 +28,9 @@
 	// kernel asks it again only after a second.
 	dialTimeout  = 300 * time.Millisecond
 	writeTimeout = 2 * time.Second
+	// maxWait is how long a message may have waited for a link: what is older is a
+	// question of an election that is over, or entries that are sent again anyway.
+	maxWait = consensus.HeartbeatInterval
 	// maxSenders bounds the members that messages are sent to.
 	maxSenders = 64
 )
@@ -32,9 +38,10 @@
 // transport carries consensus messages to the other members, over one link and
 // stream for each.
 type transport struct {
-	ctx    context.Context
-	dialer *link.Dialer
-	id     uint64
+	ctx  context.Context
+	dial func(ctx context.Context, address string) (*yamux.Session, error)
+	log  *log.Logger
+	id   uint64
 	// address is the own link address, with which messages are sent.
 	address string
 
@@ -45,17 +52,22 @@
 // sender carries messages to one member.
 type sender struct {
 	address string
-	queue   chan *wire.ConsensusMessage
+	queue   chan queued
 	cancel  context.CancelFunc
+	// heard holds a token once the member has been heard.
+	heard chan struct{}
+	// isUp: there was a link when this was last logged.
+	isUp bool
 }
 
-func newTransport(ctx context.Context, dialer *link.Dialer, id uint64, address string) *transport {
-	return &transport{ctx: ctx, dialer: dialer, id: id, address: address, senders: make(map[uint64]*sender)}
+type queued struct {
+	message *wire.ConsensusMessage
+	at      time.Time
 }
 
 // learn notes the address of a member.
 func (t *transport) learn(id uint64, address string) {
-	if id == t.id || address == "" {
+	if id == t.id || address == "" || address == t.address {
 		return
 	}
 	t.mu.Lock()
@@ -70,11 +82,26 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
-	s := &sender{address: address, queue: make(chan *wire.ConsensusMessage, sendQueueLength), cancel: cancel}
+	s := &sender{address: address, queue: make(chan queued, sendQueueLength), cancel: cancel, heard: make(chan struct{}, 1)}
 	t.senders[id] = s
 	go t.keepSending(ctx, s)
 }
 
+// hear notes that a member has been heard: a machine that has just come up does
+// not answer a dial that began before.
+func (t *transport) hear(id uint64) {
+	t.mu.Lock()
+	s := t.senders[id]
+	t.mu.Unlock()
+	if s == nil {
+		return
+	}
+	select {
+	case s.heard <- struct{}{}:
+	default:
+	}
+}
+
 func (t *transport) send(m *wire.ConsensusMessage) {
 	t.mu.Lock()
 	s := t.senders[m.To]
@@ -84,28 +111,73 @@
 	}
 	m.FromAddress = t.address
 	select {
-	case s.queue <- m:
+	case s.queue <- queued{message: m, at: time.Now()}:
 	default:
 	}
 }
 
 func (t *transport) keepSending(ctx context.Context, s *sender) {
 	for ctx.Err() == nil {
-		// The error says only how the link ended; it is dialed again whatever it was.
-		_ = t.sendOnLink(ctx, s)
-		pause.For(ctx, redialInterval)
+		session, err := t.open(ctx, s)
+		if err == nil {
+			t.noteLink(s, nil)
+			err = t.sendOn(ctx, session, s)
+			session.Close()
+		}
+		t.noteLink(s, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialInterval):
+		case <-s.heard:
+		}
 	}
 }
 
-func (t *transport) sendOnLink(ctx context.Context, s *sender) error {
+// noteLink logs when the link to a member is lost and regained.
+func (t *transport) noteLink(s *sender, err error) {
+	if t.ctx.Err() != nil || s.isUp == (err == nil) {
+		return
+	}
+	s.isUp = err == nil
+	if s.isUp {
+		t.log.Info().Str("member", s.address).Msg("link to control member is up")
+		return
+	}
+	t.log.Warn().Str("member", s.address).Err(err).Msg("link to control member is lost")
+}
+
+// open dials a member, and dials it once more when it is heard meanwhile.
+func (t *transport) open(ctx context.Context, s *sender) (*yamux.Session, error) {
+	select {
+	case <-s.heard:
+	default:
+	}
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
-	session, err := t.dialer.Dial(dialing, s.address)
-	cancel()
-	if err != nil {
-		return err
+	defer cancel()
+	ended := make(chan struct{})
+	isHeard := make(chan bool, 1)
+	go func() {
+		select {
+		case <-ended:
+			isHeard <- false
+		case <-s.heard:
+			cancel()
+			isHeard <- true
+		}
+	}()
+	session, err := t.dial(dialing, s.address)
+	close(ended)
+	if err == nil || !<-isHeard {
+		return session, err
 	}
-	defer session.Close()
-	s.dropWaiting()
+	again, cancelAgain := context.WithTimeout(ctx, dialTimeout)
+	defer cancelAgain()
+	return t.dial(again, s.address)
+}
+
+// sendOn sends what is queued until the link or ctx ends.
+func (t *transport) sendOn(ctx context.Context, session *yamux.Session, s *sender) error {
+	oldest := time.Now().Add(-maxWait)
 	stream, err := session.Open()
 	if err != nil {
 		return Error.Wrap(err)
@@ -117,29 +189,20 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return ctx.Err()
 		case <-session.CloseChan():
-			return nil
-		case m := <-s.queue:
-			if err := writeMessage(stream, m); err != nil {
+			return Error.New("the member has closed the link")
+		case q := <-s.queue:
+			if q.at.Before(oldest) {
+				continue
+			}
+			if err := writeMessage(stream, q.message); err != nil {
 				return err
 			}
 		}
 	}
 }
 
-// dropWaiting drops what was to be sent before there was a link: questions of
-// elections that are over, and entries that are sent again anyway.
-func (s *sender) dropWaiting() {
-	for {
-		select {
-		case <-s.queue:
-		default:
-			return
-		}
-	}
-}
-
 // writeMessage sends a message in frames.
 func writeMessage(stream net.Conn, m *wire.ConsensusMessage) error {
 	data, err := proto.Marshal(m)
--- a/internal/machine/control/transport_test.go
+++ b/internal/machine/control/transport_test.go
@@ -1,10 +1,16 @@
 package control
 
 import (
+	"context"
+	"io"
 	"net"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
 
 	"sassafrasturn.example/internal/link"
 	"sassafrasturn.example/internal/wire"
@@ -44,6 +50,76 @@
 	g.Expect(err).To(MatchError(ContainSubstring("message over")))
 }
 
+// A machine that is off does not answer a dial; one that comes up meanwhile
+// still does not. Its own messages show that it is up: the answer to its
+// question must not wait for the end of the dial.
+func TestMemberThatIsHeardIsDialedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		isOff := true
+		answers := make(chan *wire.ConsensusMessage, 1)
+		tr := &transport{
+			ctx: ctx, log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, id: 1, senders: make(map[uint64]*sender),
+			dial: func(ctx context.Context, _ string) (*yamux.Session, error) {
+				if isOff {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				return linkTo(answers), nil
+			},
+		}
+		tr.learn(2, "10.0.0.2:7000")
+		time.Sleep(dialTimeout/3 + time.Millisecond)
+		tr.send(&wire.ConsensusMessage{To: 2, Term: 1})
+		time.Sleep(dialTimeout / 3)
+		synctest.Wait()
+
+		isOff = false
+		heard := time.Now()
+		tr.hear(2)
+		tr.send(&wire.ConsensusMessage{To: 2, Term: 2})
+		var newest uint64
+		for newest != 2 && time.Since(heard) < time.Second {
+			select {
+			case m := <-answers:
+				newest = m.Term
+			case <-time.After(time.Second):
+			}
+		}
+		g.Expect(newest).To(BeEquivalentTo(2))
+		g.Expect(time.Since(heard)).To(BeNumerically("<", 10*time.Millisecond))
+		cancel()
+	})
+}
+
+// linkTo returns a link whose other end hands on the messages that it gets.
+func linkTo(messages chan<- *wire.ConsensusMessage) *yamux.Session {
+	own, other := net.Pipe()
+	config := yamux.DefaultConfig()
+	config.LogOutput = io.Discard
+	client, _ := yamux.Client(own, config)
+	server, _ := yamux.Server(other, config)
+	go func() {
+		defer server.Close()
+		stream, err := server.Accept()
+		if err != nil {
+			return
+		}
+		if err := link.ReadMessage(stream, new(wire.Request)); err != nil {
+			return
+		}
+		for {
+			m, err := readMessage(stream)
+			if err != nil {
+				return
+			}
+			messages <- m
+		}
+	}()
+	return client
+}
+
 func TestMessageOfRandomBytes(t *testing.T) {
 	g := NewWithT(t)
 	_, err := readMessage(pipe(func(conn net.Conn) {
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -336,6 +336,20 @@
 	})
 }
 
+// Control has just started and hears of one agent after the other. A balancer
+// that goes on with the first list that it got would offer all flows to few.
+func TestNodesFollowAYoungRosterClosely(t *testing.T) {
+	play(t, false, 3, 2, func(w *world) {
+		w.control.restart()
+		w.sleep(550 * time.Millisecond)
+		w.addSite("orders")
+		w.sleep(150 * time.Millisecond)
+		for _, b := range w.balancers {
+			w.g.Expect(b.role.Details()).To(ContainElement("agents: 3"))
+		}
+	})
+}
+
 // An agent and its endpoint are gone for good. Callers of their flows are told
 // while the system still remembers the agent, not only once it has forgotten.
 func TestCallersOfAGoneEndpointAreReset(t *testing.T) {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -157,6 +157,11 @@
 	return c
 }
 
+// restart gives the stand-in the roster of an instance that has just started.
+func (c *controlStandIn) restart() {
+	c.roster = roster.New(2, time.Since(c.start))
+}
+
 func (c *controlStandIn) serve(s *socket) {
 	buffer := make([]byte, 4096)
 	for {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -19,6 +19,9 @@
 	// pollInterval separates polls; a change reaches every node within it and a
 	// round trip.
 	pollInterval = 500 * time.Millisecond
+	// unsettledInterval separates polls of a control instance that has just started
+	// and hears of more agents with each round trip.
+	unsettledInterval = 100 * time.Millisecond
 	// answerTimeout is several round trips between the farthest zones.
 	answerTimeout = 250 * time.Millisecond
 	// refreshGap separates polls that changes call for.
@@ -128,6 +131,9 @@
 		if message != nil && message.Fresh {
 			p.noteServed(true)
 			p.interval = pollInterval
+			if !message.Settled {
+				p.interval = unsettledInterval
+			}
 			return p.apply(message)
 		}
 		if message != nil {
