Pass flows on that an endpoint would likely answer late

Cause: agents judged by what is in flight alone. Ruled out: the endpoint's own word, which says nothing of it.

The agent now notes how long its endpoint takes from a request to the first byte of the answer, and how long the oldest unanswered SYN or request has waited. A flow whose expected answer takes more than half of its route's latency objective is passed on while others are left; the last agent takes it as before. Routing tables carry the objective. Agents also stop at the number of flows that a service states, which was carried and read by nobody.

--- a/internal/emulate/compare.go
+++ b/internal/emulate/compare.go
@@ -55,6 +55,16 @@
 				e.Slow = 5
 			}
 		}), Load: usual()},
+		{Name: "endpoint-turns-slow", Endpoints: site(7, func(i int, e *Endpoint) {
+			if i < 2 {
+				e.Slow, e.SlowFrom = 5, 8*time.Second
+			}
+		}), Load: usual()},
+		{Name: "silent-endpoint", Endpoints: site(7, func(i int, e *Endpoint) {
+			if i == 0 {
+				e.Slow, e.SlowFrom = 1000, 8*time.Second
+			}
+		}), Load: usual()},
 		{Name: "burst", Endpoints: site(7, nil), Load: burst},
 		{Name: "after-outage", Endpoints: site(9, func(_ int, e *Endpoint) { e.ColdFor, e.ColdSlow = 2*time.Second, 1.6 }), Load: outage},
 	}
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -8,6 +8,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"sassafrasturn.example/internal/flow"
 )
 
 // Endpoint is one endpoint of the model.
@@ -16,8 +18,9 @@
 	Slots int
 	// Queue is how many requests wait at the endpoint before it bounces flows.
 	Queue int
-	// Slow is by how much work takes longer; 0 counts as 1.
-	Slow float64
+	// Slow is by how much work takes longer from SlowFrom on; 0 counts as 1.
+	Slow     float64
+	SlowFrom time.Duration
 	// ColdFor is how long the endpoint is cold from the beginning, and ColdSlow by
 	// how much work takes longer meanwhile.
 	ColdFor  time.Duration
@@ -80,19 +83,25 @@
 	Endpoints []Endpoint
 	// InFlight is how many requests each endpoint works on or holds waiting.
 	InFlight []int
+	// Paces are how long the endpoints have lately taken for an answer.
+	Paces []flow.Pace
 
 	load    Load
 	random  *rand.Rand
 	events  eventHeap
 	waiting [][]*request
-	result  Result
-	times   []time.Duration
+	// held are the requests that each endpoint has not answered.
+	held   []map[*request]bool
+	result Result
+	times  []time.Duration
 }
 
 type request struct {
-	flow   uint64
-	zone   string
-	asked  time.Duration
+	key   uint64
+	zone  string
+	asked time.Duration
+	// taken is when an endpoint got it.
+	taken  time.Duration
 	tries  int
 	isDone bool
 }
@@ -141,6 +150,7 @@
 func Run(endpoints []Endpoint, load Load, placer Placer, seed uint64) Result {
 	w := &World{
 		Endpoints: endpoints, InFlight: make([]int, len(endpoints)), load: load,
+		Paces: make([]flow.Pace, len(endpoints)), held: make([]map[*request]bool, len(endpoints)),
 		random: rand.New(rand.NewPCG(seed, 17)), waiting: make([][]*request, len(endpoints)),
 	}
 	for range load.Waiting {
@@ -186,8 +196,8 @@
 	if r.isDone {
 		return
 	}
-	r.flow = w.random.Uint64()
-	chosen, ok := placer.Place(w, r.flow, r.zone)
+	r.key = w.random.Uint64()
+	chosen, ok := placer.Place(w, r.key, r.zone)
 	if ok && w.InFlight[chosen] < w.Endpoints[chosen].Slots+w.Endpoints[chosen].Queue {
 		w.accept(chosen, r)
 		return
@@ -202,7 +212,21 @@
 	w.after(retryDelay, func() { w.try(placer, r) })
 }
 
+// LongestWait returns how long an endpoint has had the request that it has had longest.
+func (w *World) LongestWait(endpoint int) time.Duration {
+	longest := time.Duration(0)
+	for r := range w.held[endpoint] {
+		longest = max(longest, w.Now-r.taken)
+	}
+	return longest
+}
+
 func (w *World) accept(chosen int, r *request) {
+	if w.held[chosen] == nil {
+		w.held[chosen] = make(map[*request]bool)
+	}
+	r.taken = w.Now
+	w.held[chosen][r] = true
 	w.InFlight[chosen]++
 	if w.InFlight[chosen] <= w.Endpoints[chosen].Slots {
 		w.work(chosen, r)
@@ -214,6 +238,8 @@
 func (w *World) work(chosen int, r *request) {
 	w.after(w.workTime(chosen), func() {
 		w.InFlight[chosen]--
+		delete(w.held[chosen], r)
+		w.Paces[chosen].Note(w.Now, w.Now-r.taken)
 		if !r.isDone {
 			r.isDone = true
 			w.answered(w.Now - r.asked + networkDelay)
@@ -229,7 +255,7 @@
 	endpoint := &w.Endpoints[chosen]
 	// The mean of this distribution is the load's mean work.
 	work := float64(w.load.Work) * math.Exp(workSpread*w.random.NormFloat64()-workSpread*workSpread/2)
-	if endpoint.Slow > 0 {
+	if endpoint.Slow > 0 && w.Now >= endpoint.SlowFrom {
 		work *= endpoint.Slow
 	}
 	if w.Now < endpoint.ColdFor && endpoint.ColdSlow > 0 {
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -41,6 +41,34 @@
 	}}
 }
 
+// blind is the gate as it was: it saw what is in flight, and not how long answers take.
+func blind() Placer {
+	return &Offering{Candidates: 4, Gate: func(endpoint *flow.Endpoint, request flow.Request) flow.Reason {
+		request.Objective = 0
+		gate := flow.Gate{Silence: time.Second}
+		return gate.Decide(0, endpoint, 0, request)
+	}}
+}
+
+// Slow endpoints get few flows once their agents have seen some answers, and
+// the others bear the load. One that turns silent gets none after a moment; of
+// what a gate loses that only sees its slots fill, a quarter or more is saved.
+func TestOffersPassEndpointsByThatAnswerLate(t *testing.T) {
+	for _, c := range []struct {
+		scenario string
+		inAim    float64
+	}{{"slow-endpoints", 0.95}, {"endpoint-turns-slow", 0.95}, {"silent-endpoint", 0.97}} {
+		t.Run(c.scenario, func(t *testing.T) {
+			g := NewWithT(t)
+			got, naive := Play(find(c.scenario), offering, seeds), Play(find(c.scenario), blind, seeds)
+			t.Logf("in aim %.4f, late %.4f, failed %.4f; blind %.4f, %.4f, %.4f", got.InAim, got.Late, got.Failed, naive.InAim, naive.Late, naive.Failed)
+			g.Expect(got.InAim).To(BeNumerically(">", c.inAim))
+			g.Expect(1 - got.InAim).To(BeNumerically("<", 0.75*(1-naive.InAim)))
+			g.Expect(got.Failed).To(BeNumerically("<=", naive.Failed))
+		})
+	}
+}
+
 // Two of seven endpoints work five times as long. Offers pass them by, a hash
 // gives them their full share.
 func TestOffersPassSlowEndpointsBy(t *testing.T) {
--- a/internal/emulate/placers.go
+++ b/internal/emulate/placers.go
@@ -76,7 +76,10 @@
 	for i, offer := range offers {
 		chosen := p.index[offer.Address]
 		endpoint := &flow.Endpoint{Service: service, Slots: w.Endpoints[chosen].Slots, HeardAt: w.Now}
-		request := flow.Request{IsRouteAllowed: true, Others: len(offers) - 1 - i, Busy: w.InFlight[chosen]}
+		request := flow.Request{
+			IsRouteAllowed: true, Others: len(offers) - 1 - i, Busy: w.InFlight[chosen],
+			Pace: w.Paces[chosen].Mean(w.Now), LongestWait: w.LongestWait(chosen), Objective: w.load.Aim,
+		}
 		if p.decide(w.Now, endpoint, request) == flow.Taken {
 			return chosen, true
 		}
--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -18,6 +18,8 @@
 	RefusedZoneOut    Reason = "zone-out"
 	RefusedCold       Reason = "cold"
 	RefusedBusy       Reason = "busy"
+	RefusedSlow       Reason = "slow"
+	RefusedFull       Reason = "no-more-flows"
 	// RefusedByEndpoint: the endpoint itself has bounced the flow.
 	RefusedByEndpoint Reason = "bounced"
 )
@@ -49,11 +51,30 @@
 	Others int
 	// Busy is how many requests are in flight at the endpoint.
 	Busy int
+	// IsFull: the endpoint holds as many flows as its service states.
+	IsFull bool
+	// Pace is how long the endpoint has lately taken for an answer, and LongestWait
+	// how long a flow has waited that has none yet.
+	Pace, LongestWait time.Duration
+	// Objective is the latency that the route's callers want, 0 when it states none.
+	Objective time.Duration
+}
+
+// isSlow reports whether a flow would likely miss its objective at an endpoint
+// with so many slots: the mean answer takes over half of it, which leaves too
+// little for the spread of work, or an answer has already missed it.
+func (r *Request) isSlow(slots int) bool {
+	if r.Objective == 0 {
+		return false
+	}
+	expected := r.Pace + r.Pace*time.Duration(r.Busy)/time.Duration(max(slots, 1))
+	return expected > r.Objective/2 || r.LongestWait > r.Objective
 }
 
 // Gate decides which new flows the agent's endpoint gets. It answers bursts,
-// slow endpoints and cold ones: a flow that would wait is offered to the next
-// agents, and only the last ones let it wait, up to a bound.
+// slow endpoints and cold ones: a flow that would wait, or that the endpoint would
+// likely answer late, is offered to the next agents, and only the last ones take
+// it all the same, up to a bound.
 type Gate struct {
 	// Silence is how long an endpoint may be silent before it gets no new flows:
 	// less than the time after which its address may serve another service.
@@ -114,6 +135,12 @@
 	if request.Busy >= endpoint.Slots*(1+queuePerSlot(request.Others)) {
 		return RefusedBusy
 	}
+	if request.IsFull {
+		return RefusedFull
+	}
+	if request.Others > 0 && request.isSlow(endpoint.Slots) {
+		return RefusedSlow
+	}
 	if now < endpoint.ColdUntil && coldPerSecond > 0 && !g.admitCold(now, coldPerSecond) {
 		return RefusedCold
 	}
--- a/internal/flow/gate_test.go
+++ b/internal/flow/gate_test.go
@@ -12,6 +12,7 @@
 }
 
 func TestGateNamesWhyAFlowIsNotTaken(t *testing.T) {
+	const ms = time.Millisecond
 	cases := []struct {
 		name     string
 		endpoint func(*Endpoint) *Endpoint
@@ -31,6 +32,13 @@
 		{name: "a queue with one left", request: func(r *Request) { r.Busy, r.Others = 15, 1 }, want: RefusedBusy},
 		{name: "a queue and last", request: func(r *Request) { r.Busy = 24 }, want: Taken},
 		{name: "full and last", request: func(r *Request) { r.Busy = 25 }, want: RefusedBusy},
+		{name: "as many flows as it may hold", request: func(r *Request) { r.IsFull = true }, want: RefusedFull},
+		{name: "slow with others left", request: func(r *Request) { r.Pace, r.Objective, r.Others = 80*ms, 150*ms, 1 }, want: RefusedSlow},
+		{name: "slow and last", request: func(r *Request) { r.Pace, r.Objective = 80*ms, 150*ms }, want: Taken},
+		{name: "fast", request: func(r *Request) { r.Pace, r.Objective, r.Others = 30*ms, 150*ms, 3 }, want: Taken},
+		{name: "fast, but much in flight", request: func(r *Request) { r.Pace, r.Objective, r.Busy, r.Others = 45*ms, 150*ms, 4, 3 }, want: RefusedSlow},
+		{name: "silent, with others left", request: func(r *Request) { r.LongestWait, r.Objective, r.Others = 160*ms, 150*ms, 3 }, want: RefusedSlow},
+		{name: "slow without an objective", request: func(r *Request) { r.Pace, r.Others = time.Second, 3 }, want: Taken},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -36,8 +36,12 @@
 	// that the endpoint has sent.
 	isAdopted bool
 
-	isOpen                     bool
-	isBusy                     bool
+	isOpen bool
+	isBusy bool
+	// isAwaited: the endpoint has been given a SYN or data at awaitedAt, and has not
+	// answered since.
+	isAwaited                  bool
+	awaitedAt                  time.Duration
 	callerIsDone, endpointDone bool
 	seen                       time.Duration
 }
@@ -50,6 +54,9 @@
 type Table struct {
 	flows map[Key]*Flow
 	busy  int
+	pace  Pace
+	// longest is the longest wait of a flow as of longestAt.
+	longest, longestAt time.Duration
 }
 
 // NewTable returns an empty table.
@@ -79,10 +86,43 @@
 		t.flows[key] = f
 	}
 	f.seen = now
-	t.setBusy(f, true)
+	t.await(now, f)
 	return f
 }
 
+// await notes that the endpoint is given something to answer.
+func (t *Table) await(now time.Duration, f *Flow) {
+	if !f.isAwaited {
+		f.isAwaited, f.awaitedAt = true, now
+	}
+	t.setBusy(f, true)
+}
+
+// Pace returns how long the endpoint has lately taken for the first byte of an answer.
+func (t *Table) Pace(now time.Duration) time.Duration { return t.pace.Mean(now) }
+
+// LongestWait returns for how long the flow has waited that has waited longest,
+// for an answer to its SYN or to a request.
+func (t *Table) LongestWait(now time.Duration) time.Duration {
+	if now-t.longestAt >= longestAge {
+		t.longest, t.longestAt = t.longestWait(now), now
+	}
+	return t.longest
+}
+
+// longestAge is how old the longest wait may be, since it costs a look at every flow.
+const longestAge = 50 * time.Millisecond
+
+func (t *Table) longestWait(now time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, f := range t.flows {
+		if f.isAwaited {
+			longest = max(longest, now-f.awaitedAt)
+		}
+	}
+	return longest
+}
+
 // Refuse forgets a flow that the endpoint did not take.
 func (t *Table) Refuse(key Key) {
 	if f := t.flows[key]; f != nil && !f.isOpen {
@@ -109,6 +149,7 @@
 		t.busy--
 	}
 	f.isBusy = isBusy
+	f.isAwaited = f.isAwaited && isBusy
 }
 
 // FromCaller notes a later packet of a caller and returns its flow. It returns
@@ -125,7 +166,7 @@
 	}
 	f.isOpen = true
 	if h.Length > 0 {
-		t.setBusy(f, true)
+		t.await(now, f)
 	}
 	if h.IsFIN {
 		f.callerIsDone = true
@@ -179,8 +220,13 @@
 	} else if int32(end-f.highest) > 0 {
 		f.highest = end
 	}
+	if f.isAwaited && h.Length > 0 {
+		t.pace.Note(now, now-f.awaitedAt)
+	}
 	if h.Length > 0 || h.IsFIN {
 		t.setBusy(f, false)
+	} else if h.IsSYN {
+		f.isAwaited = false
 	}
 	if h.IsFIN {
 		f.endpointDone = true
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -84,6 +84,48 @@
 	g.Expect(table.Busy()).To(BeZero())
 }
 
+// What counts is the time from a request to the first byte of its answer. The
+// time that the caller takes after the handshake is not the endpoint's.
+func TestPaceIsTheEndpointsTime(t *testing.T) {
+	const ms = time.Millisecond
+	g := NewWithT(t)
+	table := NewTable()
+	table.Offer(0, key)
+	g.Expect(table.LongestWait(60*ms)).To(Equal(60*ms), "the SYN is not answered")
+	table.FromEndpoint(100*ms, synAck())
+	g.Expect(table.LongestWait(200*ms)).To(BeZero(), "the caller's turn")
+	now := 300 * ms
+	sent := uint32(1)
+	for range 50 {
+		table.FromCaller(now, fromCaller(seqAfter(sent), 100))
+		table.FromEndpoint(now+10*ms, fromEndpoint(seqAfter(sent), 0))
+		table.FromEndpoint(now+40*ms, fromEndpoint(seqAfter(sent), 500))
+		table.FromEndpoint(now+90*ms, fromEndpoint(seqAfter(sent+500), 500))
+		sent += 1000
+		now += 200 * ms
+	}
+	g.Expect(table.Pace(now)).To(BeNumerically("~", 40*ms, 2*ms))
+	table.FromCaller(now, fromCaller(seqAfter(sent), 100))
+	table.FromCaller(now+100*ms, fromCaller(seqAfter(sent), 100))
+	g.Expect(table.LongestWait(now+150*ms)).To(Equal(150*ms), "a copy of a request begins no new wait")
+	table.Sweep(now+100*ms+busyTime+ms, time.Minute)
+	g.Expect(table.LongestWait(now+3*time.Second)).To(BeZero(), "neither end sends any more")
+}
+
+func TestPaceFollowsAndForgets(t *testing.T) {
+	const ms = time.Millisecond
+	g := NewWithT(t)
+	var pace Pace
+	pace.Note(0, 800*ms)
+	g.Expect(pace.Mean(0)).To(Equal(100*ms), "one slow answer is no slow endpoint")
+	for i := range time.Duration(40) {
+		pace.Note(i*10*ms, 200*ms)
+	}
+	g.Expect(pace.Mean(400 * ms)).To(BeNumerically("~", 200*ms, 3*ms))
+	g.Expect(pace.Mean(400*ms + paceHalfLife)).To(BeNumerically("~", 100*ms, 3*ms))
+	g.Expect(pace.Mean(24 * time.Hour)).To(BeZero())
+}
+
 // An agent that has started again learns the flows of its endpoint from what
 // the endpoint sends.
 func TestFlowsOlderThanTheTableAreAdopted(t *testing.T) {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,6 +26,8 @@
 	// Holders are the names of all services that may hold flows of the route,
 	// those that took its flows under earlier tables included.
 	Holders []string
+	// LatencyObjective is the latency that callers want, 0 when none is stated.
+	LatencyObjective time.Duration
 
 	totalWeight uint64
 }
@@ -40,7 +42,8 @@
 type Service struct {
 	// ColdPerSecond is how many requests a second a cold endpoint bears.
 	ColdPerSecond float64
-	MaxFlows      int
+	// MaxFlows is how many flows an endpoint holds, 0 when it is not stated.
+	MaxFlows int
 }
 
 // Table is a routing table that is ready for use.
@@ -134,7 +137,7 @@
 }
 
 func newRoute(from *wire.Route) *Route {
-	route := new(Route)
+	route := &Route{LatencyObjective: time.Duration(from.LatencyObjectiveMs) * time.Millisecond}
 	for _, service := range from.Services {
 		if service.Weight > 0 {
 			route.Services = append(route.Services, WeightedService{Name: service.Service, Weight: service.Weight})
