Offer flows to two agents of other zones before the last of the own one

Ruled out: queues too short, since the other zones' endpoints were not full.

A flow is now offered to up to six agents: three of the own zone, two of others, and one more of the own zone, which lets flows wait. Zones with fewer agents leave their places to the others. The choice no longer sorts all agents for each SYN.

--- a/internal/emulate/compare.go
+++ b/internal/emulate/compare.go
@@ -46,6 +46,9 @@
 func Scenarios() []Scenario {
 	burst := usual()
 	burst.Burst, burst.BurstFrom, burst.BurstTo = 2.6, 5*time.Second, 8*time.Second
+	zoneBurst := usual()
+	zoneBurst.PerSecond, zoneBurst.Burst, zoneBurst.BurstZone = 1400, 1.6, "a"
+	zoneBurst.BurstFrom, zoneBurst.BurstTo = 5*time.Second, 10*time.Second
 	outage := usual()
 	outage.Waiting, outage.Length = 300, 3*time.Second
 	return []Scenario{
@@ -66,6 +69,7 @@
 			}
 		}), Load: usual()},
 		{Name: "burst", Endpoints: site(7, nil), Load: burst},
+		{Name: "zone-burst", Endpoints: site(45, func(_ int, e *Endpoint) { e.Slots, e.Queue = 2, 8 }), Load: zoneBurst},
 		{Name: "after-outage", Endpoints: site(9, func(_ int, e *Endpoint) { e.ColdFor, e.ColdSlow = 2*time.Second, 1.6 }), Load: outage},
 	}
 }
@@ -75,7 +79,7 @@
 	name string
 	make func() Placer
 }{
-	{"offering", func() Placer { return &Offering{Candidates: 4} }},
+	{"offering", func() Placer { return &Offering{} }},
 	{"hash", func() Placer { return Hash{} }},
 	{"least-reported", func() Placer { return &LeastReported{Every: 500 * time.Millisecond} }},
 }
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -35,6 +35,8 @@
 	PerSecond          float64
 	Burst              float64
 	BurstFrom, BurstTo time.Duration
+	// BurstZone is where the requests of the burst come from, all zones if empty.
+	BurstZone string
 	// Waiting is how many requests come at the very beginning, as after an outage.
 	Waiting int
 	// Work is the mean work of a request.
@@ -165,9 +167,22 @@
 	return w.finish()
 }
 
+func (w *World) isBurst() bool {
+	return w.load.Burst > 0 && w.Now >= w.load.BurstFrom && w.Now < w.load.BurstTo
+}
+
+// callerZone draws the zone of a request.
+func (w *World) callerZone() string {
+	excess := 1 - 1/max(w.load.Burst, 1)
+	if w.load.BurstZone != "" && w.isBurst() && w.random.Float64() < excess {
+		return w.load.BurstZone
+	}
+	return w.Endpoints[w.random.IntN(len(w.Endpoints))].Zone
+}
+
 func (w *World) scheduleNext(placer Placer) {
 	rate := w.load.PerSecond
-	if w.Now >= w.load.BurstFrom && w.Now < w.load.BurstTo {
+	if w.isBurst() {
 		rate *= w.load.Burst
 	}
 	if rate <= 0 || w.Now >= w.load.Length {
@@ -180,7 +195,7 @@
 }
 
 func (w *World) ask(placer Placer) {
-	r := &request{asked: w.Now, zone: w.Endpoints[w.random.IntN(len(w.Endpoints))].Zone}
+	r := &request{asked: w.Now, zone: w.callerZone()}
 	w.result.Requests++
 	w.after(w.load.Deadline, func() {
 		if !r.isDone {
--- a/internal/emulate/placers.go
+++ b/internal/emulate/placers.go
@@ -55,8 +55,8 @@
 // flow one after the other, and each agent's gate decides by what is in flight
 // at its own endpoint.
 type Offering struct {
-	// Candidates is how many agents are offered a flow.
-	Candidates int
+	// Offers chooses the agents that are offered a flow; nil is the product's.
+	Offers func(view *flow.View, flow uint64, origin flow.ZoneTag) []flow.Member
 	// Gate decides; nil is the product's.
 	Gate func(endpoint *flow.Endpoint, request flow.Request) flow.Reason
 
@@ -71,8 +71,7 @@
 	if p.view == nil {
 		p.prepare(w)
 	}
-	offers := flow.Offers(p.view, service, rendezvous.Mix(key), flow.TagOf(zone), func(string) bool { return false })
-	offers = offers[:min(len(offers), p.Candidates)]
+	offers := p.offers(rendezvous.Mix(key), flow.TagOf(zone))
 	for i, offer := range offers {
 		chosen := p.index[offer.Address]
 		endpoint := &flow.Endpoint{Service: service, Slots: w.Endpoints[chosen].Slots, HeardAt: w.Now}
@@ -87,6 +86,13 @@
 	return 0, false
 }
 
+func (p *Offering) offers(key uint64, origin flow.ZoneTag) []flow.Member {
+	if p.Offers != nil {
+		return p.Offers(p.view, key, origin)
+	}
+	return flow.Offers(p.view, service, key, origin, func(string) bool { return false })
+}
+
 func (p *Offering) decide(now time.Duration, endpoint *flow.Endpoint, request flow.Request) flow.Reason {
 	if p.Gate != nil {
 		return p.Gate(endpoint, request)
--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 
 	"sassafrasturn.example/internal/rendezvous"
 )
@@ -172,20 +171,71 @@
 	return *found, true
 }
 
-// Offers are the agents that a new flow is offered to, in their order: those
-// of one service that take new flows and whose zone is in service.
+const (
+	// MaxOffers bounds the agents that a new flow is offered to: each costs a hop,
+	// and 6 bytes of a SYN.
+	MaxOffers = 6
+	// maxOwnOffers is how many of them are of the caller's zone where others could
+	// take the flow: a burst in one zone then finds the free slots of the others.
+	maxOwnOffers = 4
+)
+
+// Offers are the agents that a new flow is offered to, in their order: those of
+// one service that take new flows and whose zone is in service. Agents of the
+// caller's zone come first; the last of them comes after those of other zones,
+// since the last agent lets flows wait, and waiting needs no other zone.
 func Offers(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool) []Member {
-	var offers []Member
-	for _, member := range view.byService[service] {
-		if member.IsReady && !member.IsGone && !isOut(member.Zone) {
-			offers = append(offers, member)
+	var own, others best
+	members := view.byService[service]
+	for i := range members {
+		member := &members[i]
+		if !member.IsReady || member.IsGone || isOut(member.Zone) {
+			continue
 		}
-	}
-	slices.SortFunc(offers, func(a, b Member) int {
-		if positionOf(&a, flow, origin, 0).isBefore(positionOf(&b, flow, origin, 0)) {
-			return -1
+		score := rendezvous.Score(flow, member.hash)
+		if member.zone == origin {
+			own.insert(member, score)
+		} else {
+			others.insert(member, score)
 		}
-		return 1
-	})
+	}
+	mostOwn := max(maxOwnOffers, MaxOffers-others.count)
+	own.count = min(own.count, mostOwn)
+	others.count = min(others.count, MaxOffers-own.count)
+	offers := make([]Member, 0, MaxOffers)
+	ahead := own.count
+	if others.count > 0 && own.count >= maxOwnOffers {
+		ahead--
+	}
+	offers = own.appendTo(offers, 0, ahead)
+	offers = others.appendTo(offers, 0, others.count)
+	return own.appendTo(offers, ahead, own.count)
+}
+
+// best holds the members with the highest scores, the highest first.
+type best struct {
+	members [MaxOffers]*Member
+	scores  [MaxOffers]uint64
+	count   int
+}
+
+func (b *best) insert(member *Member, score uint64) {
+	at := b.count
+	for at > 0 && b.scores[at-1] < score {
+		at--
+	}
+	if at == MaxOffers {
+		return
+	}
+	b.count = min(b.count+1, MaxOffers)
+	copy(b.members[at+1:], b.members[at:b.count-1])
+	copy(b.scores[at+1:], b.scores[at:b.count-1])
+	b.members[at], b.scores[at] = member, score
+}
+
+func (b *best) appendTo(offers []Member, from, to int) []Member {
+	for _, member := range b.members[from:to] {
+		offers = append(offers, *member)
+	}
 	return offers
 }
--- a/internal/flow/order_test.go
+++ b/internal/flow/order_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/rendezvous"
 )
 
 func addressOf(i int) netip.AddrPort {
@@ -101,6 +103,50 @@
 	g.Expect(float64(naiveMoved) / flows).To(BeNumerically(">", 0.8))
 }
 
+// The caller's zone comes first, and its last agent after two of other zones. A
+// zone with few agents leaves more places to the others.
+func TestOffersMixZones(t *testing.T) {
+	cases := []struct {
+		name        string
+		own, others int
+		want        string
+	}{
+		{"many in each", 12, 24, "ooo--o"},
+		{"few of the own zone", 2, 24, "oo----"},
+		{"none of the own zone", 0, 24, "------"},
+		{"one in another zone", 12, 1, "oooo-o"},
+		{"the own zone only", 12, 0, "oooooo"},
+		{"as few as fit", 2, 2, "oo--"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			var members []Member
+			for i := range c.own + c.others {
+				zone := "own"
+				if i >= c.own {
+					zone = fmt.Sprintf("other-%d", i%3)
+				}
+				members = append(members, NewMember(addressOf(i), zone, "orders"))
+			}
+			for key := range uint64(50) {
+				got := ""
+				seen := make(map[netip.AddrPort]bool)
+				for _, offer := range Offers(NewView(members), "orders", rendezvous.Mix(key), TagOf("own"), func(string) bool { return false }) {
+					seen[offer.Address] = true
+					if offer.Zone == "own" {
+						got += "o"
+					} else {
+						got += "-"
+					}
+				}
+				g.Expect(got).To(Equal(c.want))
+				g.Expect(seen).To(HaveLen(len(got)), "no agent twice")
+			}
+		})
+	}
+}
+
 func TestOffersLeaveOutWhoTakesNoNewFlows(t *testing.T) {
 	g := NewWithT(t)
 	members := membersOf("orders", 0, 6)
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -26,7 +26,7 @@
 )
 
 // MaxCandidates bounds the agents that one SYN is offered to.
-const MaxCandidates = 4
+const MaxCandidates = flow.MaxOffers
 
 // MaxPacketBytes bounds a caller's or an endpoint's packet.
 const MaxPacketBytes = 2048
