Take an endpoint for younger than its agent only when it is certain

Cause, found by reading: an agent that restarts while the time of day of its machine is behind took an older endpoint for a younger one, believed to know all its flows, and would have answered packets of open flows with a reset once no agent held them. The age of the endpoint by the time of day must now lie between nothing and the time that the agent has run, by the steady clock; otherwise the agent asks the endpoint, as after any restart. The table of cases fails with the old comparison for a clock that went back. Links of control members are dialed through an interface, since yamux shares timers between test bubbles.

--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -40,6 +40,16 @@
 	HeardAt time.Duration
 }
 
+// IsYounger reports whether the endpoint has certainly started after an agent
+// that has run for uptime, so that the agent has seen all its flows. wall is the
+// time of day in Unix milliseconds. The time of day may have jumped since either
+// start: an endpoint that seems to start in the future, or before the agent,
+// may be older.
+func (e *Endpoint) IsYounger(wall int64, uptime time.Duration) bool {
+	age := time.Duration(wall-e.Born) * time.Millisecond
+	return e.Born > 0 && age >= 0 && age <= uptime
+}
+
 // Request is a new flow at the gate of an agent.
 type Request struct {
 	// IsRouteAllowed: the newest routing table known lets the flow's route use
--- a/internal/flow/gate_test.go
+++ b/internal/flow/gate_test.go
@@ -92,3 +92,26 @@
 		g.Expect(gate.Decide(now, endpoint, 0, Request{IsRouteAllowed: true})).To(Equal(Taken))
 	}
 }
+
+// An agent that takes an older endpoint for a younger one resets its open flows.
+func TestEndpointIsYoungerOnlyWhenItIsCertain(t *testing.T) {
+	const wall = 1_800_000_000_000
+	cases := []struct {
+		name   string
+		born   int64
+		uptime time.Duration
+		want   bool
+	}{
+		{"started after the agent", wall - 300, time.Second, true},
+		{"started before the agent", wall - 1300, time.Second, false},
+		{"started with the agent", wall - 1000, time.Second, true},
+		{"the clock went back since it started", wall + 1400, time.Second, false},
+		{"the clock went ahead since it started", wall - 2700, time.Second, false},
+		{"does not say when it started", 0, time.Hour, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			NewWithT(t).Expect((&Endpoint{Born: c.born}).IsYounger(wall, c.uptime)).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -96,9 +96,12 @@
 // Run takes part in the agreement and registers zones until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
 	s := c.instance.Settings
+	id := uint64(s.Control.ID)
 	c.transport.Store(&transport{
-		ctx: ctx, dial: c.instance.Dialer.Dial, log: c.instance.Log, id: uint64(s.Control.ID),
-		address: s.Link.Listen.String(), senders: make(map[uint64]*sender),
+		ctx: ctx, log: c.instance.Log, id: id, address: s.Link.Listen.String(), senders: make(map[uint64]*sender),
+		dial: func(ctx context.Context, address string) (memberLink, error) {
+			return dialMember(ctx, c.instance.Dialer, address, id)
+		},
 	})
 	if s.Mode == settings.ModeOpaque {
 		go c.join(ctx)
--- a/internal/machine/control/transport.go
+++ b/internal/machine/control/transport.go
@@ -39,7 +39,7 @@
 // stream for each.
 type transport struct {
 	ctx  context.Context
-	dial func(ctx context.Context, address string) (*yamux.Session, error)
+	dial func(ctx context.Context, address string) (memberLink, error)
 	log  *log.Logger
 	id   uint64
 	// address is the own link address, with which messages are sent.
@@ -60,6 +60,43 @@
 	isUp bool
 }
 
+// memberLink carries messages to one member.
+type memberLink interface {
+	Send(m *wire.ConsensusMessage) error
+	// Ended is closed once the link has ended.
+	Ended() <-chan struct{}
+	Close() error
+}
+
+// session is a link with one stream for messages.
+type session struct {
+	*yamux.Session
+	stream *yamux.Stream
+}
+
+// dialMember opens a link for the messages of a member.
+func dialMember(ctx context.Context, dialer *link.Dialer, address string, from uint64) (memberLink, error) {
+	opened, err := dialer.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := opened.OpenStream()
+	if err != nil {
+		opened.Close()
+		return nil, Error.Wrap(err)
+	}
+	request := &wire.Request{Body: &wire.Request_Consensus{Consensus: &wire.ConsensusRequest{From: from}}}
+	if err := link.WriteMessage(stream, request); err != nil {
+		opened.Close()
+		return nil, err
+	}
+	return &session{Session: opened, stream: stream}, nil
+}
+
+func (s *session) Send(m *wire.ConsensusMessage) error { return writeMessage(s.stream, m) }
+
+func (s *session) Ended() <-chan struct{} { return s.CloseChan() }
+
 type queued struct {
 	message *wire.ConsensusMessage
 	at      time.Time
@@ -118,11 +155,11 @@
 
 func (t *transport) keepSending(ctx context.Context, s *sender) {
 	for ctx.Err() == nil {
-		session, err := t.open(ctx, s)
+		opened, err := t.open(ctx, s)
 		if err == nil {
 			t.noteLink(s, nil)
-			err = t.sendOn(ctx, session, s)
-			session.Close()
+			err = sendOn(ctx, opened, s)
+			opened.Close()
 		}
 		t.noteLink(s, err)
 		select {
@@ -147,7 +184,7 @@
 }
 
 // open dials a member, and dials it once more when it is heard meanwhile.
-func (t *transport) open(ctx context.Context, s *sender) (*yamux.Session, error) {
+func (t *transport) open(ctx context.Context, s *sender) (memberLink, error) {
 	select {
 	case <-s.heard:
 	default:
@@ -165,10 +202,10 @@
 			isHeard <- true
 		}
 	}()
-	session, err := t.dial(dialing, s.address)
+	opened, err := t.dial(dialing, s.address)
 	close(ended)
 	if err == nil || !<-isHeard {
-		return session, err
+		return opened, err
 	}
 	again, cancelAgain := context.WithTimeout(ctx, dialTimeout)
 	defer cancelAgain()
@@ -176,27 +213,19 @@
 }
 
 // sendOn sends what is queued until the link or ctx ends.
-func (t *transport) sendOn(ctx context.Context, session *yamux.Session, s *sender) error {
+func sendOn(ctx context.Context, to memberLink, s *sender) error {
 	oldest := time.Now().Add(-maxWait)
-	stream, err := session.Open()
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	request := &wire.Request{Body: &wire.Request_Consensus{Consensus: &wire.ConsensusRequest{From: t.id}}}
-	if err := link.WriteMessage(stream, request); err != nil {
-		return err
-	}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-session.CloseChan():
+		case <-to.Ended():
 			return Error.New("the member has closed the link")
 		case q := <-s.queue:
 			if q.at.Before(oldest) {
 				continue
 			}
-			if err := writeMessage(stream, q.message); err != nil {
+			if err := to.Send(q.message); err != nil {
 				return err
 			}
 		}
--- a/internal/machine/control/transport_test.go
+++ b/internal/machine/control/transport_test.go
@@ -8,7 +8,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	. "github.com/onsi/gomega"
 	"github.com/phuslu/log"
 
@@ -61,12 +60,12 @@
 		answers := make(chan *wire.ConsensusMessage, 1)
 		tr := &transport{
 			ctx: ctx, log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, id: 1, senders: make(map[uint64]*sender),
-			dial: func(ctx context.Context, _ string) (*yamux.Session, error) {
+			dial: func(ctx context.Context, _ string) (memberLink, error) {
 				if isOff {
 					<-ctx.Done()
 					return nil, ctx.Err()
 				}
-				return linkTo(answers), nil
+				return keepingLink(answers), nil
 			},
 		}
 		tr.learn(2, "10.0.0.2:7000")
@@ -93,33 +92,18 @@
 	})
 }
 
-// linkTo returns a link whose other end hands on the messages that it gets.
-func linkTo(messages chan<- *wire.ConsensusMessage) *yamux.Session {
-	own, other := net.Pipe()
-	config := yamux.DefaultConfig()
-	config.LogOutput = io.Discard
-	client, _ := yamux.Client(own, config)
-	server, _ := yamux.Server(other, config)
-	go func() {
-		defer server.Close()
-		stream, err := server.Accept()
-		if err != nil {
-			return
-		}
-		if err := link.ReadMessage(stream, new(wire.Request)); err != nil {
-			return
-		}
-		for {
-			m, err := readMessage(stream)
-			if err != nil {
-				return
-			}
-			messages <- m
-		}
-	}()
-	return client
+// keepingLink keeps what is sent.
+type keepingLink chan *wire.ConsensusMessage
+
+func (l keepingLink) Send(m *wire.ConsensusMessage) error {
+	l <- m
+	return nil
 }
 
+func (keepingLink) Ended() <-chan struct{} { return nil }
+
+func (keepingLink) Close() error { return nil }
+
 func TestMessageOfRandomBytes(t *testing.T) {
 	g := NewWithT(t)
 	_, err := readMessage(pipe(func(conn net.Conn) {
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -61,7 +61,7 @@
 	if held != nil && isSameIncarnation(held, announcement) && held.IsDraining == announcement.IsDraining {
 		return
 	}
-	if announcement.Born >= int64(a.instance.Incarnation) {
+	if a.endpoint.IsYounger(time.Now().UnixMilli(), a.node.Now()) {
 		// The endpoint is younger than the agent, which knows all its flows.
 		a.adoptUntil = 0
 	}
