Put proxies between the instances of the soak

Instances can be reached at another address than they listen at, [link] advertise, as behind a forwarded port; gossip of control instances names its sender, which the source of the datagram does not. The soak uses it: in front of each instance stands a proxy that loses, delays, silences or resets what others send it, or lets nothing through in one direction. The number of balancers and agents can be set.

--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -238,7 +238,7 @@
 		Zone:     s.Zone,
 		State:    a.stateLocked(),
 		Slots:    uint32(announced.Slots),
-		Link:     s.Link.Listen.String(),
+		Link:     s.Link.Address().String(),
 	}
 	if proto.Equal(endpoint, a.published) {
 		return
--- a/internal/machine/agent/idempotency.go
+++ b/internal/machine/agent/idempotency.go
@@ -32,7 +32,7 @@
 	owner := token.KeyOwner{
 		Service:     s.number,
 		Instance:    instance.Settings.Instance,
-		Link:        instance.Settings.Link.Listen.String(),
+		Link:        instance.Settings.Link.Address().String(),
 		Incarnation: instance.Incarnation,
 		Ledger:      token.NewLedgerNumber(),
 	}
--- a/internal/machine/balancer/balancer.go
+++ b/internal/machine/balancer/balancer.go
@@ -97,7 +97,7 @@
 		Instance: s.Instance,
 		Address:  envelope.PackAddress(s.Balancer.Envelope),
 		Zone:     s.Zone,
-		Link:     s.Link.Listen.String(),
+		Link:     s.Link.Address().String(),
 	})
 }
 
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -98,7 +98,7 @@
 	s := c.instance.Settings
 	id := uint64(s.Control.ID)
 	c.transport.Store(&transport{
-		ctx: ctx, log: c.instance.Log, id: id, address: s.Link.Listen.String(), senders: make(map[uint64]*sender),
+		ctx: ctx, log: c.instance.Log, id: id, address: s.Link.Address().String(), senders: make(map[uint64]*sender),
 		dial: func(ctx context.Context, address string) (memberLink, error) {
 			return dialMember(ctx, c.instance.Dialer, address, id)
 		},
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -121,13 +121,25 @@
 			d.node.SendMessage(opaque.KindPollAnswer, d.answer(poll), from)
 		}
 	case opaque.KindGossip:
-		gossip := new(wire.Gossip)
-		if proto.Unmarshal(data, gossip) == nil {
-			d.takeGossip(gossip, from)
+		if gossip, sender, ok := parseGossip(data); ok {
+			d.takeGossip(gossip, sender)
 		}
 	case opaque.KindRepeat:
-		d.repeat(from)
+		if _, sender, ok := parseGossip(data); ok {
+			d.repeat(sender)
+		}
+	}
+}
+
+// parseGossip reads gossip and the link address of its sender, which is not
+// where the datagram came from when ports are forwarded.
+func parseGossip(data []byte) (gossip *wire.Gossip, sender netip.AddrPort, ok bool) {
+	gossip = new(wire.Gossip)
+	if proto.Unmarshal(data, gossip) != nil {
+		return nil, netip.AddrPort{}, false
 	}
+	sender, err := netip.ParseAddrPort(gossip.From)
+	return gossip, sender, err == nil
 }
 
 // repeat tells another control instance whole what this one has heard.
--- a/internal/machine/control/founding.go
+++ b/internal/machine/control/founding.go
@@ -40,7 +40,7 @@
 func (c *Control) members() []settings.Member {
 	s := c.instance.Settings
 	if len(s.Control.Members) == 0 {
-		return []settings.Member{{ID: uint64(s.Control.ID), Link: s.Link.Listen}}
+		return []settings.Member{{ID: uint64(s.Control.ID), Link: s.Link.Address()}}
 	}
 	return s.Control.Members
 }
--- a/internal/machine/control/joining.go
+++ b/internal/machine/control/joining.go
@@ -111,7 +111,7 @@
 	for pause.For(ctx, joinInterval) {
 		status := c.loop.status.Load()
 		own := standing{
-			address: c.instance.Settings.Link.Listen, identity: c.identity(),
+			address: c.instance.Settings.Link.Address(), identity: c.identity(),
 			isMember: c.loop.isMember(), peers: c.instance.Peers(),
 		}
 		isServed := status.Role == consensus.Leader || c.loop.now()-status.Contact < removedTimeout
@@ -137,7 +137,7 @@
 
 // askAround asks all known control instances who they are, this one included.
 func (c *Control) askAround(ctx context.Context) map[netip.AddrPort]*wire.DiskIdentity {
-	own := c.instance.Settings.Link.Listen
+	own := c.instance.Settings.Link.Address()
 	var mu sync.Mutex
 	found := map[netip.AddrPort]*wire.DiskIdentity{own: c.identity()}
 	var group sync.WaitGroup
@@ -172,7 +172,7 @@
 
 func (c *Control) askToJoin(ctx context.Context, leader netip.AddrPort) {
 	own := c.loop.identity.Load()
-	join := &wire.JoinControl{Id: own.Id, Disk: own.Disk, Address: c.instance.Settings.Link.Listen.String()}
+	join := &wire.JoinControl{Id: own.Id, Disk: own.Disk, Address: c.instance.Settings.Link.Address().String()}
 	request := &wire.ConsensusRequest{From: own.Id, Body: &wire.ConsensusRequest_Join{Join: join}}
 	ctx, cancel := context.WithTimeout(ctx, joinAskTimeout)
 	defer cancel()
--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -125,12 +125,12 @@
 	config := exchange.MeshConfig{
 		Store:      i.Store,
 		Dialer:     i.Dialer,
-		Self:       exchange.Peer{Instance: i.Settings.Instance, Address: i.Settings.Link.Listen.String()},
+		Self:       exchange.Peer{Instance: i.Settings.Instance, Address: i.Settings.Link.Address().String()},
 		IsPartial:  i.Settings.Role == settings.RoleAgent,
 		KeepsSeeds: i.Settings.Role == settings.RoleControl,
 	}
 	for _, peer := range i.Settings.Cluster.Peers {
-		if peer != i.Settings.Link.Listen {
+		if peer != i.Settings.Link.Address() {
 			config.Seeds = append(config.Seeds, peer.String())
 		}
 	}
@@ -200,7 +200,7 @@
 		go func() { failed <- role.Run(roleCtx) }()
 	}
 	i.Log.Info().Str("role", string(i.Settings.Role)).Str("zone", i.Settings.Zone).
-		Stringer("link", i.Settings.Link.Listen).Msg("instance started")
+		Stringer("link", i.Settings.Link.Address()).Msg("instance started")
 	select {
 	case err := <-failed:
 		if err != nil {
--- a/internal/machine/lease.go
+++ b/internal/machine/lease.go
@@ -126,7 +126,7 @@
 // askPeers asks one configured peer as long as it gives a lease, else the next
 // one, so that each control instance is asked by its share of the instances.
 func (i *Instance) askPeers(ctx context.Context) {
-	peers := slices.DeleteFunc(slices.Clone(i.Settings.Cluster.Peers), func(peer netip.AddrPort) bool { return peer == i.Settings.Link.Listen })
+	peers := slices.DeleteFunc(slices.Clone(i.Settings.Cluster.Peers), func(peer netip.AddrPort) bool { return peer == i.Settings.Link.Address() })
 	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
 	isUseful := func(answer *wire.LeaseResponse) bool { return answer.Lease != nil && !i.asksNeighboursOnly() }
 	for n := 0; len(peers) > 0 && ctx.Err() == nil; n++ {
@@ -153,7 +153,7 @@
 
 // pickNeighbour returns the link address of a random balancer or agent, or "".
 func (i *Instance) pickNeighbour() string {
-	own := i.Settings.Link.Listen.String()
+	own := i.Settings.Link.Address().String()
 	records := i.Store.List(wire.Record_KIND_BALANCER, wire.Record_KIND_ENDPOINT)
 	for range min(len(records), 4) {
 		if address := linkOf(records[rand.IntN(len(records))]); address != "" && address != own {
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -76,7 +76,7 @@
 	}
 	a.gate.Silence = max(a.gate.Silence, s.Opaque.Heartbeat+heartbeatSlack)
 	a.record = wire.AgentRecord{
-		Address: routing.AddressNumber(s.Link.Listen.Addr()), Port: uint32(s.Link.Listen.Port()),
+		Address: routing.AddressNumber(s.Link.Address().Addr()), Port: uint32(s.Link.Address().Port()),
 		// The endpoint may hold flows from before the agent's start.
 		Zone: s.Zone, Service: s.Opaque.Service, Incarnation: instance.Incarnation,
 	}
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -134,7 +134,7 @@
 func (n *Node) KnownAt() time.Duration { return time.Duration(n.knownAt.Load()) }
 
 // Address is where other instances reach this one.
-func (n *Node) Address() netip.AddrPort { return n.instance.Settings.Link.Listen }
+func (n *Node) Address() netip.AddrPort { return n.instance.Settings.Link.Address() }
 
 // Run receives and polls until ctx ends.
 func (n *Node) Run(ctx context.Context) {
--- a/internal/settings/opaque.go
+++ b/internal/settings/opaque.go
@@ -112,4 +112,7 @@
 	if !s.Link.Listen.Addr().Is4() {
 		file.Reject(sectionLink, "listen", s.Link.Listen.String(), "an IPv4 address and a port")
 	}
+	if !s.Link.Address().Addr().Is4() {
+		file.Reject(sectionLink, "advertise", s.Link.Advertise.String(), "an IPv4 address and a port")
+	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,6 +90,17 @@
 // Link is where other instances and operators reach this one.
 type Link struct {
 	Listen netip.AddrPort
+	// Advertise is the address by which others reach Listen, behind a forwarded
+	// port for example; it is Listen when not set.
+	Advertise netip.AddrPort
+}
+
+// Address is where other instances reach this one.
+func (l Link) Address() netip.AddrPort {
+	if l.Advertise.IsValid() {
+		return l.Advertise
+	}
+	return l.Listen
 }
 
 // Metrics is where metrics and the health answer are served.
@@ -202,7 +213,7 @@
 		DataFolder:      file.String(sectionInstance, "data", ""),
 		ShutdownTimeout: file.Duration(sectionInstance, "shutdown_timeout", DefaultShutdownTimeout, time.Second, 24*time.Hour),
 		Cluster:         readCluster(file),
-		Link:            Link{Listen: file.RequiredAddrPort(sectionLink, "listen")},
+		Link:            Link{Listen: file.RequiredAddrPort(sectionLink, "listen"), Advertise: file.AddrPort(sectionLink, "advertise")},
 		Metrics:         Metrics{Listen: file.AddrPort(sectionMetrics, "listen")},
 		Log:             readLog(file),
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -86,6 +86,7 @@
 [cluster]
 [link]
 listen = [::1]:7400
+advertise = [::2]:7402
 [opaque]
 caller_port = 70000
 heartbeat = soon
@@ -93,7 +94,7 @@
 `
 	_, err := settings.Parse("agent.ini", []byte(text))
 	for _, place := range []string{
-		"[cluster] keys", "[cluster] peers", "[link] listen", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
+		"[cluster] keys", "[cluster] peers", "[link] listen", "[link] advertise", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
 		"[opaque] endpoint", "[opaque] outbound", "[opaque] announce",
 	} {
 		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(place)))
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -246,9 +246,9 @@
 // send sends a packet through one of the balancers that are up.
 func (c *caller) send(key flow.Key, h flow.Header, data []byte) {
 	h.Source, h.Destination = key.Caller, key.Dialed
-	b := c.world.balancers[c.random.IntN(balancers)]
+	b := c.world.balancers[c.random.IntN(len(c.world.balancers))]
 	if b.isStopped.Load() {
-		b = c.world.balancers[c.random.IntN(balancers)]
+		b = c.world.balancers[c.random.IntN(len(c.world.balancers))]
 	}
 	to := &net.UDPAddr{IP: net.ParseIP(b.host), Port: packetPort}
 	packet := platform.AppendPacket(nil, &h, 0, data)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -60,10 +60,10 @@
 	length := time.Duration(w.random.Int64N(int64(maxPause)))
 	all := w.all()
 	target := all[w.random.IntN(len(all))]
-	s := w.sites[w.random.IntN(sites)]
+	s := w.sites[w.random.IntN(len(w.sites))]
 	w.faults++
 	w.disturbedAt.Store(time.Now().UnixNano())
-	switch w.random.IntN(8) {
+	switch w.random.IntN(11) {
 	case 0, 1:
 		undoing.Go(func() { w.restart(target, syscall.SIGKILL, length) })
 	case 2:
@@ -84,9 +84,47 @@
 		for _, i := range w.controls {
 			undoing.Go(func() { w.restart(i, syscall.SIGKILL, length/4) })
 		}
+	case 8, 9:
+		kind := w.random.IntN(linkFaults)
+		undoing.Go(func() { w.harmLink(target, kind, length) })
+	case 10:
+		target.proxy.reset()
 	}
 }
 
+// linkFaults is how many kinds of harm there are to a link.
+const linkFaults = 4
+
+// Harm to what an instance is sent.
+const (
+	linkDelay     = 60 * time.Millisecond
+	linkLossOneIn = 5
+)
+
+// harmLink harms the way to an instance for a while.
+func (w *world) harmLink(i *instance, kind int, length time.Duration) {
+	if !i.claim() {
+		return
+	}
+	defer w.release(i)
+	p := i.proxy
+	switch kind {
+	case 0:
+		p.isSilent.Store(true)
+	case 1:
+		p.isDeaf.Store(true)
+	case 2:
+		p.delay.Store(int64(linkDelay))
+	case 3:
+		p.lossOneIn.Store(linkLossOneIn)
+	}
+	time.Sleep(length)
+	p.isSilent.Store(false)
+	p.isDeaf.Store(false)
+	p.delay.Store(0)
+	p.lossOneIn.Store(0)
+}
+
 // claim takes an instance out for a fault; one fault at a time.
 func (i *instance) claim() bool { return i.isStopped.CompareAndSwap(false, true) }
 
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// proxy stands in front of an instance's link address: other instances reach it
+// through the proxy only, which may lose, delay, silence or reset what they send.
+// Answers go back the same way.
+type proxy struct {
+	target   netip.AddrPort
+	datagram *net.UDPConn
+	listener net.Listener
+	// isSilent: nothing passes, in either direction, and nothing is closed.
+	isSilent atomic.Bool
+	// isDeaf: nothing reaches the instance, while its answers pass.
+	isDeaf atomic.Bool
+	delay  atomic.Int64
+	// lossOneIn is the share of datagrams that are lost, one of so many; 0 is none.
+	lossOneIn atomic.Int64
+	count     atomic.Int64
+
+	mu sync.Mutex
+	// back are the sockets towards the instance, by who sends.
+	back  map[netip.AddrPort]*net.UDPConn
+	conns map[net.Conn]bool
+}
+
+const (
+	proxyBuffer = 4096
+	// maxBacks bounds the sockets of one proxy: the size of the system and more.
+	maxBacks = 512
+	// silencePoll is how often a silent connection looks whether it may go on.
+	silencePoll = 20 * time.Millisecond
+)
+
+func newProxy(ctx context.Context, listen, target netip.AddrPort) (*proxy, error) {
+	p := &proxy{target: target, back: make(map[netip.AddrPort]*net.UDPConn), conns: make(map[net.Conn]bool)}
+	var err error
+	if p.datagram, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen)); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if p.listener, err = net.Listen("tcp4", listen.String()); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	context.AfterFunc(ctx, p.close)
+	go p.passDatagrams()
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) close() {
+	p.datagram.Close()
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.back {
+		conn.Close()
+	}
+	for conn := range p.conns {
+		conn.Close()
+	}
+}
+
+// isLost reports whether a datagram is to be lost.
+func (p *proxy) isLost() bool {
+	oneIn := p.lossOneIn.Load()
+	return p.isSilent.Load() || oneIn > 0 && p.count.Add(1)%oneIn == 0
+}
+
+// later sends at once, or after the delay.
+func (p *proxy) later(data []byte, send func([]byte)) {
+	delay := time.Duration(p.delay.Load())
+	if delay == 0 {
+		send(data)
+		return
+	}
+	kept := append([]byte(nil), data...)
+	time.AfterFunc(delay, func() { send(kept) })
+}
+
+func (p *proxy) passDatagrams() {
+	buffer := make([]byte, proxyBuffer)
+	for {
+		n, from, err := p.datagram.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil || p.isLost() || p.isDeaf.Load() {
+			continue
+		}
+		if back := p.backFor(from); back != nil {
+			// A target that is down refuses, which is its fault's effect.
+			p.later(buffer[:n], func(data []byte) { _, _ = back.Write(data) })
+		}
+	}
+}
+
+// backFor returns the socket for the datagrams of a sender, and starts to pass
+// answers back.
+func (p *proxy) backFor(from netip.AddrPort) *net.UDPConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn := p.back[from]; conn != nil || len(p.back) >= maxBacks {
+		return conn
+	}
+	conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(p.target))
+	if err != nil {
+		return nil
+	}
+	p.back[from] = conn
+	go func() {
+		buffer := make([]byte, proxyBuffer)
+		for {
+			n, err := conn.Read(buffer)
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err == nil && !p.isLost() {
+				p.later(buffer[:n], func(data []byte) { _, _ = p.datagram.WriteToUDPAddrPort(data, from) })
+			}
+		}
+	}()
+	return conn
+}
+
+func (p *proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go p.passConn(conn)
+		}
+	}
+}
+
+func (p *proxy) passConn(conn net.Conn) {
+	back, err := net.Dial("tcp4", p.target.String())
+	if err != nil {
+		conn.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[conn], p.conns[back] = true, true
+	p.mu.Unlock()
+	var copying sync.WaitGroup
+	copying.Go(func() { p.copy(back, conn, &p.isDeaf) })
+	copying.Go(func() { p.copy(conn, back, nil) })
+	copying.Wait()
+	p.mu.Lock()
+	delete(p.conns, conn)
+	delete(p.conns, back)
+	p.mu.Unlock()
+}
+
+// copy passes bytes on until either end is closed, and holds them while the
+// proxy is silent or the direction is cut.
+func (p *proxy) copy(to, from net.Conn, isCut *atomic.Bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, proxyBuffer)
+	for {
+		n, err := from.Read(buffer)
+		for p.isSilent.Load() || isCut != nil && isCut.Load() {
+			time.Sleep(silencePoll)
+		}
+		time.Sleep(time.Duration(p.delay.Load()))
+		if n > 0 {
+			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+				return
+			}
+		}
+		if err != nil && !errors.Is(err, io.ErrNoProgress) {
+			return
+		}
+	}
+}
+
+// reset ends all connections with a reset.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// Lingering for no time makes the close a reset; a closed one has none.
+			_ = tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,8 +4,9 @@
 //
 // It injects kills, pauses, graceful stops, lost data folders, endpoints that
 // drain and restart, lost and late packets between callers and balancers, and
-// operators' connections that are reset, silent or late. It cannot cut instances
-// off from one another: they talk by their own addresses.
+// operators' connections that are reset, silent or late. Between instances stand
+// proxies, which lose, delay, silence and reset what an instance is sent, or let
+// nothing through in one direction.
 package soak
 
 import (
@@ -13,6 +14,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"sync"
@@ -35,6 +37,18 @@
 	Seed   uint64
 	// Length is how long faults are injected.
 	Length time.Duration
+	// Sites is how many agents with endpoints there are, and Balancers how many
+	// balancers; 0 stands for the usual few.
+	Sites, Balancers int
+}
+
+func (c *Config) fill() {
+	if c.Sites == 0 {
+		c.Sites = usualSites
+	}
+	if c.Balancers == 0 {
+		c.Balancers = usualBalancers
+	}
 }
 
 // Report is what a run gave.
@@ -46,10 +60,10 @@
 }
 
 const (
-	controls  = 5
-	balancers = 3
-	sites     = 6
-	callers   = 12
+	controls       = 5
+	usualBalancers = 3
+	usualSites     = 6
+	callers        = 12
 	// startTime bounds the time until the first flow is served.
 	startTime = 15 * time.Second
 	// settleTime is how long the control group may take to grow to all its voters.
@@ -92,6 +106,7 @@
 type instance struct {
 	*harness.Process
 	name, host string
+	proxy      *proxy
 	// isStopped: the soak has ended or paused it.
 	isStopped atomic.Bool
 	// lostUntil is until when the disk of a control instance counts as lost.
@@ -100,6 +115,7 @@
 
 const (
 	linkPort     = 7400
+	proxyPort    = 7402
 	metricsPort  = 7401
 	operatorPort = 8166
 	readyPort    = 8167
@@ -107,18 +123,23 @@
 	outboundPort = 8162
 	endpointPort = 8165
 
-	firstControl  = 10
+	firstControl  = 5
+	firstCaller   = 10
 	firstBalancer = 30
-	firstSite     = 60
-	firstCaller   = 120
+	firstSite     = 90
 )
 
 func (w *world) host(number int) string { return fmt.Sprintf("%s.%d", w.subnet, number) }
 
 func zoneOf(i int) string { return string(rune('a' + i%3)) }
 
-func (w *world) start(role, name string, number, zone int, extra string) (*instance, error) {
+func (w *world) start(ctx context.Context, role, name string, number, zone int, extra string) (*instance, error) {
 	i := &instance{name: name, host: w.host(number)}
+	host := netip.MustParseAddr(i.host)
+	var err error
+	if i.proxy, err = newProxy(ctx, netip.AddrPortFrom(host, proxyPort), netip.AddrPortFrom(host, linkPort)); err != nil {
+		return nil, err
+	}
 	path := filepath.Join(w.config.Folder, name+".ini")
 	if err := os.WriteFile(path, []byte(w.settings(role, i, zone)+extra), 0o600); err != nil {
 		return nil, Error.Wrap(err)
@@ -130,7 +151,7 @@
 func (w *world) settings(role string, i *instance, zone int) string {
 	peers := ""
 	for n := range 3 {
-		peers += fmt.Sprintf("%s:%d, ", w.host(firstControl+n), linkPort)
+		peers += fmt.Sprintf("%s:%d, ", w.host(firstControl+n), proxyPort)
 	}
 	return fmt.Sprintf(`[instance]
 mode = opaque
@@ -143,37 +164,38 @@
 peers = %s
 [link]
 listen = %s:%d
+advertise = %s:%d
 [metrics]
 listen = %s:%d
 [log]
 decisions_per_second = 200
 [opaque]
 heartbeat = 500ms
-`, role, i.name, zoneOf(zone), i.name, peers, i.host, linkPort, i.host, metricsPort)
+`, role, i.name, zoneOf(zone), i.name, peers, i.host, linkPort, i.host, proxyPort, i.host, metricsPort)
 }
 
 // startAll starts every process of the system.
-func (w *world) startAll() error {
+func (w *world) startAll(ctx context.Context) error {
 	for n := range controls {
 		host := w.host(firstControl + n)
-		i, err := w.start("control", fmt.Sprintf("control-%d", n), firstControl+n, n, fmt.Sprintf("operator = %s:%d\nfound = true\n", host, operatorPort))
+		i, err := w.start(ctx, "control", fmt.Sprintf("control-%d", n), firstControl+n, n, fmt.Sprintf("operator = %s:%d\nfound = true\n", host, operatorPort))
 		if err != nil {
 			return err
 		}
 		w.controls = append(w.controls, i)
 	}
-	for n := range balancers {
+	for n := range w.config.Balancers {
 		host := w.host(firstBalancer + n)
-		i, err := w.start("balancer", fmt.Sprintf("balancer-%d", n), firstBalancer+n, n,
+		i, err := w.start(ctx, "balancer", fmt.Sprintf("balancer-%d", n), firstBalancer+n, n,
 			fmt.Sprintf("packets = %s:%d\nready = %s:%d\ncaller_port = %d\n", host, packetPort, host, readyPort, packetPort))
 		if err != nil {
 			return err
 		}
 		w.balancers = append(w.balancers, i)
 	}
-	for n := range sites {
+	for n := range w.config.Sites {
 		host := w.host(firstSite + n)
-		i, err := w.start("agent", fmt.Sprintf("agent-%d", n), firstSite+n, n, fmt.Sprintf(
+		i, err := w.start(ctx, "agent", fmt.Sprintf("agent-%d", n), firstSite+n, n, fmt.Sprintf(
 			"endpoint = %s:%d\nservice = %s\noutbound = %s:%d\nannounce = %s:%d\ncaller_port = %d\n",
 			host, endpointPort, serviceOf(n), host, outboundPort, host, operatorPort, packetPort))
 		if err != nil {
@@ -203,11 +225,12 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, config Config) (Report, error) {
+	config.fill()
 	w := &world{config: config, subnet: harness.Subnet(), random: rand.New(rand.NewPCG(config.Seed, 23)), started: time.Now()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer w.close()
-	if err := w.startAll(); err != nil {
+	if err := w.startAll(ctx); err != nil {
 		return Report{}, err
 	}
 	w.operator = newOperator(w)
