Let control instances that miss the gossip of others step aside

An instance now serves polls only while it hears the gossip of a majority of the members and of every member that others hear; that it misses some shows 1.1 s after the last gossip, in time for its agents to be heard elsewhere before they count as gone. Instances answer a question for records also when they have none, and gossip at their start, so that a restart takes no longer.

--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -43,9 +43,10 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	// heard is when each control instance was last heard, and told when another
-	// one last spoke of it.
-	heard, told map[netip.AddrPort]time.Duration
+	// company is which other control instances this one hears.
+	company *roster.Company
+	// isComplete is whether it was complete when that was last asked.
+	isComplete bool
 	// leader is what others say of the leader, for an instance that is no member.
 	leader     netip.AddrPort
 	leaderTerm uint64
@@ -57,7 +58,7 @@
 func newDiscovery(c *Control) (*discovery, error) {
 	d := &discovery{
 		control: c, changed: make(chan struct{}, 1),
-		heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration),
+		company: roster.NewCompany(), isComplete: true,
 		repeatAt: make(map[netip.AddrPort]time.Duration),
 	}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.take})
@@ -87,8 +88,8 @@
 	}
 }
 
-// askAtStart asks the other control instances for their records, more than
-// once, since datagrams may be lost.
+// askAtStart asks the other control instances for their records and tells them
+// of this one, more than once, since datagrams may be lost.
 func (d *discovery) askAtStart(ctx context.Context) {
 	for range startQuestions {
 		for _, address := range d.controlAddresses() {
@@ -96,6 +97,7 @@
 				d.node.SendMessage(opaque.KindRepeat, &wire.Gossip{From: d.node.Address().String()}, address)
 			}
 		}
+		d.gossip()
 		if !pause.For(ctx, roster.WarmUp/startQuestions) {
 			return
 		}
@@ -126,6 +128,7 @@
 		}
 	case opaque.KindRepeat:
 		if _, sender, ok := parseGossip(data); ok {
+			d.hear(sender)
 			d.repeat(sender)
 		}
 	}
@@ -142,12 +145,19 @@
 	return gossip, sender, err == nil
 }
 
-// repeat tells another control instance whole what this one has heard.
+func (d *discovery) hear(sender netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.company.Hear(d.node.Now(), sender)
+}
+
+// repeat tells another control instance whole what this one has heard, if only
+// that it is there.
 func (d *discovery) repeat(to netip.AddrPort) {
 	d.mu.Lock()
 	records := d.roster.Own(d.node.Now() - 2*gossipInterval)
 	d.mu.Unlock()
-	for len(records) > 0 {
+	for isFirst := true; isFirst || len(records) > 0; isFirst = false {
 		message := &wire.Gossip{From: d.node.Address().String()}
 		message.Changed, records = split(records, gossipRecords)
 		d.node.SendMessage(opaque.KindGossip, message, to)
@@ -161,7 +171,7 @@
 	defer d.mu.Unlock()
 	answer := &wire.PollAnswer{
 		Sequence: poll.Sequence,
-		Fresh:    d.control.loop.isCurrent() && d.roster.IsWarm(now) && !d.control.isDraining.Load(),
+		Fresh:    d.control.loop.isCurrent() && d.roster.IsWarm(now) && d.hearsAll(now) && !d.control.isDraining.Load(),
 	}
 	for _, address := range d.addresses(now) {
 		answer.Control = append(answer.Control, address.String())
@@ -183,6 +193,29 @@
 	return answer
 }
 
+// hearsAll reports whether this instance hears the others as it must for a
+// whole roster.
+func (d *discovery) hearsAll(now time.Duration) bool {
+	isComplete := d.company.IsComplete(now, d.node.Address(), d.members())
+	if isComplete != d.isComplete {
+		d.isComplete = isComplete
+		d.control.instance.Log.Warn().Bool("complete", isComplete).Int("agents", d.roster.Living()).
+			Msg("gossip of other control instances is missed or heard again")
+	}
+	return isComplete
+}
+
+// members returns the link addresses of the group's members.
+func (d *discovery) members() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, member := range d.control.loop.status.Load().Group.GetMembers() {
+		if address, err := netip.ParseAddrPort(member.Address); err == nil {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // addHeld adds the routing table and the zones, as far as the node lacks them.
 func (d *discovery) addHeld(poll *wire.Poll, answer *wire.PollAnswer) {
 	held := d.control.replica.held.Load()
@@ -214,7 +247,10 @@
 	lost := d.roster.Sweep(now)
 	changed, heard := d.roster.Gossip(now, now-2*gossipInterval)
 	addresses := d.addresses(now)
-	known := d.heardAddresses()
+	var recent []string
+	for _, address := range d.company.Recent(now) {
+		recent = append(recent, address.String())
+	}
 	d.mu.Unlock()
 	for _, record := range lost {
 		d.control.instance.Log.Info().Stringer("agent", routing.NumberAddress(record.Address)).Str("service", record.Service).
@@ -227,7 +263,7 @@
 		message.Heard, heard = split(heard, gossipHeard)
 		if isFirst {
 			d.addLeader(message)
-			message.Control = known
+			message.Control = recent
 		}
 		for _, address := range addresses {
 			if address != own {
@@ -255,10 +291,10 @@
 	now := d.node.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.heard[from] = now
+	d.company.Hear(now, from)
 	for _, text := range gossip.Control {
-		if address, err := netip.ParseAddrPort(text); err == nil && len(d.told) < maxHeard {
-			d.told[address] = now
+		if address, err := netip.ParseAddrPort(text); err == nil {
+			d.company.Told(now, address)
 		}
 	}
 	if leader, err := netip.ParseAddrPort(gossip.Leader); err == nil && gossip.Term >= d.leaderTerm {
@@ -270,14 +306,6 @@
 	}
 }
 
-const (
-	// maxHeard bounds the control instances that are remembered.
-	maxHeard = 64
-	// heardTimeout is how long a control instance is remembered that is silent
-	// and no member.
-	heardTimeout = 10 * time.Second
-)
-
 // controlAddresses returns the link addresses of all known control instances.
 func (d *discovery) controlAddresses() []netip.AddrPort {
 	d.mu.Lock()
@@ -294,19 +322,11 @@
 			addresses = append(addresses, address)
 		}
 	}
-	for _, member := range d.control.loop.status.Load().Group.GetMembers() {
-		if address, err := netip.ParseAddrPort(member.Address); err == nil {
-			add(address)
-		}
+	for _, address := range d.members() {
+		add(address)
 	}
-	for _, remembered := range []map[netip.AddrPort]time.Duration{d.heard, d.told} {
-		for address, at := range remembered {
-			if now-at > heardTimeout {
-				delete(remembered, address)
-				continue
-			}
-			add(address)
-		}
+	for _, address := range d.company.Known(now) {
+		add(address)
 	}
 	if !d.control.loop.isMember() {
 		for _, peer := range d.control.instance.Peers() {
@@ -316,15 +336,6 @@
 	return addresses
 }
 
-// heardAddresses returns the control instances that this one has itself heard.
-func (d *discovery) heardAddresses() []string {
-	var addresses []string
-	for address := range d.heard {
-		addresses = append(addresses, address.String())
-	}
-	return addresses
-}
-
 // knownLeader returns what others have lately said of the leader.
 func (d *discovery) knownLeader() (netip.AddrPort, bool) {
 	d.mu.Lock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -269,14 +269,13 @@
 // Revision counts the changes of the roster.
 func (r *Roster) Revision() uint64 { return r.revision }
 
-// Counts returns how many agents live and how many are gone.
-func (r *Roster) Counts() (living, gone int) {
+// Living returns how many agents are not gone.
+func (r *Roster) Living() int {
+	living := 0
 	for _, e := range r.entries {
-		if e.record.Gone {
-			gone++
-		} else {
+		if !e.record.Gone {
 			living++
 		}
 	}
-	return living, gone
+	return living
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -82,8 +82,7 @@
 	g.Expect(roster.Hear(0, agent(1, 50, 3))).To(Equal(uint64(50)))
 	g.Expect(roster.Hear(time.Second, agent(1, 20, 0))).To(Equal(uint64(50)))
 	g.Expect(roster.Hear(time.Second, agent(1, 51, 0))).To(Equal(uint64(51)))
-	living, _ := roster.Counts()
-	g.Expect(living).To(Equal(1))
+	g.Expect(roster.Living()).To(Equal(1))
 }
 
 func TestRecordsOutOfBoundsAreNotHeld(t *testing.T) {
@@ -92,8 +91,7 @@
 	record := agent(1, 1, 1)
 	record.Service = strings.Repeat("s", maxNameBytes+1)
 	roster.Hear(0, record)
-	living, _ := roster.Counts()
-	g.Expect(living).To(BeZero())
+	g.Expect(roster.Living()).To(BeZero())
 }
 
 // A control instance that starts again has an empty roster: nodes must not
