Test the sealed path of the opaque mode end to end

Authenticated datagrams of the opaque mode had no test of their own. The path test now runs balancers, agents and control with keys as well: flows are served, and offers without a seal or under another key reach no endpoint, where an insecure cluster takes the unsealed one. The poller remembers the incarnation that it has told, in place of building the record again.

--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -1,6 +1,7 @@
 package pathtest
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
@@ -11,6 +12,9 @@
 	. "github.com/onsi/gomega"
 
 	"sassafrasturn.example/internal/flow"
+	"sassafrasturn.example/internal/keyring"
+	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/settings"
 )
 
 // disturbance is something that must break no open flow.
@@ -116,6 +120,46 @@
 }
 
 // A hash over the list of endpoints breaks flows whenever the list changes.
+// forgeOffer sends an agent a SYN as an instance with other keys would.
+func (w *world) forgeOffer(number int, keys *keyring.Keyring, to *site) {
+	instance := w.instance(settings.RoleBalancer, ip(8, number), zoneOf(0))
+	instance.Keys = keys
+	node, err := opaque.NewListener(instance, opaque.Handlers{})
+	w.g.Expect(err).NotTo(HaveOccurred())
+	syn := encode(&flow.Header{Source: netip.AddrPortFrom(ip(100, number), 999), Destination: orders, IsSYN: true}, nil)
+	buffer := append(make([]byte, opaque.OfferSpace), syn...)
+	offer := opaque.Offer{Service: opaque.TagOfService("orders"), Balancer: node.Address()}
+	node.SendOffer(&offer, buffer, netip.AddrPortFrom(to.address, linkPort))
+}
+
+// With keys the whole path works on sealed datagrams, and nobody without the key
+// can hand an endpoint a flow.
+func TestSealedPathTakesNoForgedOffers(t *testing.T) {
+	newKeys := func(fill byte) *keyring.Keyring {
+		keys, err := keyring.New(1, map[keyring.Epoch][]byte{1: bytes.Repeat([]byte{fill}, 32)})
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		return keys
+	}
+	for _, c := range []struct {
+		name  string
+		keys  *keyring.Keyring
+		taken int
+	}{{"without keys", nil, 1}, {"with keys", newKeys(7), 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			playKeyed(t, c.keys, false, 3, 3, func(w *world) {
+				for range 5 {
+					w.g.Expect(w.dial(orders, anyZone).request()).NotTo(BeEmpty())
+				}
+				before := len(w.sites[0].endpoint.opened)
+				w.forgeOffer(1, nil, w.sites[0])
+				w.forgeOffer(2, newKeys(8), w.sites[0])
+				w.sleep(50 * time.Millisecond)
+				w.g.Expect(len(w.sites[0].endpoint.opened) - before).To(Equal(c.taken))
+			})
+		})
+	}
+}
+
 func TestNaiveForwardingBreaksFlows(t *testing.T) {
 	for _, d := range disturbances {
 		if d.name == "endpoints are added" {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -14,7 +14,9 @@
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasturn.example/internal/envelope"
 	"sassafrasturn.example/internal/flow"
+	"sassafrasturn.example/internal/keyring"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/machine/opaque"
 	"sassafrasturn.example/internal/machine/opaque/agent"
@@ -56,7 +58,9 @@
 	network *network
 	control *controlStandIn
 	// isNaive replaces the balancers and agents by naive ones.
-	isNaive   bool
+	isNaive bool
+	// keys seal what instances send one another; nil on an insecure cluster.
+	keys      *keyring.Keyring
 	balancers []*runningBalancer
 	sites     []*site
 	callers   map[netip.Addr]*socket
@@ -67,9 +71,14 @@
 
 // play runs a test in virtual time with so many balancers and sites.
 func play(t *testing.T, isNaive bool, balancers, sites int, run func(w *world)) {
+	playKeyed(t, nil, isNaive, balancers, sites, run)
+}
+
+// playKeyed runs a test on a cluster with keys.
+func playKeyed(t *testing.T, keys *keyring.Keyring, isNaive bool, balancers, sites int, run func(w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{
-			g: NewWithT(t), t: t, network: newNetwork(), isNaive: isNaive,
+			g: NewWithT(t), t: t, network: newNetwork(), isNaive: isNaive, keys: keys,
 			callers: make(map[netip.Addr]*socket), flows: make(map[flow.Key]*callerFlow), nextPort: 1000,
 		}
 		w.mu.Lock()
@@ -133,6 +142,7 @@
 	instance, err := machine.New(s)
 	w.g.Expect(err).NotTo(HaveOccurred())
 	instance.Log = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	instance.Keys = w.keys
 	instance.ListenUDP = func(address netip.AddrPort) (machine.Socket, error) { return w.network.listen(address), nil }
 	return instance
 }
@@ -147,10 +157,17 @@
 	out    []string
 	// isDown: polls get no answer.
 	isDown bool
+	// sealer is nil on an insecure cluster.
+	sealer *envelope.Sealer
 }
 
 func newControlStandIn(w *world) *controlStandIn {
 	c := &controlStandIn{world: w, roster: roster.New(1, 0), start: time.Now(), table: &wire.RoutingTable{}}
+	if w.keys != nil {
+		var err error
+		c.sealer, err = envelope.NewSealer(w.keys)
+		w.g.Expect(err).NotTo(HaveOccurred())
+	}
 	s := w.network.listen(controlAddress)
 	w.stops = append(w.stops, func() { s.Close() })
 	go c.serve(s)
@@ -170,14 +187,33 @@
 			return
 		}
 		poll := new(wire.Poll)
-		if opaque.Kind(buffer[0]) != opaque.KindPoll || proto.Unmarshal(buffer[1:n], poll) != nil || c.isSilent() {
+		question := c.open(buffer[:n])
+		if len(question) == 0 || opaque.Kind(question[0]) != opaque.KindPoll || proto.Unmarshal(question[1:], poll) != nil || c.isSilent() {
 			continue
 		}
 		c.world.mu.Lock()
 		data, _ := proto.Marshal(c.answer(poll))
 		c.world.mu.Unlock()
-		_, _ = s.WriteToUDPAddrPort(append([]byte{byte(opaque.KindPollAnswer)}, data...), from)
+		_, _ = s.WriteToUDPAddrPort(c.seal(append([]byte{byte(opaque.KindPollAnswer)}, data...)), from)
+	}
+}
+
+// open returns what a datagram holds, nothing of one that is not sealed as it must be.
+func (c *controlStandIn) open(data []byte) []byte {
+	if c.sealer == nil {
+		return data
+	}
+	content, _ := c.sealer.OpenBytes(data)
+	return content
+}
+
+func (c *controlStandIn) seal(data []byte) []byte {
+	if c.sealer == nil {
+		return data
 	}
+	sealed, err := c.sealer.SealBytes(nil, data)
+	c.world.g.Expect(err).NotTo(HaveOccurred())
+	return sealed
 }
 
 func (c *controlStandIn) isSilent() bool {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -61,8 +61,9 @@
 	zonesOut  map[string]bool
 	zoneIndex uint64
 	fetch     fetch
-	// raise is the incarnation that the agent must exceed.
-	raise uint64
+	// asked is the incarnation that the newest poll gave, and raise the one that the
+	// agent must exceed.
+	asked, raise uint64
 }
 
 // fetch is a routing table that is being drawn in parts.
@@ -202,6 +203,7 @@
 	if p.self != nil {
 		poll.Self = p.self()
 		poll.Self.Incarnation = max(poll.Self.Incarnation, p.raise)
+		p.asked = poll.Self.Incarnation
 	}
 	if p.fetch.version > 0 {
 		poll.FetchVersion, poll.FetchOffset = p.fetch.version, uint32(len(p.fetch.data))
@@ -213,7 +215,7 @@
 func (p *poller) apply(message *wire.PollAnswer) (isMore bool) {
 	now := p.node.Now()
 	p.learnControl(message.Control)
-	if p.self != nil && message.Incarnation > max(p.self().Incarnation, p.raise) {
+	if p.self != nil && message.Incarnation > p.asked {
 		p.raise = message.Incarnation + 1
 		isMore = true
 	}
