Check at an agent's start whether an endpoint runs beside it

Ruled out: the election and the views, which were there.

The agent now tries a TCP connection to the endpoint's check address, a setting of its own, at its start. Where that is refused no endpoint holds flows, and all later ones come through the agent, so that it neither delays a verdict nor asks an endpoint that starts. Without the setting, or without an answer, all is as before.

The new path test fails without the check.

--- a/internal/machine/instance.go
+++ b/internal/machine/instance.go
@@ -54,6 +54,8 @@
 	Metrics   *prometheus.Registry
 	// ListenUDP opens the sockets of the datagram path.
 	ListenUDP func(address netip.AddrPort) (Socket, error)
+	// DialTCP opens connections to the endpoint beside an agent.
+	DialTCP func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Lease says whether a balancer may go on by what is known of the zones.
 	Lease *zone.Holder
 	// SetsZoneView is true where a role routes by the zones and calls
@@ -101,6 +103,7 @@
 		Dialer:      &link.Dialer{TLS: clientTLS},
 		Metrics:     newRegistry(),
 		ListenUDP:   listenUDP,
+		DialTCP:     dialTCP,
 		Lease:       zone.NewHolder(),
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -131,6 +131,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	go a.node.Run(ctx)
 	go a.sweep(ctx)
+	go a.checkEndpoint(ctx)
 	opaque.ReceivePackets(ctx, a.outbound, a.instance.Log, a.takeOutbound)
 	return nil
 }
--- a/internal/machine/opaque/pathtest/ends_test.go
+++ b/internal/machine/opaque/pathtest/ends_test.go
@@ -55,6 +55,15 @@
 	return e
 }
 
+func (e *endpoint) isStopped() bool {
+	select {
+	case <-e.done:
+		return true
+	default:
+		return false
+	}
+}
+
 func (e *endpoint) stop() {
 	select {
 	case <-e.done:
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -422,6 +422,40 @@
 	})
 }
 
+// All lose power, and some endpoints do not come back. Their agents know at once
+// that nobody is there, and do not keep the callers of lost flows waiting.
+func TestAgentsWithoutEndpointKeepNoCallerWaiting(t *testing.T) {
+	play(t, false, 3, 6, func(w *world) {
+		var flows []*callerFlow
+		for range 10 {
+			f := w.dial(orders, anyZone)
+			w.g.Expect(f.request()).NotTo(BeEmpty())
+			flows = append(flows, f)
+		}
+		for i, s := range w.sites {
+			s.stop()
+			s.endpoint.stop()
+			if i < 4 {
+				s.startEndpoint("orders")
+			}
+		}
+		w.sleep(100 * time.Millisecond)
+		for _, s := range w.sites {
+			s.endpoint.isMute = s.endpoint.isStopped()
+			s.startAgent()
+			s.endpoint.announce()
+		}
+		w.sleep(200 * time.Millisecond)
+		for _, f := range flows {
+			start := time.Now()
+			w.g.Expect(f.request()).To(BeEmpty())
+			w.g.Expect(f.isReset).To(BeTrue())
+			w.g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+			w.g.Expect(w.isServed(orders)).To(BeTrue())
+		}
+	})
+}
+
 // Agents come back without their endpoints, and stop again. None of them may
 // swallow the packets that pass along the order to the holder of a flow.
 func TestAgentsWithoutEndpointStepOutOfTheWay(t *testing.T) {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -135,7 +137,8 @@
 		Opaque: settings.Opaque{
 			Packets: netip.AddrPortFrom(address, packetPort), CallerPort: packetPort,
 			Outbound: netip.AddrPortFrom(address, outPort), Endpoint: netip.AddrPortFrom(address, servicePort), Service: "orders",
-			Heartbeat: time.Second, AddressReuse: 2 * time.Second, FlowLifetime: time.Minute,
+			EndpointCheck: netip.AddrPortFrom(address, servicePort),
+			Heartbeat:     time.Second, AddressReuse: 2 * time.Second, FlowLifetime: time.Minute,
 			ColdFactor: 1.5, ColdSlack: 5, StopTime: 6 * time.Second,
 		},
 	}
@@ -143,10 +146,24 @@
 	w.g.Expect(err).NotTo(HaveOccurred())
 	instance.Log = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	instance.Keys = w.keys
+	instance.DialTCP = func(_ context.Context, address netip.AddrPort) (net.Conn, error) { return w.dialEndpoint(address) }
 	instance.ListenUDP = func(address netip.AddrPort) (machine.Socket, error) { return w.network.listen(address), nil }
 	return instance
 }
 
+// dialEndpoint is refused where no endpoint runs.
+func (w *world) dialEndpoint(address netip.AddrPort) (net.Conn, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.sites {
+		if s.address == address.Addr() && s.endpoint != nil && !s.endpoint.isStopped() {
+			conn, _ := net.Pipe()
+			return conn, nil
+		}
+	}
+	return nil, syscall.ECONNREFUSED
+}
+
 // controlStandIn answers polls as a control instance does.
 type controlStandIn struct {
 	world  *world
--- a/internal/machine/socket.go
+++ b/internal/machine/socket.go
@@ -1,6 +1,7 @@
 package machine
 
 import (
+	"context"
 	"net"
 	"net/netip"
 )
@@ -27,3 +28,8 @@
 	_ = conn.SetWriteBuffer(socketBufferBytes)
 	return conn, nil
 }
+
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address.String())
+	return conn, Error.Wrap(err)
+}
--- a/internal/settings/opaque.go
+++ b/internal/settings/opaque.go
@@ -31,6 +31,9 @@
 	CallerPort uint16
 	// Endpoint is the UDP address of an agent's endpoint.
 	Endpoint netip.AddrPort
+	// EndpointCheck is a TCP address at which an agent's endpoint takes connections
+	// for as long as it runs; not set where there is none.
+	EndpointCheck netip.AddrPort
 	// Service is the service of an agent's endpoint, until the endpoint says it.
 	Service string
 	// Outbound is the UDP address at which an agent gets its endpoint's packets.
@@ -89,6 +92,7 @@
 		s.Opaque.Ready = file.RequiredAddrPort(sectionOpaque, "ready")
 	case RoleAgent:
 		s.Opaque.Endpoint = file.RequiredAddrPort(sectionOpaque, "endpoint")
+		s.Opaque.EndpointCheck = file.AddrPort(sectionOpaque, "endpoint_check")
 		s.Opaque.Service = file.String(sectionOpaque, "service", "")
 		s.Opaque.Outbound = file.RequiredAddrPort(sectionOpaque, "outbound")
 		s.Opaque.Announce = file.RequiredAddrPort(sectionOpaque, "announce")
