--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -46,9 +46,6 @@
 	seen                       time.Duration
 }
 
-// IsOpen reports whether the caller has acknowledged the endpoint's SYN.
-func (f *Flow) IsOpen() bool { return f.isOpen }
-
 // Table holds the flows of an agent's one endpoint. It is not safe for
 // concurrent use.
 type Table struct {
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -50,8 +50,8 @@
 	table.Offer(0, key)
 	g.Expect(table.FromCaller(0, fromCaller(seqAfter(1), 0))).To(BeNil(), "the endpoint has not answered yet")
 	table.FromEndpoint(0, synAck())
-	g.Expect(table.Get(key).IsOpen()).To(BeFalse())
-	g.Expect(table.FromCaller(0, fromCaller(seqAfter(1), 0)).IsOpen()).To(BeTrue())
+	g.Expect(table.Get(key).isOpen).To(BeFalse())
+	g.Expect(table.FromCaller(0, fromCaller(seqAfter(1), 0)).isOpen).To(BeTrue())
 }
 
 // Two endpoints have answered copies of one SYN. The caller goes on with one;
--- a/internal/machine/control/founding.go
+++ b/internal/machine/control/founding.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
 	"time"
 
 	"sassafrasturn.example/internal/pause"
@@ -60,14 +62,21 @@
 // askMembers returns the identities of the members of the settings and whether
 // all of them have answered.
 func (c *Control) askMembers(ctx context.Context) (identities []*wire.DiskIdentity, all bool) {
+	own := c.loop.identity.Load()
+	var others []netip.AddrPort
+	for _, member := range c.members() {
+		if member.ID != own.Id {
+			others = append(others, member.Link)
+		}
+	}
+	found := c.askEach(ctx, others, identityTimeout)
 	all = true
 	for _, member := range c.members() {
-		if member.ID == c.loop.identity.Load().Id {
-			identities = append(identities, c.loop.identity.Load())
-			continue
+		identity := found[member.Link]
+		if member.ID == own.Id {
+			identity = own
 		}
-		identity, err := c.askIdentity(ctx, member.Link.String())
-		if err != nil || identity.Id != member.ID {
+		if identity == nil || identity.Id != member.ID {
 			all = false
 			continue
 		}
@@ -76,6 +85,30 @@
 	return identities, all
 }
 
+// askEach asks the control instances at the addresses who they are, all at the
+// same time. Those that do not answer are left out.
+func (c *Control) askEach(ctx context.Context, addresses []netip.AddrPort, timeout time.Duration) map[netip.AddrPort]*wire.DiskIdentity {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var mu sync.Mutex
+	found := make(map[netip.AddrPort]*wire.DiskIdentity)
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		group.Go(func() {
+			identity, err := c.askIdentity(ctx, address.String())
+			if err != nil {
+				c.instance.Log.Debug().Err(err).Stringer("address", address).Msg("control instance does not say who it is")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			found[address] = identity
+		})
+	}
+	group.Wait()
+	return found
+}
+
 func (c *Control) askIdentity(ctx context.Context, address string) (*wire.DiskIdentity, error) {
 	ctx, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
--- a/internal/machine/control/joining.go
+++ b/internal/machine/control/joining.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"sync"
 	"time"
 
 	"sassafrasturn.example/internal/consensus"
@@ -138,26 +137,9 @@
 // askAround asks all known control instances who they are, this one included.
 func (c *Control) askAround(ctx context.Context) map[netip.AddrPort]*wire.DiskIdentity {
 	own := c.instance.Settings.Link.Address()
-	var mu sync.Mutex
-	found := map[netip.AddrPort]*wire.DiskIdentity{own: c.identity()}
-	var group sync.WaitGroup
-	for _, address := range c.discovery.controlAddresses() {
-		if address == own {
-			continue
-		}
-		group.Go(func() {
-			asking, cancel := context.WithTimeout(ctx, joinAskTimeout)
-			defer cancel()
-			identity, err := c.askIdentity(asking, address.String())
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			found[address] = identity
-		})
-	}
-	group.Wait()
+	others := slices.DeleteFunc(c.discovery.controlAddresses(), func(address netip.AddrPort) bool { return address == own })
+	found := c.askEach(ctx, others, joinAskTimeout)
+	found[own] = c.identity()
 	return found
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -218,8 +218,8 @@
 	return Error.Wrap(os.WriteFile(path, replaceFounding(data), 0o600))
 }
 
-// heal checks that every process is there.
-func (w *world) heal() {
+// checkAllRunning checks that every process is there.
+func (w *world) checkAllRunning() {
 	for _, i := range w.all() {
 		w.checkRunning(i)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -273,7 +273,7 @@
 // checkEnd checks, after all faults, that everything recovers and that nothing
 // that was accepted is gone.
 func (w *world) checkEnd(ctx context.Context, pool []*caller) {
-	w.heal()
+	w.checkAllRunning()
 	time.Sleep(recoveryTime)
 	w.operator.checkRead(ctx)
 	served := 0
