Pass flows on that an endpoint would likely fail

Ruled out: the agent or the way there; the endpoint itself reset open flows.

The agent now notes which requests end by a reset of the endpoint in place of an answer.

--- a/internal/emulate/compare.go
+++ b/internal/emulate/compare.go
@@ -68,6 +68,11 @@
 				e.Slow, e.SlowFrom = 1000, 8*time.Second
 			}
 		}), Load: usual()},
+		{Name: "failing-endpoint", Endpoints: site(7, func(i int, e *Endpoint) {
+			if i == 0 {
+				e.Fails, e.FailsFrom = 0.4, 5*time.Second
+			}
+		}), Load: usual()},
 		{Name: "burst", Endpoints: site(7, nil), Load: burst},
 		{Name: "zone-burst", Endpoints: site(45, func(_ int, e *Endpoint) { e.Slots, e.Queue = 2, 8 }), Load: zoneBurst},
 		{Name: "after-outage", Endpoints: site(9, func(_ int, e *Endpoint) { e.ColdFor, e.ColdSlow = 2*time.Second, 1.6 }), Load: outage},
--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -21,6 +21,9 @@
 	// Slow is by how much work takes longer from SlowFrom on; 0 counts as 1.
 	Slow     float64
 	SlowFrom time.Duration
+	// Fails is the share of requests that the endpoint resets from FailsFrom on.
+	Fails     float64
+	FailsFrom time.Duration
 	// ColdFor is how long the endpoint is cold from the beginning, and ColdSlow by
 	// how much work takes longer meanwhile.
 	ColdFor  time.Duration
@@ -87,6 +90,8 @@
 	InFlight []int
 	// Paces are how long the endpoints have lately taken for an answer.
 	Paces []flow.Pace
+	// Failures are the requests that each endpoint has reset.
+	Failures []flow.Failures
 
 	load    Load
 	random  *rand.Rand
@@ -152,7 +157,7 @@
 func Run(endpoints []Endpoint, load Load, placer Placer, seed uint64) Result {
 	w := &World{
 		Endpoints: endpoints, InFlight: make([]int, len(endpoints)), load: load,
-		Paces: make([]flow.Pace, len(endpoints)), held: make([]map[*request]bool, len(endpoints)),
+		Paces: make([]flow.Pace, len(endpoints)), Failures: make([]flow.Failures, len(endpoints)), held: make([]map[*request]bool, len(endpoints)),
 		random: rand.New(rand.NewPCG(seed, 17)), waiting: make([][]*request, len(endpoints)),
 	}
 	for range load.Waiting {
@@ -237,6 +242,15 @@
 }
 
 func (w *World) accept(chosen int, r *request) {
+	endpoint := &w.Endpoints[chosen]
+	isFailed := endpoint.Fails > 0 && w.Now >= endpoint.FailsFrom && w.random.Float64() < endpoint.Fails
+	w.Failures[chosen].Note(w.Now, isFailed)
+	if isFailed {
+		// Requests that may run once only are not tried again after a reset.
+		r.isDone = true
+		w.result.Failed++
+		return
+	}
 	if w.held[chosen] == nil {
 		w.held[chosen] = make(map[*request]bool)
 	}
--- a/internal/emulate/emulate_test.go
+++ b/internal/emulate/emulate_test.go
@@ -44,7 +44,7 @@
 // blind is the gate as it was: it saw what is in flight, and not how long answers take.
 func blind() Placer {
 	return &Offering{Gate: func(endpoint *flow.Endpoint, request flow.Request) flow.Reason {
-		request.Objective = 0
+		request.Objective, request.FailShare = 0, 0
 		gate := flow.Gate{Silence: time.Second}
 		return gate.Decide(0, endpoint, 0, request)
 	}}
@@ -65,6 +65,16 @@
 	}
 }
 
+// An endpoint resets two of five requests while it says that it is well. Few flows
+// still go there, to see whether it is better.
+func TestOffersPassAFailingEndpointBy(t *testing.T) {
+	g := NewWithT(t)
+	got, naive := Play(find("failing-endpoint"), offering, seeds), Play(find("failing-endpoint"), blind, seeds)
+	t.Logf("failed %.4f, blind %.4f", got.Failed, naive.Failed)
+	g.Expect(got.Failed).To(BeNumerically("<", naive.Failed/4))
+	g.Expect(got.InAim).To(BeNumerically(">", naive.InAim))
+}
+
 // An endpoint that turns silent keeps what fills its slots, and gets hardly more.
 func TestSilentEndpointGetsWhatFillsItsSlots(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/emulate/placers.go
+++ b/internal/emulate/placers.go
@@ -78,6 +78,7 @@
 		request := flow.Request{
 			IsRouteAllowed: true, Others: len(offers) - 1 - i, Busy: w.InFlight[chosen],
 			Pace: w.Paces[chosen].Mean(w.Now), LongestWait: w.LongestWait(chosen), Objective: w.load.Aim,
+			FailShare: w.Failures[chosen].Share(w.Now),
 		}
 		if p.decide(w.Now, endpoint, request) == flow.Taken {
 			return chosen, true
--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -19,6 +19,7 @@
 	RefusedCold       Reason = "cold"
 	RefusedBusy       Reason = "busy"
 	RefusedSlow       Reason = "slow"
+	RefusedFailing    Reason = "failing"
 	RefusedFull       Reason = "no-more-flows"
 	// RefusedByEndpoint: the endpoint itself has bounced the flow.
 	RefusedByEndpoint Reason = "bounced"
@@ -66,6 +67,8 @@
 	// Pace is how long the endpoint has lately taken for an answer, and LongestWait
 	// how long a flow has waited that has none yet.
 	Pace, LongestWait time.Duration
+	// FailShare is the share of requests that the endpoint has lately failed.
+	FailShare float64
 	// Objective is the latency that the route's callers want, 0 when it states none.
 	Objective time.Duration
 }
@@ -102,6 +105,9 @@
 	// coldMargin is how many requests a second a cold endpoint gets less than
 	// the bound: what a second copy of a SYN adds unseen.
 	coldMargin = 1
+	// maxFailShare is the share of failed requests from which others are asked
+	// first: two of the last eight, since one may fail by chance.
+	maxFailShare = 0.2
 	// coldWindow is the window in which the bound holds.
 	coldWindow = time.Second
 	// coldWindowSlack covers the way between agent and endpoint.
@@ -148,6 +154,9 @@
 	if request.IsFull {
 		return RefusedFull
 	}
+	if request.Others > 0 && request.FailShare > maxFailShare {
+		return RefusedFailing
+	}
 	if request.Others > 0 && request.isSlow(endpoint.Slots) {
 		return RefusedSlow
 	}
--- a/internal/flow/gate_test.go
+++ b/internal/flow/gate_test.go
@@ -38,6 +38,9 @@
 		{name: "fast", request: func(r *Request) { r.Pace, r.Objective, r.Others = 30*ms, 150*ms, 3 }, want: Taken},
 		{name: "fast, but much in flight", request: func(r *Request) { r.Pace, r.Objective, r.Busy, r.Others = 45*ms, 150*ms, 4, 3 }, want: RefusedSlow},
 		{name: "silent, with others left", request: func(r *Request) { r.LongestWait, r.Objective, r.Others = 160*ms, 150*ms, 3 }, want: RefusedSlow},
+		{name: "failing with others left", request: func(r *Request) { r.FailShare, r.Others = 0.3, 1 }, want: RefusedFailing},
+		{name: "failing and last", request: func(r *Request) { r.FailShare = 0.3 }, want: Taken},
+		{name: "failed once", request: func(r *Request) { r.FailShare, r.Others = paceWeight, 1 }, want: Taken},
 		{name: "slow without an objective", request: func(r *Request) { r.Pace, r.Others = time.Second, 3 }, want: Taken},
 	}
 	for _, c := range cases {
--- a/internal/flow/pace.go
+++ b/internal/flow/pace.go
@@ -38,3 +38,27 @@
 
 // maxHalvings takes any mean to nothing.
 const maxHalvings = 62
+
+// Failures is the share of requests whose flows an endpoint lately reset in place
+// of an answer. It answers endpoints that fail part of their requests while they
+// say that they are well.
+type Failures struct {
+	share  float64
+	noteAt time.Duration
+}
+
+// Note takes in the end of a request.
+func (f *Failures) Note(now time.Duration, isFailed bool) {
+	seen := 0.0
+	if isFailed {
+		seen = 1
+	}
+	share := f.Share(now)
+	f.share, f.noteAt = share+paceWeight*(seen-share), now
+}
+
+// Share returns the share, from 0 to 1.
+func (f *Failures) Share(now time.Duration) float64 {
+	halvings := min((now-f.noteAt)/paceHalfLife, maxHalvings)
+	return f.share / float64(uint64(1)<<halvings)
+}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -52,6 +52,8 @@
 	flows map[Key]*Flow
 	busy  int
 	pace  Pace
+	// failures are the requests whose flows the endpoint reset.
+	failures Failures
 	// longest is the longest wait of a flow as of longestAt.
 	longest, longestAt time.Duration
 }
@@ -98,6 +100,10 @@
 // Pace returns how long the endpoint has lately taken for the first byte of an answer.
 func (t *Table) Pace(now time.Duration) time.Duration { return t.pace.Mean(now) }
 
+// FailShare returns the share of requests that the endpoint has lately failed by
+// a reset of their flow.
+func (t *Table) FailShare(now time.Duration) float64 { return t.failures.Share(now) }
+
 // LongestWait returns for how long the flow has waited that has waited longest,
 // for an answer to its SYN or to a request.
 func (t *Table) LongestWait(now time.Duration) time.Duration {
@@ -217,6 +223,9 @@
 	} else if int32(end-f.highest) > 0 {
 		f.highest = end
 	}
+	if f.isAwaited && (h.Length > 0 || h.IsRST) {
+		t.failures.Note(now, h.IsRST)
+	}
 	if f.isAwaited && h.Length > 0 {
 		t.pace.Note(now, now-f.awaitedAt)
 	}
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -112,6 +112,26 @@
 	g.Expect(table.LongestWait(now+3*time.Second)).To(BeZero(), "neither end sends any more")
 }
 
+// A reset in place of an answer is a failure; one of a flow that waits for the
+// caller is not.
+func TestFailuresAreResetsInPlaceOfAnswers(t *testing.T) {
+	g := NewWithT(t)
+	table := opened()
+	table.FromEndpoint(0, &Header{Source: dialed, Destination: caller, IsRST: true, Seq: seqAfter(1)})
+	g.Expect(table.FailShare(0)).To(BeZero())
+	fail := func() {
+		table.Offer(0, key)
+		table.FromEndpoint(0, synAck())
+		table.FromCaller(0, fromCaller(seqAfter(1), 100))
+		table.FromEndpoint(0, &Header{Source: dialed, Destination: caller, IsRST: true, Seq: seqAfter(1)})
+	}
+	fail()
+	g.Expect(table.FailShare(0)).To(BeNumerically("~", paceWeight, 1e-9))
+	fail()
+	g.Expect(table.FailShare(0)).To(BeNumerically(">", maxFailShare))
+	g.Expect(table.FailShare(2*paceHalfLife)).To(BeNumerically("<", maxFailShare/2), "it is tried again")
+}
+
 func TestPaceFollowsAndForgets(t *testing.T) {
 	const ms = time.Millisecond
 	g := NewWithT(t)
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -79,6 +79,7 @@
 		Others:    len(offer.Candidates()),
 		Busy:      a.table.Busy(),
 		Pace:      a.table.Pace(now), LongestWait: a.table.LongestWait(now),
+		FailShare: a.table.FailShare(now),
 	}
 	route := state.Table.Lookup(h.Destination)
 	if route != nil {
