--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -43,9 +43,9 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
-	// company is which other control instances this one hears.
-	company *roster.Company
-	// isComplete is whether it was complete when that was last asked.
+	// contacts are which other control instances this one hears.
+	contacts *roster.Contacts
+	// isComplete is whether they were complete when that was last asked.
 	isComplete bool
 	// leader is what others say of the leader, for an instance that is no member.
 	leader     netip.AddrPort
@@ -58,7 +58,7 @@
 func newDiscovery(c *Control) (*discovery, error) {
 	d := &discovery{
 		control: c, changed: make(chan struct{}, 1),
-		company: roster.NewCompany(), isComplete: true,
+		contacts: roster.NewContacts(), isComplete: true,
 		repeatAt: make(map[netip.AddrPort]time.Duration),
 	}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.take})
@@ -148,7 +148,7 @@
 func (d *discovery) hear(sender netip.AddrPort) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.company.Hear(d.node.Now(), sender)
+	d.contacts.Hear(d.node.Now(), sender)
 }
 
 // repeat tells another control instance whole what this one has heard, if only
@@ -196,11 +196,16 @@
 // hearsAll reports whether this instance hears the others as it must for a
 // whole roster.
 func (d *discovery) hearsAll(now time.Duration) bool {
-	isComplete := d.company.IsComplete(now, d.node.Address(), d.members())
-	if isComplete != d.isComplete {
-		d.isComplete = isComplete
-		d.control.instance.Log.Warn().Bool("complete", isComplete).Int("agents", d.roster.Living()).
-			Msg("gossip of other control instances is missed or heard again")
+	isComplete := d.contacts.IsComplete(now, d.node.Address(), d.members())
+	if isComplete == d.isComplete {
+		return isComplete
+	}
+	d.isComplete = isComplete
+	if isComplete {
+		d.control.instance.Log.Info().Int("agents", d.roster.Living()).Msg("gossip of the other control instances is heard")
+	} else {
+		d.control.instance.Log.Warn().Int("agents", d.roster.Living()).
+			Msg("gossip of other control instances is missed; nodes are sent elsewhere")
 	}
 	return isComplete
 }
@@ -248,7 +253,7 @@
 	changed, heard := d.roster.Gossip(now, now-2*gossipInterval)
 	addresses := d.addresses(now)
 	var recent []string
-	for _, address := range d.company.Recent(now) {
+	for _, address := range d.contacts.Recent(now) {
 		recent = append(recent, address.String())
 	}
 	d.mu.Unlock()
@@ -291,10 +296,10 @@
 	now := d.node.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.company.Hear(now, from)
+	d.contacts.Hear(now, from)
 	for _, text := range gossip.Control {
 		if address, err := netip.ParseAddrPort(text); err == nil {
-			d.company.Told(now, address)
+			d.contacts.Told(now, address)
 		}
 	}
 	if leader, err := netip.ParseAddrPort(gossip.Leader); err == nil && gossip.Term >= d.leaderTerm {
@@ -325,7 +330,7 @@
 	for _, address := range d.members() {
 		add(address)
 	}
-	for _, address := range d.company.Known(now) {
+	for _, address := range d.contacts.Known(now) {
 		add(address)
 	}
 	if !d.control.loop.isMember() {
--- a/internal/machine/control/transport.go
+++ b/internal/machine/control/transport.go
@@ -12,6 +12,7 @@
 
 	"sassafrasturn.example/internal/consensus"
 	"sassafrasturn.example/internal/link"
+	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -24,6 +25,8 @@
 	// maxMessageBytes bounds a message that is put together from its parts.
 	maxMessageBytes = 128 << 20
 	redialInterval  = 100 * time.Millisecond
+	// redialMin separates the dials of a member that is heard but takes no link.
+	redialMin = 20 * time.Millisecond
 	// dialTimeout is short, since a machine that is off does not answer and the
 	// kernel asks it again only after a second.
 	dialTimeout  = 300 * time.Millisecond
@@ -162,9 +165,12 @@
 			opened.Close()
 		}
 		t.noteLink(s, err)
+		if !pause.For(ctx, redialMin) {
+			return
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(redialInterval):
+		case <-time.After(redialInterval - redialMin):
 		case <-s.heard:
 		}
 	}
--- a/internal/roster/company.go
+++ b/internal/roster/contacts.go
@@ -13,16 +13,16 @@
 	// two rounds of gossip that were lost, and some delay. It is over before agents
 	// that only that member hears count as gone.
 	missedTime = 1100 * time.Millisecond
-	// companyMemory is how long an instance is remembered that is silent.
-	companyMemory = 10 * time.Second
-	// maxCompany bounds the control instances that are remembered.
-	maxCompany = 64
+	// contactMemory is how long an instance is remembered that is silent.
+	contactMemory = 10 * time.Second
+	// maxContacts bounds the control instances that are remembered.
+	maxContacts = 64
 )
 
-// Company is which control instances one of them hears. The roster of an
+// Contacts are the control instances that one of them hears. The roster of an
 // instance that misses the gossip of another lacks agents that live, even while
 // the two agree on the log through other members or another connection.
-type Company struct {
+type Contacts struct {
 	heard, told map[netip.AddrPort]time.Duration
 	// wasComplete: nothing was missed at some time, and missedAt is when gossip was
 	// last missed after that.
@@ -30,29 +30,29 @@
 	missedAt               time.Duration
 }
 
-// NewCompany returns one that has heard nobody.
-func NewCompany() *Company {
-	return &Company{heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration)}
+// NewContacts returns those of an instance that has heard nobody.
+func NewContacts() *Contacts {
+	return &Contacts{heard: make(map[netip.AddrPort]time.Duration), told: make(map[netip.AddrPort]time.Duration)}
 }
 
 // Hear notes that an instance has been heard.
-func (c *Company) Hear(now time.Duration, address netip.AddrPort) {
+func (c *Contacts) Hear(now time.Duration, address netip.AddrPort) {
 	remember(c.heard, now, address)
 }
 
 // Told notes that another instance has heard the one at the address.
-func (c *Company) Told(now time.Duration, address netip.AddrPort) {
+func (c *Contacts) Told(now time.Duration, address netip.AddrPort) {
 	remember(c.told, now, address)
 }
 
 func remember(times map[netip.AddrPort]time.Duration, now time.Duration, address netip.AddrPort) {
-	if _, ok := times[address]; ok || len(times) < maxCompany {
+	if _, ok := times[address]; ok || len(times) < maxContacts {
 		times[address] = now
 	}
 }
 
 // Recent returns the instances that others are to be told of.
-func (c *Company) Recent(now time.Duration) []netip.AddrPort {
+func (c *Contacts) Recent(now time.Duration) []netip.AddrPort {
 	var recent []netip.AddrPort
 	for address, at := range c.heard {
 		if now-at <= TellTime {
@@ -63,11 +63,11 @@
 }
 
 // Known returns all instances that were lately heard or told of, and forgets the rest.
-func (c *Company) Known(now time.Duration) []netip.AddrPort {
+func (c *Contacts) Known(now time.Duration) []netip.AddrPort {
 	var known []netip.AddrPort
 	for _, times := range []map[netip.AddrPort]time.Duration{c.heard, c.told} {
 		for address, at := range times {
-			if now-at > companyMemory {
+			if now-at > contactMemory {
 				delete(times, address)
 				continue
 			}
@@ -81,7 +81,7 @@
 // the gossip of a majority of the members, itself included, and of every member
 // that others hear. After it has missed some it needs WarmUp to catch up, as
 // rosters need after their start.
-func (c *Company) IsComplete(now time.Duration, own netip.AddrPort, members []netip.AddrPort) bool {
+func (c *Contacts) IsComplete(now time.Duration, own netip.AddrPort, members []netip.AddrPort) bool {
 	if c.misses(now, own, members) {
 		c.missedAt, c.hasMissed = now, c.wasComplete
 		return false
@@ -90,7 +90,7 @@
 	return !c.hasMissed || now-c.missedAt > WarmUp
 }
 
-func (c *Company) misses(now time.Duration, own netip.AddrPort, members []netip.AddrPort) bool {
+func (c *Contacts) misses(now time.Duration, own netip.AddrPort, members []netip.AddrPort) bool {
 	present := 0
 	for _, member := range members {
 		heardAt, isHeard := c.heard[member]
--- a/internal/roster/company_test.go
+++ b/internal/roster/contacts_test.go
@@ -9,10 +9,10 @@
 	. "github.com/onsi/gomega"
 )
 
-// companyWorld is a group of five whose gossip may be lost.
-type companyWorld struct {
-	members   []netip.AddrPort
-	companies []*Company
+// contactsWorld is a group of five whose gossip may be lost.
+type contactsWorld struct {
+	members  []netip.AddrPort
+	contacts []*Contacts
 	// isLost reports whether what one says does not reach another.
 	isLost func(from, to int) bool
 	random *rand.Rand
@@ -20,34 +20,34 @@
 }
 
 const (
-	companyGossip = 500 * time.Millisecond
-	companyStep   = 10 * time.Millisecond
+	contactsGossip = 500 * time.Millisecond
+	contactsStep   = 10 * time.Millisecond
 )
 
-func newCompanyWorld(seed uint64) *companyWorld {
-	w := &companyWorld{random: rand.New(rand.NewPCG(seed, 5)), isLost: func(int, int) bool { return false }}
+func newContactsWorld(seed uint64) *contactsWorld {
+	w := &contactsWorld{random: rand.New(rand.NewPCG(seed, 5)), isLost: func(int, int) bool { return false }}
 	for i := range 5 {
 		w.members = append(w.members, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000))
-		w.companies = append(w.companies, NewCompany())
-		w.phase = append(w.phase, time.Duration(w.random.Int64N(int64(companyGossip/companyStep)))*companyStep)
+		w.contacts = append(w.contacts, NewContacts())
+		w.phase = append(w.phase, time.Duration(w.random.Int64N(int64(contactsGossip/contactsStep)))*contactsStep)
 	}
 	return w
 }
 
 // run plays the time from from to to and returns, by member, when it was first
 // not complete, or -1.
-func (w *companyWorld) run(from, to time.Duration) []time.Duration {
+func (w *contactsWorld) run(from, to time.Duration) []time.Duration {
 	missed := make([]time.Duration, len(w.members))
 	for i := range missed {
 		missed[i] = -1
 	}
-	for now := from; now < to; now += companyStep {
+	for now := from; now < to; now += contactsStep {
 		for i := range w.members {
-			if (now+w.phase[i])%companyGossip == 0 {
+			if (now+w.phase[i])%contactsGossip == 0 {
 				w.gossip(now, i)
 			}
 		}
-		for i, c := range w.companies {
+		for i, c := range w.contacts {
 			if !c.IsComplete(now, w.members[i], w.members) && missed[i] < 0 {
 				missed[i] = now - from
 			}
@@ -56,9 +56,9 @@
 	return missed
 }
 
-func (w *companyWorld) gossip(now time.Duration, from int) {
-	heard := w.companies[from].Recent(now)
-	for to, c := range w.companies {
+func (w *contactsWorld) gossip(now time.Duration, from int) {
+	heard := w.contacts[from].Recent(now)
+	for to, c := range w.contacts {
 		if to == from || w.isLost(from, to) {
 			continue
 		}
@@ -89,13 +89,13 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			for seed := range uint64(100) {
-				w := newCompanyWorld(seed)
+				w := newContactsWorld(seed)
 				w.run(0, 5*time.Second)
 				w.isLost = c.isLost
 				for i, at := range w.run(5*time.Second, 10*time.Second) {
 					g.Expect(at >= 0).To(Equal(c.want[i]), "member %d, seed %d", i, seed)
 					// A node polls within 0.5 s and turns to another instance.
-					g.Expect(at).To(BeNumerically("<=", Timeout-companyGossip+companyStep))
+					g.Expect(at).To(BeNumerically("<=", Timeout-contactsGossip+contactsStep))
 				}
 				w.isLost = func(int, int) bool { return false }
 				w.run(10*time.Second, 11*time.Second)
@@ -111,7 +111,7 @@
 func TestInstancesThatEndAreNotMissed(t *testing.T) {
 	g := NewWithT(t)
 	for seed := range uint64(100) {
-		w := newCompanyWorld(seed)
+		w := newContactsWorld(seed)
 		w.run(0, 5*time.Second)
 		w.isLost = func(from, to int) bool { return from < 2 || to < 2 }
 		for i, at := range w.run(5*time.Second, 20*time.Second) {
@@ -120,18 +120,18 @@
 	}
 }
 
-func TestCompanyKnowsWhoWasHeardOrToldOf(t *testing.T) {
+func TestContactsKnowWhoWasHeardOrToldOf(t *testing.T) {
 	g := NewWithT(t)
-	w := newCompanyWorld(1)
-	c := NewCompany()
+	w := newContactsWorld(1)
+	c := NewContacts()
 	c.Hear(0, w.members[1])
 	c.Told(0, w.members[2])
 	g.Expect(c.Known(time.Second)).To(ConsistOf(w.members[1], w.members[2]))
 	g.Expect(c.Recent(TellTime)).To(ConsistOf(w.members[1]))
 	g.Expect(c.Recent(TellTime + 1)).To(BeEmpty())
-	g.Expect(c.Known(companyMemory + 1)).To(BeEmpty())
-	for i := range 2 * maxCompany {
+	g.Expect(c.Known(contactMemory + 1)).To(BeEmpty())
+	for i := range 2 * maxContacts {
 		c.Hear(0, netip.AddrPortFrom(w.members[0].Addr(), uint16(i)))
 	}
-	g.Expect(c.Known(0)).To(HaveLen(maxCompany))
+	g.Expect(c.Known(0)).To(HaveLen(maxContacts))
 }
