Say that a balancer is not ready while hardly any agent hears it

Ruled out: routers, which still reach it.

A balancer whose polls are not answered now asks four agents of its zone whether they hear it. When control and half of them are silent over two rounds it is not ready; with control down alone it stays ready.

--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math/rand/v2"
 	"net/netip"
 
 	"sassafrasturn.example/internal/rendezvous"
@@ -56,6 +57,27 @@
 	return view
 }
 
+// Sample returns up to so many living agents by lot, of a zone if it has any.
+func (v *View) Sample(zone ZoneTag, count int) []netip.AddrPort {
+	var own, all []netip.AddrPort
+	for _, members := range v.byService {
+		for i := range members {
+			if members[i].IsGone {
+				continue
+			}
+			all = append(all, members[i].Address)
+			if members[i].zone == zone {
+				own = append(own, members[i].Address)
+			}
+		}
+	}
+	if len(own) == 0 {
+		own = all
+	}
+	rand.Shuffle(len(own), func(a, b int) { own[a], own[b] = own[b], own[a] })
+	return own[:min(len(own), count)]
+}
+
 // Count returns how many agents of the view are not gone.
 func (v *View) Count() int { return len(v.living) }
 
--- /dev/null
+++ b/internal/flow/reach_test.go
@@ -0,0 +1,62 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestReachTellsACutFromASilentControl(t *testing.T) {
+	// rounds gives the answers of the rounds of four questions.
+	rounds := func(answers ...int) func(r *Reach) {
+		return func(r *Reach) {
+			for _, count := range answers {
+				r.Ask(4)
+				for range count {
+					r.Answer()
+				}
+			}
+		}
+	}
+	cases := []struct {
+		name    string
+		heardAt time.Duration
+		play    func(r *Reach)
+		want    bool
+	}{
+		{"nobody was asked", 0, rounds(), false},
+		{"one round is over", 0, rounds(0, 0), false},
+		{"asked in vain", 0, rounds(0, 0, 0), true},
+		{"asked in vain, and control heard lately", 1500 * time.Millisecond, rounds(0, 0, 0), false},
+		{"control is silent, all agents answer", 0, rounds(4, 4, 4, 0), false},
+		{"one agent of four still answers", 0, rounds(1, 1, 1), true},
+		{"half of the agents answer", 0, rounds(2, 2, 2), false},
+		{"the cut has healed", 0, rounds(0, 0, 0, 4, 4, 4, 0), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := new(Reach)
+			r.Hear(c.heardAt)
+			c.play(r)
+			NewWithT(t).Expect(r.IsCutOff(2 * time.Second)).To(Equal(c.want))
+			r.Hear(2 * time.Second)
+			NewWithT(t).Expect(r.IsCutOff(2 * time.Second)).To(BeFalse())
+		})
+	}
+}
+
+// New flows go to the own zone first: its agents say whether a balancer is of use.
+func TestSampleIsOfTheOwnZone(t *testing.T) {
+	g := NewWithT(t)
+	members := []Member{
+		NewMember(addressOf(1), "a", "orders"), NewMember(addressOf(2), "a", "drawings"),
+		NewMember(addressOf(3), "b", "orders"), NewMember(addressOf(4), "b", "orders"),
+	}
+	members[1].IsGone = true
+	view := NewView(members)
+	g.Expect(view.Sample(TagOf("a"), 4)).To(ConsistOf(addressOf(1)))
+	g.Expect(view.Sample(TagOf("b"), 1)).To(HaveLen(1))
+	g.Expect(view.Sample(TagOf("c"), 4)).To(HaveLen(3), "no agent in the own zone")
+	g.Expect(NewView(nil).Sample(TagOf("a"), 4)).To(BeEmpty())
+}
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -189,8 +189,8 @@
 // ServeStream serves no requests.
 func (b *Balancer) ServeStream(context.Context, *wire.Request, net.Conn) bool { return false }
 
-// Health fails until a routing table and the agents are known, and once the
-// balancer leaves.
+// Health fails until a routing table and the agents are known, while nobody
+// hears the balancer, and once it leaves.
 func (b *Balancer) Health() error {
 	select {
 	case <-b.leaving:
@@ -200,6 +200,9 @@
 	if !b.node.State().IsUsable {
 		return Error.New("no routing table and list of agents have been received yet")
 	}
+	if b.node.IsCutOff() {
+		return Error.New("neither control instances nor half of the agents answer; the instance is cut off")
+	}
 	return nil
 }
 
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -23,6 +23,9 @@
 	KindGossip
 	// KindRepeat asks a control instance to tell all its records again.
 	KindRepeat
+	// KindProbe asks an agent whether it hears the sender, KindProbeAnswer says so.
+	KindProbe
+	KindProbeAnswer
 )
 
 // MaxCandidates bounds the agents that one SYN is offered to.
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,8 @@
 	poller   *poller
 	// knownAt is the time as of which all agents are known, in nanoseconds.
 	knownAt atomic.Int64
+	reachMu sync.Mutex
+	reach   flow.Reach
 	metrics nodeMetrics
 }
 
@@ -175,7 +178,7 @@
 		data = content
 	}
 	isWhole := false
-	switch Kind(data[0]) {
+	switch kind := Kind(data[0]); kind {
 	case KindOffer:
 		var packet []byte
 		if packet, isWhole = parseOffer(data, offer); isWhole && n.handlers.Offer != nil {
@@ -189,11 +192,18 @@
 				n.handlers.Notice(notice)
 			}
 		}
+	case KindProbe:
+		isWhole = true
+		n.send([]byte{byte(KindProbeAnswer)}, from)
+	case KindProbeAnswer:
+		isWhole = true
+		n.noteReach((*flow.Reach).Answer)
 	case KindPollAnswer:
+		n.noteReach(func(reach *flow.Reach) { reach.Hear(n.Now()) })
 		isWhole = n.poller == nil || n.poller.take(data[1:], from)
 	default:
 		if isWhole = n.handlers.Message != nil; isWhole {
-			n.handlers.Message(Kind(data[0]), data[1:], from)
+			n.handlers.Message(kind, data[1:], from)
 		}
 	}
 	if !isWhole {
@@ -201,6 +211,41 @@
 	}
 }
 
+// probedAgents is how many agents are asked at a time whether they hear this instance.
+const probedAgents = 4
+
+// probe asks some agents whether they hear this instance.
+func (n *Node) probe() {
+	agents := n.State().View.Sample(flow.TagOf(n.instance.Settings.Zone), probedAgents)
+	n.noteReach(func(reach *flow.Reach) { reach.Ask(len(agents)) })
+	for _, agent := range agents {
+		n.send([]byte{byte(KindProbe)}, agent)
+	}
+}
+
+// noteReach notes what shows whether the instance is cut off, and logs when that changes.
+func (n *Node) noteReach(note func(reach *flow.Reach)) {
+	now := n.Now()
+	n.reachMu.Lock()
+	wasCutOff := n.reach.IsCutOff(now)
+	note(&n.reach)
+	isCutOff := n.reach.IsCutOff(now)
+	n.reachMu.Unlock()
+	switch {
+	case isCutOff && !wasCutOff:
+		n.instance.Log.Warn().Msg("neither control instances nor half of the agents answer; the instance is cut off")
+	case wasCutOff && !isCutOff:
+		n.instance.Log.Info().Msg("control instances or agents answer again")
+	}
+}
+
+// IsCutOff reports whether neither control nor half of the agents answer this instance.
+func (n *Node) IsCutOff() bool {
+	n.reachMu.Lock()
+	defer n.reachMu.Unlock()
+	return n.reach.IsCutOff(n.Now())
+}
+
 // send sends a datagram to another instance.
 func (n *Node) send(datagram []byte, to netip.AddrPort) {
 	if n.sealer != nil {
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -395,6 +395,28 @@
 	})
 }
 
+// A balancer without control goes on and stays ready. One that nobody hears is not
+// ready, so that routers turn to others, until it is heard again.
+func TestBalancerThatIsCutOffIsNotReady(t *testing.T) {
+	play(t, false, 2, 3, func(w *world) {
+		w.control.isDown = true
+		w.sleep(5 * time.Second)
+		lonely, other := w.balancers[0], w.balancers[1]
+		w.g.Expect(lonely.role.Health()).To(Succeed(), "control is down, agents answer")
+		w.g.Expect(w.isServed(orders)).To(BeTrue())
+
+		link := netip.AddrPortFrom(lonely.address.Addr(), linkPort)
+		w.network.cutOff(link)
+		w.sleep(4 * time.Second)
+		w.g.Expect(lonely.role.Health()).To(MatchError(ContainSubstring("cut off")))
+		w.g.Expect(other.role.Health()).To(Succeed())
+
+		w.network.heal(link)
+		w.sleep(2500 * time.Millisecond)
+		w.g.Expect(lonely.role.Health()).To(Succeed())
+	})
+}
+
 // An agent and its endpoint are gone for good. Callers of their flows are told
 // while the system still remembers the agent, not only once it has forgotten.
 func TestCallersOfAGoneEndpointAreReset(t *testing.T) {
--- a/internal/machine/opaque/pathtest/network_test.go
+++ b/internal/machine/opaque/pathtest/network_test.go
@@ -47,6 +47,13 @@
 	n.cut[address] = true
 }
 
+// heal undoes cutOff.
+func (n *network) heal(address netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, address)
+}
+
 func (n *network) listen(address netip.AddrPort) *socket {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -181,6 +181,10 @@
 			return nil
 		case <-timer.C:
 			p.node.metrics.polls.WithLabelValues("unanswered").Inc()
+			if p.self == nil {
+				// Agents need not know whether they are cut off.
+				p.node.probe()
+			}
 			return nil
 		case a := <-p.answers:
 			if a.message.Sequence != p.sequence || a.from != p.control[0] {
