--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -1,7 +1,6 @@
 package flow
 
 import (
-	"math/rand/v2"
 	"net/netip"
 
 	"sassafrasturn.example/internal/rendezvous"
@@ -58,7 +57,8 @@
 }
 
 // Sample returns up to so many living agents by lot, of a zone if it has any.
-func (v *View) Sample(zone ZoneTag, count int) []netip.AddrPort {
+// shuffle is that of a source of randomness.
+func (v *View) Sample(zone ZoneTag, count int, shuffle func(n int, swap func(a, b int))) []netip.AddrPort {
 	var own, all []netip.AddrPort
 	for _, members := range v.byService {
 		for i := range members {
@@ -74,7 +74,7 @@
 	if len(own) == 0 {
 		own = all
 	}
-	rand.Shuffle(len(own), func(a, b int) { own[a], own[b] = own[b], own[a] })
+	shuffle(len(own), func(a, b int) { own[a], own[b] = own[b], own[a] })
 	return own[:min(len(own), count)]
 }
 
--- a/internal/flow/reach_test.go
+++ b/internal/flow/reach_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -55,8 +56,9 @@
 	}
 	members[1].IsGone = true
 	view := NewView(members)
-	g.Expect(view.Sample(TagOf("a"), 4)).To(ConsistOf(addressOf(1)))
-	g.Expect(view.Sample(TagOf("b"), 1)).To(HaveLen(1))
-	g.Expect(view.Sample(TagOf("c"), 4)).To(HaveLen(3), "no agent in the own zone")
-	g.Expect(NewView(nil).Sample(TagOf("a"), 4)).To(BeEmpty())
+	random := rand.New(rand.NewPCG(1, 1))
+	g.Expect(view.Sample(TagOf("a"), 4, random.Shuffle)).To(ConsistOf(addressOf(1)))
+	g.Expect(view.Sample(TagOf("b"), 1, random.Shuffle)).To(HaveLen(1))
+	g.Expect(view.Sample(TagOf("c"), 4, random.Shuffle)).To(HaveLen(3), "no agent in the own zone")
+	g.Expect(NewView(nil).Sample(TagOf("a"), 4, random.Shuffle)).To(BeEmpty())
 }
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -268,7 +268,7 @@
 			open = append(open, f)
 		}
 	}
-	t.flows = make(map[Key]*Flow)
-	t.busy = 0
+	// Nothing that was seen of this endpoint says anything about the next.
+	*t = *NewTable()
 	return open
 }
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -132,6 +132,27 @@
 	g.Expect(table.FailShare(2*paceHalfLife)).To(BeNumerically("<", maxFailShare/2), "it is tried again")
 }
 
+// The next endpoint beside the agent must not suffer from the last one.
+func TestClearForgetsHowTheEndpointAnswered(t *testing.T) {
+	const ms = time.Millisecond
+	g := NewWithT(t)
+	table := NewTable()
+	for i := range time.Duration(4) {
+		table.Offer(i*ms, key)
+		table.FromEndpoint(i*ms, synAck())
+		table.FromCaller(i*ms, fromCaller(seqAfter(1), 100))
+		table.FromEndpoint(i*ms+800*ms, fromEndpoint(seqAfter(1), 100))
+		table.FromCaller(i*ms+800*ms, fromCaller(seqAfter(101), 100))
+		table.FromEndpoint(i*ms+801*ms, &Header{Source: dialed, Destination: caller, IsRST: true, Seq: seqAfter(101)})
+	}
+	g.Expect(table.Pace(810 * ms)).NotTo(BeZero())
+	g.Expect(table.FailShare(810 * ms)).NotTo(BeZero())
+	table.Clear()
+	g.Expect(table.Pace(810 * ms)).To(BeZero())
+	g.Expect(table.FailShare(810 * ms)).To(BeZero())
+	g.Expect(table.LongestWait(810 * ms)).To(BeZero())
+}
+
 func TestPaceFollowsAndForgets(t *testing.T) {
 	const ms = time.Millisecond
 	g := NewWithT(t)
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -216,7 +216,7 @@
 
 // probe asks some agents whether they hear this instance.
 func (n *Node) probe() {
-	agents := n.State().View.Sample(flow.TagOf(n.instance.Settings.Zone), probedAgents)
+	agents := n.State().View.Sample(flow.TagOf(n.instance.Settings.Zone), probedAgents, rand.Shuffle)
 	n.noteReach(func(reach *flow.Reach) { reach.Ask(len(agents)) })
 	for _, agent := range agents {
 		n.send([]byte{byte(KindProbe)}, agent)
