End the read of a caller's body that has stopped when the exchange ends

An agent would have held the request and its slot until the caller left.

The body is now closed when the exchange is cancelled.

--- a/internal/machine/agent/upstream.go
+++ b/internal/machine/agent/upstream.go
@@ -128,6 +128,11 @@
 	// The deadline of begin must not cut an answer that has begun.
 	ctx, cancel := context.WithCancel(lifetime)
 	stopBegin := context.AfterFunc(begin, cancel)
+	if request.Body != nil {
+		// The HTTP client may wait for the read of a body that has stopped, and does
+		// not always close it first.
+		context.AfterFunc(ctx, func() { request.Body.Close() })
+	}
 	var hasStarted atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { hasStarted.Store(true) }}
 	request.URL.Host = u.address
--- a/internal/machine/agent/upstream_test.go
+++ b/internal/machine/agent/upstream_test.go
@@ -282,11 +282,17 @@
 // slow upload for a cold endpoint.
 func TestCallerWhoseBodyStopsIsNotTheEndpointsFault(t *testing.T) {
 	_, address := startOrderEndpoint(t, nil)
-	never, stop := io.Pipe()
-	defer stop.Close()
-	for name, rest := range map[string]io.Reader{"breaks off": failingReader{}, "waits": never} {
-		t.Run(name, func(t *testing.T) {
+	const rounds = 20
+	for i := range 2 * rounds {
+		name := []string{"breaks off", "waits"}[i%2]
+		t.Run(fmt.Sprintf("%s %d", name, i/2), func(t *testing.T) {
 			g := NewWithT(t)
+			never, stop := io.Pipe()
+			defer stop.Close()
+			var rest io.Reader = never
+			if name == "breaks off" {
+				rest = failingReader{}
+			}
 			f := newProxyFixture(t, "a", address)
 			r := httptest.NewRequest(http.MethodPut, "/item", io.MultiReader(strings.NewReader("begin"), rest))
 			r.Body = struct {
