Share what the change had written twice

No change of behaviour: - the bounded list of the highest scores stood in rendezvous.Rank and again in flow.Offers; rendezvous.Best serves both, tested against a stable sort.

--- a/cmd/sassafrasturnbench/emulate.go
+++ b/cmd/sassafrasturnbench/emulate.go
@@ -32,9 +32,10 @@
 // Usage describes the command.
 func (*emulateCommand) Usage() string {
 	return `emulate [-seeds N] [-csv FILE] [-plot FILE.svg]
-  Plays calm, slow endpoints, a burst and the return after an outage on a model in
-  virtual time, with the product's decisions and with simpler ones, and reports
-  what callers get. It opens no socket; the same seeds give the same figures.
+  Plays calm, slow, silent and failing endpoints, bursts and the return after an
+  outage on a model in virtual time, with the product's decisions and with simpler
+  ones, and reports what callers get. It opens no socket; the same seeds give the
+  same figures.
 `
 }
 
--- a/cmd/sassafrasturnbench/measure.go
+++ b/cmd/sassafrasturnbench/measure.go
@@ -111,16 +111,5 @@
 	if err := report.WriteText(os.Stdout); err != nil {
 		return err
 	}
-	if f.csvPath == "" {
-		return nil
-	}
-	file, err := os.Create(f.csvPath)
-	if err != nil {
-		return err
-	}
-	if err := report.WriteCSV(file); err != nil {
-		file.Close()
-		return err
-	}
-	return file.Close()
+	return writeFile(f.csvPath, report.WriteCSV)
 }
--- a/cmd/sassafrasturnbench/soak.go
+++ b/cmd/sassafrasturnbench/soak.go
@@ -35,8 +35,9 @@
 func (*soakCommand) Usage() string {
 	return `soak [-seed N] [-count N] [-fresh] [-seconds N] [-sites N] [-balancers N] [-folder DIR]
   Runs 14 processes on loopback for each seed, or as many as asked for, disturbs
-  them and the links between them, and checks the promises. Logs of seeds that fail stay in the folder. Exit code 1 when one
-  fails. Run it in the project's folder.
+  them and the links between them, and checks the promises. Logs of seeds that
+  fail stay in the folder. Exit code 1 when one fails. Run it in the project's
+  folder.
 `
 }
 
--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -207,7 +207,9 @@
 // caller's zone come first; the last of them comes after those of other zones,
 // since the last agent lets flows wait, and waiting needs no other zone.
 func Offers(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool) []Member {
-	var own, others best
+	var ownSpace, otherSpace [MaxOffers]*Member
+	var ownScores, otherScores [MaxOffers]uint64
+	ownZone, otherZones := rendezvous.NewBest(ownSpace[:], ownScores[:]), rendezvous.NewBest(otherSpace[:], otherScores[:])
 	members := view.byService[service]
 	for i := range members {
 		member := &members[i]
@@ -216,48 +218,23 @@
 		}
 		score := rendezvous.Score(flow, member.hash)
 		if member.zone == origin {
-			own.insert(member, score)
+			ownZone.Add(member, score)
 		} else {
-			others.insert(member, score)
+			otherZones.Add(member, score)
 		}
 	}
-	mostOwn := max(maxOwnOffers, MaxOffers-others.count)
-	own.count = min(own.count, mostOwn)
-	others.count = min(others.count, MaxOffers-own.count)
-	offers := make([]Member, 0, MaxOffers)
-	ahead := own.count
-	if others.count > 0 && own.count >= maxOwnOffers {
+	own, others := ownZone.Items(), otherZones.Items()
+	own = own[:min(len(own), max(maxOwnOffers, MaxOffers-len(others)))]
+	others = others[:min(len(others), MaxOffers-len(own))]
+	ahead := len(own)
+	if len(others) > 0 && len(own) >= maxOwnOffers {
 		ahead--
 	}
-	offers = own.appendTo(offers, 0, ahead)
-	offers = others.appendTo(offers, 0, others.count)
-	return own.appendTo(offers, ahead, own.count)
-}
-
-// best holds the members with the highest scores, the highest first.
-type best struct {
-	members [MaxOffers]*Member
-	scores  [MaxOffers]uint64
-	count   int
-}
-
-func (b *best) insert(member *Member, score uint64) {
-	at := b.count
-	for at > 0 && b.scores[at-1] < score {
-		at--
-	}
-	if at == MaxOffers {
-		return
-	}
-	b.count = min(b.count+1, MaxOffers)
-	copy(b.members[at+1:], b.members[at:b.count-1])
-	copy(b.scores[at+1:], b.scores[at:b.count-1])
-	b.members[at], b.scores[at] = member, score
-}
-
-func (b *best) appendTo(offers []Member, from, to int) []Member {
-	for _, member := range b.members[from:to] {
-		offers = append(offers, *member)
+	offers := make([]Member, 0, MaxOffers)
+	for _, part := range [][]*Member{own[:ahead], others, own[ahead:]} {
+		for _, member := range part {
+			offers = append(offers, *member)
+		}
 	}
 	return offers
 }
--- a/internal/flow/pace.go
+++ b/internal/flow/pace.go
@@ -1,6 +1,9 @@
 package flow
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// paceWeight is the share of a new answer in the mean: the last eight or so
@@ -11,54 +14,46 @@
 	paceHalfLife = 2 * time.Second
 )
 
-// Pace is how long an endpoint takes for the first byte of an answer. It answers
-// endpoints that turn slow, whatever they say about themselves.
-type Pace struct {
-	mean   time.Duration
+// recentMean is a mean in which the newest values weigh most, and which halves
+// every paceHalfLife without values. It begins at 0, so that one value alone
+// counts for little.
+type recentMean struct {
+	value  float64
 	noteAt time.Duration
 }
 
-// Note takes in the time of an answer.
-func (p *Pace) Note(now, took time.Duration) {
-	mean := p.Mean(now)
-	if mean == 0 {
-		// One answer is no mean: it counts from zero, as the later ones do.
-		p.mean = time.Duration(paceWeight * float64(took))
-	} else {
-		p.mean = mean + time.Duration(paceWeight*float64(took-mean))
-	}
-	p.noteAt = now
+func (m *recentMean) note(now time.Duration, value float64) {
+	mean := m.at(now)
+	m.value, m.noteAt = mean+paceWeight*(value-mean), now
 }
 
-// Mean returns the mean, 0 before the first answer.
-func (p *Pace) Mean(now time.Duration) time.Duration {
-	halvings := min((now-p.noteAt)/paceHalfLife, maxHalvings)
-	return p.mean >> halvings
+func (m *recentMean) at(now time.Duration) float64 {
+	return math.Ldexp(m.value, -int((now-m.noteAt)/paceHalfLife))
 }
 
-// maxHalvings takes any mean to nothing.
-const maxHalvings = 62
+// Pace is how long an endpoint takes for the first byte of an answer. It answers
+// endpoints that turn slow, whatever they say about themselves.
+type Pace struct{ mean recentMean }
+
+// Note takes in the time of an answer.
+func (p *Pace) Note(now, took time.Duration) { p.mean.note(now, float64(took)) }
+
+// Mean returns the mean, 0 before the first answer.
+func (p *Pace) Mean(now time.Duration) time.Duration { return time.Duration(p.mean.at(now)) }
 
 // Failures is the share of requests whose flows an endpoint lately reset in place
 // of an answer. It answers endpoints that fail part of their requests while they
 // say that they are well.
-type Failures struct {
-	share  float64
-	noteAt time.Duration
-}
+type Failures struct{ share recentMean }
 
 // Note takes in the end of a request.
 func (f *Failures) Note(now time.Duration, isFailed bool) {
-	seen := 0.0
+	value := 0.0
 	if isFailed {
-		seen = 1
+		value = 1
 	}
-	share := f.Share(now)
-	f.share, f.noteAt = share+paceWeight*(seen-share), now
+	f.share.note(now, value)
 }
 
 // Share returns the share, from 0 to 1.
-func (f *Failures) Share(now time.Duration) float64 {
-	halvings := min((now-f.noteAt)/paceHalfLife, maxHalvings)
-	return f.share / float64(uint64(1)<<halvings)
-}
+func (f *Failures) Share(now time.Duration) float64 { return f.share.at(now) }
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/machine"
@@ -103,10 +104,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refreshRecord()
-	return &wire.AgentRecord{
-		Address: a.record.Address, Port: a.record.Port, Zone: a.record.Zone, Service: a.record.Service,
-		Ready: a.record.Ready, Incarnation: a.record.Incarnation, Sequence: a.record.Sequence,
-	}
+	return proto.CloneOf(&a.record)
 }
 
 // refreshRecord follows the endpoint's state.
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -282,16 +282,34 @@
 	})
 }
 
+// openFlows opens flows to the orders service and makes a request on each.
+func (w *world) openFlows(count int) []*callerFlow {
+	var flows []*callerFlow
+	for range count {
+		f := w.dial(orders, anyZone)
+		w.g.Expect(f.request()).NotTo(BeEmpty())
+		flows = append(flows, f)
+	}
+	return flows
+}
+
+// expectToldAtOnce asserts that callers of lost flows are reset after no more than
+// a round of the agents and one poll, and are served on a new flow.
+func (w *world) expectToldAtOnce(flows []*callerFlow) {
+	for _, f := range flows {
+		start := time.Now()
+		w.g.Expect(f.request()).To(BeEmpty())
+		w.g.Expect(f.isReset).To(BeTrue())
+		w.g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+		w.g.Expect(w.isServed(orders)).To(BeTrue())
+	}
+}
+
 // All endpoints and agents lose power. Nobody knows the flows of before; their
 // callers are told at once, after all agents were asked and control has named no others.
 func TestCallersOfForgottenFlowsAreReset(t *testing.T) {
 	play(t, false, 3, 4, func(w *world) {
-		var flows []*callerFlow
-		for range 10 {
-			f := w.dial(orders, anyZone)
-			w.g.Expect(f.request()).NotTo(BeEmpty())
-			flows = append(flows, f)
-		}
+		flows := w.openFlows(10)
 		for _, s := range w.sites {
 			s.stop()
 			s.startEndpoint("orders")
@@ -302,14 +320,7 @@
 			s.endpoint.announce()
 		}
 		w.sleep(700 * time.Millisecond)
-		for _, f := range flows {
-			start := time.Now()
-			w.g.Expect(f.request()).To(BeEmpty())
-			w.g.Expect(f.isReset).To(BeTrue())
-			// A round of the agents and one poll decide.
-			w.g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
-			w.g.Expect(w.isServed(orders)).To(BeTrue())
-		}
+		w.expectToldAtOnce(flows)
 	})
 }
 
@@ -421,12 +432,7 @@
 // while the system still remembers the agent, not only once it has forgotten.
 func TestCallersOfAGoneEndpointAreReset(t *testing.T) {
 	play(t, false, 3, 4, func(w *world) {
-		var flows []*callerFlow
-		for range 24 {
-			f := w.dial(orders, anyZone)
-			w.g.Expect(f.request()).NotTo(BeEmpty())
-			flows = append(flows, f)
-		}
+		flows := w.openFlows(24)
 		lost := w.sites[1]
 		lost.stop()
 		lost.endpoint.stop()
@@ -448,12 +454,7 @@
 // that nobody is there, and do not keep the callers of lost flows waiting.
 func TestAgentsWithoutEndpointKeepNoCallerWaiting(t *testing.T) {
 	play(t, false, 3, 6, func(w *world) {
-		var flows []*callerFlow
-		for range 10 {
-			f := w.dial(orders, anyZone)
-			w.g.Expect(f.request()).NotTo(BeEmpty())
-			flows = append(flows, f)
-		}
+		flows := w.openFlows(10)
 		for i, s := range w.sites {
 			s.stop()
 			s.endpoint.stop()
@@ -468,13 +469,7 @@
 			s.endpoint.announce()
 		}
 		w.sleep(200 * time.Millisecond)
-		for _, f := range flows {
-			start := time.Now()
-			w.g.Expect(f.request()).To(BeEmpty())
-			w.g.Expect(f.isReset).To(BeTrue())
-			w.g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
-			w.g.Expect(w.isServed(orders)).To(BeTrue())
-		}
+		w.expectToldAtOnce(flows)
 	})
 }
 
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -26,37 +26,12 @@
 	return Mix(key ^ name)
 }
 
-// scored is a name with its score.
-type scored struct {
-	score uint64
-	name  string
-}
-
 // Rank orders names by their score for a key and returns the first n.
 func Rank(key string, names []string, n int) []string {
-	best := make([]scored, 0, n+1)
+	best := NewBest(make([]string, n), make([]uint64, n))
 	hash := Hash(key)
 	for _, name := range names {
-		best = insert(best, scored{score: Score(hash, Hash(name)), name: name}, n)
-	}
-	ranked := make([]string, len(best))
-	for i := range best {
-		ranked[i] = best[i].name
-	}
-	return ranked
-}
-
-// insert keeps the list sorted by falling score and no longer than n.
-func insert(best []scored, candidate scored, n int) []scored {
-	at := len(best)
-	for at > 0 && best[at-1].score < candidate.score {
-		at--
-	}
-	if at == n {
-		return best
+		best.Add(name, Score(hash, Hash(name)))
 	}
-	best = append(best, scored{})
-	copy(best[at+1:], best[at:])
-	best[at] = candidate
-	return best[:min(len(best), n)]
+	return best.Items()
 }
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -86,10 +88,8 @@
 		if h.round == r.round || h.record.Gone {
 			continue
 		}
-		gone := &wire.AgentRecord{
-			Address: h.record.Address, Port: h.record.Port, Zone: h.record.Zone, Service: h.record.Service,
-			Incarnation: h.record.Incarnation, Sequence: h.record.Sequence, Gone: true,
-		}
+		gone := proto.CloneOf(h.record)
+		gone.Ready, gone.Gone = false, true
 		h.record, h.goneAt = gone, now
 		isChanged = true
 	}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -179,7 +178,7 @@
 				return
 			}
 		}
-		if err != nil && !errors.Is(err, io.ErrNoProgress) {
+		if err != nil {
 			return
 		}
 	}
