Let nodes that hear no control learn tables and zones from agents

Cause: a balancer or agent that was cut off from all control instances kept its last zones and routing table until the cut healed, although nodes within its reach knew newer ones: a zone that was taken out still got flows where both its agents and some balancers were cut off. Probes, which only balancers sent, now say what the sender holds, and the answer has newer zones and the next part of a newer table. Committed entries are right whoever tells of them. Ruled out: a lease (it would stop service whenever the core is down); refusing at an agent that has met a newer index (it refuses flows between a change and the poll).

--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -56,26 +56,27 @@
 	return view
 }
 
-// Sample returns up to so many living agents by lot, of a zone if it has any.
-// shuffle is that of a source of randomness.
-func (v *View) Sample(zone ZoneTag, count int, shuffle func(n int, swap func(a, b int))) []netip.AddrPort {
-	var own, all []netip.AddrPort
+// Sample returns up to so many living agents by lot, but not the asking one: of a
+// zone as far as it has any, but for one, which is of another zone, since what cuts
+// an instance off may cut off its zone. shuffle is that of a source of randomness.
+func (v *View) Sample(zone ZoneTag, asking netip.AddrPort, count int, shuffle func(n int, swap func(a, b int))) []netip.AddrPort {
+	var own, others []netip.AddrPort
 	for _, members := range v.byService {
 		for i := range members {
-			if members[i].IsGone {
-				continue
-			}
-			all = append(all, members[i].Address)
-			if members[i].zone == zone {
+			switch {
+			case members[i].IsGone || members[i].Address == asking:
+			case members[i].zone == zone:
 				own = append(own, members[i].Address)
+			default:
+				others = append(others, members[i].Address)
 			}
 		}
 	}
-	if len(own) == 0 {
-		own = all
+	for _, part := range [][]netip.AddrPort{own, others} {
+		shuffle(len(part), func(a, b int) { part[a], part[b] = part[b], part[a] })
 	}
-	shuffle(len(own), func(a, b int) { own[a], own[b] = own[b], own[a] })
-	return own[:min(len(own), count)]
+	own = own[:min(len(own), max(count-1, count-len(others)))]
+	return append(own, others[:min(len(others), count-len(own))]...)
 }
 
 // Count returns how many agents of the view are not gone.
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -21,10 +21,9 @@
 	gossipInterval = 500 * time.Millisecond
 	// changeDelay separates a change from the gossip that tells it.
 	changeDelay = 10 * time.Millisecond
-	// An answer fits one datagram on networks with an MTU of 1,500 bytes: a part
-	// of the routing table and some records.
+	// answerRecordBytes leaves room for a part of the routing table in an answer that
+	// fits one datagram on networks with an MTU of 1,500 bytes.
 	answerRecordBytes = 700
-	answerPartBytes   = 500
 	// gossipRecords bounds the records in one datagram of gossip.
 	gossipRecords = 14
 	// gossipHeard bounds the agents named in one datagram of gossip.
@@ -189,7 +188,7 @@
 	delta := d.roster.Since(now, poll.Roster, poll.Revision, answerRecordBytes)
 	answer.Roster, answer.Revision, answer.Records = delta.Roster, delta.Revision, delta.Records
 	answer.More, answer.Restart, answer.Settled = delta.More, delta.Restart, delta.IsSettled
-	d.addHeld(poll, answer)
+	d.control.replica.held.Load().AddTo(answer, poll)
 	return answer
 }
 
@@ -221,30 +220,6 @@
 	return addresses
 }
 
-// addHeld adds the routing table and the zones, as far as the node lacks them.
-func (d *discovery) addHeld(poll *wire.Poll, answer *wire.PollAnswer) {
-	held := d.control.replica.held.Load()
-	answer.ZoneIndex = held.ZoneIndex
-	if held.ZoneIndex != poll.ZoneIndex {
-		answer.ZonesOut = held.ZonesOut
-	}
-	if held.Routing == nil {
-		return
-	}
-	table := held.Routing.Table
-	answer.RoutingVersion = held.Routing.Version
-	answer.TableBytes = uint32(len(table))
-	if held.Routing.Version <= poll.RoutingVersion {
-		return
-	}
-	offset := 0
-	if poll.FetchVersion == held.Routing.Version {
-		offset = min(int(poll.FetchOffset), len(table))
-	}
-	answer.PartVersion, answer.PartOffset = held.Routing.Version, uint32(offset)
-	answer.Part = table[offset:min(offset+answerPartBytes, len(table))]
-}
-
 // gossip tells the other control instances which agents this one has heard.
 func (d *discovery) gossip() {
 	now := d.node.Now()
--- a/internal/machine/control/operator.go
+++ b/internal/machine/control/operator.go
@@ -109,7 +109,7 @@
 	if err := routing.Check(table); err != nil {
 		return ErrInvalid.Wrap(err)
 	}
-	if held := c.replica.held.Load().Routing; held != nil && held.Version >= table.Version {
+	if held := c.replica.held.Load(); held.Source != nil && held.RoutingVersion >= table.Version {
 		return nil
 	}
 	data, err := proto.Marshal(table)
@@ -154,11 +154,11 @@
 			return nil, ErrUnavailable.New("no majority has confirmed that this instance leads")
 		}
 	}
-	held := c.replica.held.Load().Routing
-	if held == nil {
+	source := c.replica.held.Load().Source
+	if source == nil {
 		return nil, ErrUnavailable.New("there is no routing table yet")
 	}
-	return held.Source, nil
+	return source, nil
 }
 
 // readPollInterval separates looks at whether a majority has answered.
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -10,6 +10,7 @@
 	"sassafrasturn.example/internal/catalog"
 	"sassafrasturn.example/internal/consensus"
 	"sassafrasturn.example/internal/journal"
+	"sassafrasturn.example/internal/machine/opaque"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -78,10 +79,9 @@
 
 // Held is the applied state of the opaque mode.
 type Held struct {
-	// Routing is nil before the first routing table.
-	Routing   *wire.ReplaceRouting
-	ZoneIndex uint64
-	ZonesOut  []string
+	opaque.Held
+	// Source is the routing table as the operator sent it, nil before the first.
+	Source []byte
 }
 
 // openReplica restores a replica from its data folder. It publishes the state
@@ -299,7 +299,14 @@
 	if records := r.catalog.Records(r.published); len(records) > 0 {
 		r.outputs.publish(records)
 	}
-	r.held.Store(&Held{Routing: r.catalog.Routing(), ZoneIndex: r.catalog.ZoneIndex(), ZonesOut: r.catalog.ZonesOut()})
+	table := r.catalog.Routing()
+	r.held.Store(&Held{
+		Source: table.GetSource(),
+		Held: opaque.Held{
+			RoutingVersion: table.GetVersion(), Table: table.GetTable(),
+			ZoneIndex: r.catalog.ZoneIndex(), ZonesOut: r.catalog.ZonesOut(),
+		},
+	})
 	r.published = applied
 }
 
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -23,7 +23,8 @@
 	KindGossip
 	// KindRepeat asks a control instance to tell all its records again.
 	KindRepeat
-	// KindProbe asks an agent whether it hears the sender, KindProbeAnswer says so.
+	// KindProbe asks an agent whether it hears the sender, and for the routing table
+	// and the zones; KindProbeAnswer has them.
 	KindProbe
 	KindProbeAnswer
 )
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -33,6 +33,8 @@
 	Table     *routing.Table
 	View      *flow.View
 	ZoneIndex uint64
+	// held is what the instance tells others of the table and the zones.
+	held *Held
 	// IsUsable: a routing table and a whole list of agents are known.
 	IsUsable bool
 
@@ -100,7 +102,7 @@
 			return nil, err
 		}
 	}
-	n.state.Store(&State{Table: routing.Empty(), View: flow.NewView(nil)})
+	n.state.Store(&State{Table: routing.Empty(), View: flow.NewView(nil), held: new(Held)})
 	n.metrics = newNodeMetrics(instance.Metrics)
 	return n, nil
 }
@@ -193,11 +195,10 @@
 			}
 		}
 	case KindProbe:
-		isWhole = true
-		n.send([]byte{byte(KindProbeAnswer)}, from)
+		isWhole = n.answerProbe(data[1:], from)
 	case KindProbeAnswer:
-		isWhole = true
 		n.noteReach((*flow.Reach).Answer)
+		isWhole = n.poller == nil || n.poller.takePeer(data[1:], from)
 	case KindPollAnswer:
 		n.noteReach(func(reach *flow.Reach) { reach.Hear(n.Now()) })
 		isWhole = n.poller == nil || n.poller.take(data[1:], from)
@@ -211,18 +212,32 @@
 	}
 }
 
-// probedAgents is how many agents are asked at a time whether they hear this instance.
+// probedAgents is how many agents are asked at a time: so many that one at least
+// is likely neither gone nor cut off itself.
 const probedAgents = 4
 
-// probe asks some agents whether they hear this instance.
+// probe asks some agents whether they hear this instance, and for newer versions of
+// what control has told it.
 func (n *Node) probe() {
-	agents := n.State().View.Sample(flow.TagOf(n.instance.Settings.Zone), probedAgents, rand.Shuffle)
+	agents := n.State().View.Sample(flow.TagOf(n.instance.Settings.Zone), n.Address(), probedAgents, rand.Shuffle)
 	n.noteReach(func(reach *flow.Reach) { reach.Ask(len(agents)) })
 	for _, agent := range agents {
-		n.send([]byte{byte(KindProbe)}, agent)
+		n.SendMessage(KindProbe, n.poller.heldQuestion(), agent)
 	}
 }
 
+// answerProbe tells another instance what this one knows and that one lacks.
+func (n *Node) answerProbe(data []byte, from netip.AddrPort) bool {
+	probe := new(wire.Poll)
+	if proto.Unmarshal(data, probe) != nil {
+		return false
+	}
+	answer := new(wire.PollAnswer)
+	n.State().held.AddTo(answer, probe)
+	n.SendMessage(KindProbeAnswer, answer, from)
+	return true
+}
+
 // noteReach notes what shows whether the instance is cut off, and logs when that changes.
 func (n *Node) noteReach(note func(reach *flow.Reach)) {
 	now := n.Now()
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -44,9 +44,10 @@
 	node *Node
 	self func() *wire.AgentRecord
 
-	answers  chan answer
-	wanted   chan struct{}
-	sequence uint64
+	// answers are those of control instances, peers those of agents.
+	answers, peers chan answer
+	wanted         chan struct{}
+	sequence       uint64
 
 	// control are the instances to poll, the current one first.
 	control []netip.AddrPort
@@ -57,10 +58,11 @@
 	// interval is how long to wait for the next poll.
 	interval time.Duration
 
-	replica   *roster.Replica
-	zonesOut  map[string]bool
-	zoneIndex uint64
-	fetch     fetch
+	replica  *roster.Replica
+	zonesOut map[string]bool
+	// held is the newest that is known of the log, whoever told it.
+	held  Held
+	fetch fetch
 	// asked is the incarnation that the newest poll gave, and raise the one that the
 	// agent must exceed.
 	asked, raise uint64
@@ -77,6 +79,7 @@
 	return &poller{
 		node: node, self: self,
 		answers: make(chan answer, answerQueue),
+		peers:   make(chan answer, answerQueue),
 		wanted:  make(chan struct{}, 1),
 		control: shuffled(slices.Clone(node.instance.Peers())),
 		replica: roster.NewReplica(),
@@ -104,6 +107,23 @@
 	return true
 }
 
+// takePeer gets what an agent tells; it reports false for what cannot be read. An
+// agent that knows nothing newer is of no use.
+func (p *poller) takePeer(data []byte, from netip.AddrPort) bool {
+	message := new(wire.PollAnswer)
+	if proto.Unmarshal(data, message) != nil {
+		return false
+	}
+	if !p.node.State().held.isOlderThan(message) {
+		return true
+	}
+	select {
+	case p.peers <- answer{message: message, from: from}:
+	default:
+	}
+	return true
+}
+
 func (p *poller) run(ctx context.Context) {
 	timer := time.NewTimer(pollInterval)
 	defer timer.Stop()
@@ -115,6 +135,8 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case a := <-p.peers:
+			p.applyPeer(a)
 		case <-p.wanted:
 			pause.For(ctx, refreshGap)
 		}
@@ -124,6 +146,7 @@
 // round polls until a control instance has given a usable answer, or all have
 // been tried. It reports whether more is to be drawn at once.
 func (p *poller) round(ctx context.Context) (isMore bool) {
+	isProbed := false
 	for range max(1, len(p.control)) {
 		if ctx.Err() != nil || len(p.control) == 0 {
 			return false
@@ -135,10 +158,13 @@
 			if !message.Settled {
 				p.interval = unsettledInterval
 			}
-			return p.apply(message)
+			return p.apply(answer{message: message, from: p.control[0]})
 		}
 		if message != nil {
 			p.learnControl(message.Control)
+		} else {
+			p.node.probe()
+			isProbed = true
 		}
 		p.control = append(slices.Clone(p.control[1:]), p.control[0])
 	}
@@ -148,6 +174,9 @@
 		p.interval = min(p.interval+retryStep, pollInterval)
 	}
 	p.noteServed(false)
+	if !isProbed {
+		p.node.probe()
+	}
 	// The settings may name others by now.
 	p.learnControl(nil)
 	return false
@@ -181,11 +210,9 @@
 			return nil
 		case <-timer.C:
 			p.node.metrics.polls.WithLabelValues("unanswered").Inc()
-			if p.self == nil {
-				// Agents need not know whether they are cut off.
-				p.node.probe()
-			}
 			return nil
+		case a := <-p.peers:
+			p.applyPeer(a)
 		case a := <-p.answers:
 			if a.message.Sequence != p.sequence || a.from != p.control[0] {
 				continue
@@ -202,22 +229,29 @@
 }
 
 func (p *poller) question() *wire.Poll {
-	poll := &wire.Poll{Sequence: p.sequence, ZoneIndex: p.zoneIndex, RoutingVersion: p.node.State().Table.Version}
+	poll := p.heldQuestion()
+	poll.Sequence = p.sequence
 	poll.Roster, poll.Revision = p.replica.Position()
 	if p.self != nil {
 		poll.Self = p.self()
 		poll.Self.Incarnation = max(poll.Self.Incarnation, p.raise)
 		p.asked = poll.Self.Incarnation
 	}
+	return poll
+}
+
+// heldQuestion asks for the routing table and the zones alone.
+func (p *poller) heldQuestion() *wire.Poll {
+	poll := &wire.Poll{ZoneIndex: p.held.ZoneIndex, RoutingVersion: p.held.RoutingVersion}
 	if p.fetch.version > 0 {
 		poll.FetchVersion, poll.FetchOffset = p.fetch.version, uint32(len(p.fetch.data))
 	}
 	return poll
 }
 
-// apply takes in a usable answer and reports whether more is to be drawn.
-func (p *poller) apply(message *wire.PollAnswer) (isMore bool) {
-	now := p.node.Now()
+// apply takes in a usable answer of control and reports whether more is to be drawn.
+func (p *poller) apply(a answer) (isMore bool) {
+	now, message := p.node.Now(), a.message
 	p.learnControl(message.Control)
 	if p.self != nil && message.Incarnation > p.asked {
 		p.raise = message.Incarnation + 1
@@ -227,38 +261,53 @@
 		Roster: message.Roster, Revision: message.Revision, Records: message.Records,
 		More: message.More, Restart: message.Restart, IsSettled: message.Settled,
 	}
-	isChanged := p.replica.Apply(now, delta)
-	if message.ZoneIndex > p.zoneIndex {
-		p.takeZones(message)
-		isChanged = true
-	}
-	table := p.takeTable(message)
-	if isChanged || table != nil {
-		p.publish(table)
-	}
+	p.takeHeld(a, p.replica.Apply(now, delta))
 	if !delta.More && delta.IsSettled {
 		p.node.knownAt.Store(int64(p.askedAt))
 		if p.node.handlers.Known != nil {
 			p.node.handlers.Known()
 		}
 	}
-	return isMore || message.More || p.fetch.version > 0
+	return isMore || message.More || p.fetch.version > 0 && p.fetch.version == message.RoutingVersion
+}
+
+// applyPeer takes in what an agent tells while no control instance is of use, and
+// asks it for the next part of a routing table that it has more of.
+func (p *poller) applyPeer(a answer) {
+	before := len(p.fetch.data)
+	p.takeHeld(a, false)
+	if len(p.fetch.data) > before {
+		p.node.SendMessage(KindProbe, p.heldQuestion(), a.from)
+	}
 }
 
-func (p *poller) takeZones(message *wire.PollAnswer) {
-	p.zoneIndex = message.ZoneIndex
+// takeHeld takes over newer zones and parts of a newer routing table. isChanged says
+// that something else is to be published.
+func (p *poller) takeHeld(a answer, isChanged bool) {
+	if a.message.ZoneIndex > p.held.ZoneIndex {
+		p.takeZones(a)
+		isChanged = true
+	}
+	table := p.takeTable(a)
+	if isChanged || table != nil {
+		p.publish(table)
+	}
+}
+
+func (p *poller) takeZones(a answer) {
+	p.held.ZoneIndex, p.held.ZonesOut = a.message.ZoneIndex, a.message.ZonesOut
 	p.zonesOut = make(map[string]bool)
-	for _, name := range message.ZonesOut {
+	for _, name := range p.held.ZonesOut {
 		p.zonesOut[name] = true
 	}
-	p.node.instance.Log.Info().Uint64("zone_index", message.ZoneIndex).Strs("out", message.ZonesOut).Msg("zones changed")
+	p.node.instance.Log.Info().Uint64("zone_index", p.held.ZoneIndex).Strs("out", p.held.ZonesOut).
+		Stringer("told_by", a.from).Msg("zones changed")
 }
 
 // takeTable draws the newest routing table, and returns it when it is complete.
-func (p *poller) takeTable(message *wire.PollAnswer) *routing.Table {
-	held := p.node.State().Table
-	if message.RoutingVersion <= held.Version {
-		p.fetch = fetch{}
+func (p *poller) takeTable(a answer) *routing.Table {
+	message := a.message
+	if message.RoutingVersion <= p.held.RoutingVersion || message.RoutingVersion < p.fetch.version {
 		return nil
 	}
 	if p.fetch.version != message.RoutingVersion {
@@ -272,13 +321,17 @@
 		return nil
 	}
 	table := new(wire.RoutingTable)
-	err := proto.Unmarshal(p.fetch.data, table)
+	data := p.fetch.data
 	p.fetch = fetch{}
-	if err != nil {
+	if err := proto.Unmarshal(data, table); err != nil {
 		p.node.instance.Log.Error().Err(err).Uint64("version", message.RoutingVersion).Msg("routing table not readable")
 		return nil
 	}
-	return routing.New(table)
+	p.held.RoutingVersion, p.held.Table = message.RoutingVersion, data
+	made := routing.New(table)
+	p.node.instance.Log.Info().Uint64("version", made.Version).Uint64("from", p.node.State().Table.Version).
+		Int("routes", made.Routes()).Stringer("told_by", a.from).Msg("routing table in force")
+	return made
 }
 
 // publish puts what is known in force.
@@ -286,12 +339,10 @@
 	before := p.node.State()
 	if table == nil {
 		table = before.Table
-	} else {
-		p.node.instance.Log.Info().Uint64("version", table.Version).Uint64("from", before.Table.Version).
-			Int("routes", table.Routes()).Msg("routing table in force")
 	}
+	held := p.held
 	state := &State{
-		Table: table, View: p.view(), ZoneIndex: p.zoneIndex, zonesOut: p.zonesOut,
+		Table: table, View: p.view(), ZoneIndex: held.ZoneIndex, zonesOut: p.zonesOut, held: &held,
 		IsUsable: p.replica.IsWhole() && table.Version > 0,
 	}
 	p.node.state.Store(state)
