--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -70,7 +70,19 @@
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
 	}
-	return j, contents, nil
+	if err := j.makeDurable(); err != nil {
+		return nil, nil, Error.Wrap(err)
+	}
+	return j, contents, j.removeLeftovers(names)
+}
+
+// makeDurable syncs what has been read back. A process that was killed may have
+// written it without a sync: it is there, but the next loss of power would take it.
+func (j *Journal) makeDurable() error {
+	if err := j.log.Sync(); err != nil {
+		return err
+	}
+	return j.folder.Sync()
 }
 
 func logName(generation uint64) string { return fmt.Sprintf("%s%016x", logPrefix, generation) }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -100,6 +100,51 @@
 	}
 }
 
+// killThenLosePower kills the process at an operation, lets the next one open the
+// folder, which may be killed too, and takes the power away after that. What was
+// found by a process counts as stored: others have been told of it.
+func killThenLosePower(seed uint64, operation, second int) (isOver bool, fault string) {
+	folder := journaltest.New(rand.New(rand.NewPCG(seed, uint64(operation))))
+	folder.CrashAt = operation
+	_, err := play(folder)
+	folder.Kill()
+	folder.CrashAt = folder.Operations + second
+	_, contents, openErr := journal.Open(folder, fresh)
+	found := ""
+	if openErr == nil {
+		found = describe(contents)
+	}
+	folder.Restart()
+	_, contents, openErr = journal.Open(folder, fresh)
+	if openErr != nil {
+		return err == nil, openErr.Error()
+	}
+	if got := describe(contents); found != "" && got != found {
+		return err == nil, fmt.Sprintf("found %q after a kill, and %q after the loss of power", found, got)
+	}
+	return err == nil, ""
+}
+
+func TestWhatIsFoundAfterAKillOutlivesALossOfPower(t *testing.T) {
+	const (
+		seeds = 20
+		// opening is more than the operations of opening a folder.
+		opening = 12
+	)
+	g := NewWithT(t)
+	for seed := range uint64(seeds) {
+		for second := range opening {
+			for operation := 1; ; operation++ {
+				isOver, fault := killThenLosePower(seed, operation, second+1)
+				g.Expect(fault).To(BeEmpty(), "seed %d, operations %d and %d", seed, operation, second+1)
+				if isOver {
+					break
+				}
+			}
+		}
+	}
+}
+
 // TestCrashFindsMissingSync shows that a version without syncs of the log fails.
 func TestCrashFindsMissingSync(t *testing.T) {
 	const operations = 30
--- a/internal/journal/journaltest/folder.go
+++ b/internal/journal/journaltest/folder.go
@@ -70,6 +70,12 @@
 	f.CrashAt, f.FailAt, f.isCrashed = 0, 0, false
 }
 
+// Kill gives the folder as a process finds it that starts after the one before was
+// killed: all that was written is there, and what was not synced may yet be lost.
+func (f *Folder) Kill() {
+	f.CrashAt, f.FailAt, f.isCrashed = 0, 0, false
+}
+
 // begin counts an operation; it fails when the process is dead, dies now, or
 // the operation is to fail.
 func (f *Folder) begin() error {
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -10,8 +10,7 @@
 	"sassafrasturn.example/internal/wire"
 )
 
-// recover reads the newest generation of the folder and removes what older
-// generations and unfinished writes have left.
+// recover reads the newest generation of the folder.
 func (j *Journal) recover(names []string) (*Contents, error) {
 	contents := &Contents{Identity: new(wire.DiskIdentity)}
 	if err := j.readFile(identityName, contents.Identity); err != nil {
@@ -28,10 +27,7 @@
 			return nil, err
 		}
 	}
-	if err := j.readLog(contents); err != nil {
-		return nil, err
-	}
-	return contents, j.removeLeftovers(names)
+	return contents, j.readLog(contents)
 }
 
 func newestGeneration(names []string) (newest uint64, ok bool) {
@@ -97,6 +93,7 @@
 	return nil
 }
 
+// removeLeftovers removes what older generations and unfinished writes have left.
 func (j *Journal) removeLeftovers(names []string) error {
 	kept := []string{identityName, logName(j.generation), snapshotName(j.generation)}
 	for _, name := range names {
