Let a control instance wait in place for a disk that cannot be written

It lost its roster and its links each time, and a leader went without a word, so that orders waited for an election. Then it begins anew as after a restart. Ruled out: going on with what the instance believed; reading back alone.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -23,8 +23,9 @@
 // ErrDamaged is the class of errors about files that cannot be read back.
 var ErrDamaged = errs.Class("journal damaged")
 
-// ErrFailed is the class of errors after which nothing can be stored.
-var ErrFailed = errs.Class("journal failed; the instance stops, since what is durable is not known; check the disk")
+// ErrFailed is the class of errors after which nothing can be stored until the
+// folder is opened again.
+var ErrFailed = errs.Class("journal failed, and what is durable is not known; check the disk")
 
 const (
 	identityName   = "identity"
@@ -70,19 +71,24 @@
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
 	}
-	if err := j.makeDurable(); err != nil {
+	if err := j.makeDurable(names); err != nil {
+		j.log.Close()
 		return nil, nil, Error.Wrap(err)
 	}
-	return j, contents, j.removeLeftovers(names)
+	return j, contents, nil
 }
 
 // makeDurable syncs what has been read back. A process that was killed may have
 // written it without a sync: it is there, but the next loss of power would take it.
-func (j *Journal) makeDurable() error {
+// Only then is what older generations have left removed.
+func (j *Journal) makeDurable(names []string) error {
 	if err := j.log.Sync(); err != nil {
 		return err
 	}
-	return j.folder.Sync()
+	if err := j.folder.Sync(); err != nil {
+		return err
+	}
+	return j.removeLeftovers(names)
 }
 
 func logName(generation uint64) string { return fmt.Sprintf("%s%016x", logPrefix, generation) }
--- a/internal/journal/journaltest/folder.go
+++ b/internal/journal/journaltest/folder.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"sassafrasturn.example/internal/journal"
 )
@@ -31,6 +32,8 @@
 	// 0 for never. FailAt is that at which Failure is returned once.
 	CrashAt, FailAt int
 	Failure         error
+	// IsFull refuses every write, after any part of it.
+	IsFull atomic.Bool
 	// IsLogSyncIgnored makes each sync of a log file do nothing, as in a program
 	// that answers before the disk has.
 	IsLogSyncIgnored bool
@@ -188,7 +191,11 @@
 
 // Write appends; a write that dies or fails leaves any first part.
 func (h *handle) Write(data []byte) (int, error) {
-	if err := h.folder.begin(); err != nil {
+	err := h.folder.begin()
+	if err == nil && h.folder.IsFull.Load() {
+		err = ErrFull
+	}
+	if err != nil {
 		part := h.folder.random.IntN(len(data) + 1)
 		h.file.data = append(h.file.data, data[:part]...)
 		return part, err
--- a/internal/journal/recover.go
+++ b/internal/journal/recover.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		if err := j.folder.Remove(name); err != nil {
-			return Error.Wrap(err)
+			return err
 		}
 	}
 	return nil
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -55,6 +55,7 @@
 	}
 	c.loop = newLoop(c.replica, started, c.learn)
 	c.loop.changed = c.logChange
+	c.loop.noteDisk = c.logDisk
 	registerMetrics(instance.Metrics, c.loop)
 	if instance.Settings.Mode == settings.ModeOpaque {
 		c.replica.voters = instance.Settings.Opaque.Voters
@@ -189,8 +190,11 @@
 	pause.For(ctx, handOverTime)
 }
 
-// Health fails until the instance belongs to a group.
+// Health fails until the instance belongs to a group, and while it has no disk.
 func (c *Control) Health() error {
+	if c.loop.isDiskFailed.Load() {
+		return Error.New("the disk cannot be written; the instance takes no part until it can")
+	}
 	if c.loop.status.Load().Group.GetNumber() == 0 {
 		return Error.New("the instance belongs to no control group yet; it waits for the members of its settings, or for sassafrasturnctl control add")
 	}
--- a/internal/machine/control/loop.go
+++ b/internal/machine/control/loop.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/consensus"
+	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -25,7 +26,7 @@
 	replica  *replica
 	started  time.Time
 	messages chan *wire.ConsensusMessage
-	calls    chan func(now time.Duration) error
+	calls    chan loopCall
 	done     chan struct{}
 	status   atomic.Pointer[consensus.Status]
 	identity atomic.Pointer[wire.DiskIdentity]
@@ -33,6 +34,17 @@
 	changed func(before, after *consensus.Status)
 	// learn is told the address of each member.
 	learn func(id uint64, address string)
+	// isDiskFailed: the instance takes no part until its disk can be written again.
+	isDiskFailed atomic.Bool
+	// noteDisk is told when the disk has failed, with the failure, and when it can be
+	// written again, with nil; it may be nil itself.
+	noteDisk func(failure error)
+}
+
+// loopCall is something to run on the loop. refused gets why it was not run.
+type loopCall struct {
+	run     func(now time.Duration) error
+	refused chan<- error
 }
 
 func newLoop(r *replica, started time.Time, learn func(uint64, string)) *loop {
@@ -40,7 +52,7 @@
 		replica:  r,
 		started:  started,
 		messages: make(chan *wire.ConsensusMessage, messageQueueLength),
-		calls:    make(chan func(time.Duration) error),
+		calls:    make(chan loopCall),
 		done:     make(chan struct{}),
 		learn:    learn,
 	}
@@ -59,7 +71,11 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		if err := l.next(ctx, ticker); err != nil {
+		err := l.next(ctx, ticker)
+		if journal.ErrFailed.Has(err) {
+			err = l.awaitDisk(ctx, err)
+		}
+		if err != nil {
 			return err
 		}
 		if ctx.Err() != nil {
@@ -79,7 +95,7 @@
 	case m := <-l.messages:
 		l.replica.core.Step(l.now(), m)
 	case call := <-l.calls:
-		if err := call(l.now()); err != nil {
+		if err := call.run(l.now()); err != nil {
 			return err
 		}
 	}
@@ -96,7 +112,7 @@
 		case m := <-l.messages:
 			l.replica.core.Step(l.now(), m)
 		case call := <-l.calls:
-			if err := call(l.now()); err != nil {
+			if err := call.run(l.now()); err != nil {
 				return err
 			}
 		default:
@@ -150,20 +166,24 @@
 
 // do runs a call on the loop and waits until it has run.
 func (l *loop) do(ctx context.Context, call func(now time.Duration) error) error {
-	ran := make(chan struct{})
+	ran, refused := make(chan struct{}), make(chan error, 1)
 	wrapped := func(now time.Duration) error {
 		defer close(ran)
 		return call(now)
 	}
 	select {
-	case l.calls <- wrapped:
+	case l.calls <- loopCall{run: wrapped, refused: refused}:
 	case <-l.done:
 		return errStopped
 	case <-ctx.Done():
 		return errNotRun
 	}
-	<-ran
-	return nil
+	select {
+	case <-ran:
+		return nil
+	case err := <-refused:
+		return err
+	}
 }
 
 // deliver hands a received message to the replica.
@@ -180,6 +200,7 @@
 
 var (
 	errStopped = Error.New("not run: the instance stops; ask another control instance")
+	errNoDisk  = Error.New("not run: the instance cannot store anything; ask another control instance")
 	errNotRun  = Error.New("not run: the instance is too busy; try again")
 	errTimeout = Error.New("outcome unknown: no majority has confirmed it in time; send it again with the same submission ID, which gets the first answer if there is one")
 )
--- a/internal/machine/control/operator.go
+++ b/internal/machine/control/operator.go
@@ -69,7 +69,7 @@
 // or through others.
 func (c *Control) leaderAddress() (netip.AddrPort, bool) {
 	status := c.loop.status.Load()
-	if c.loop.isMember() {
+	if c.loop.isMember() && !c.loop.isDiskFailed.Load() {
 		if c.loop.now()-status.Contact > leaderSilence {
 			return netip.AddrPort{}, false
 		}
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -42,12 +42,16 @@
 }
 
 // replica is one control instance's copy of the replicated state: agreement,
-// journal and catalog. It is not safe for concurrent use. After an error the
-// instance must stop.
+// journal and catalog. It is not safe for concurrent use. After an error of the
+// class journal.ErrFailed it must be loaded again, after another one the instance
+// must stop.
 type replica struct {
-	identity *wire.DiskIdentity
-	rand     *rand.Rand
-	outputs  outputs
+	folder journal.Folder
+	// configuredID is the member's ID of the settings, 0 when it draws one itself.
+	configuredID uint64
+	identity     *wire.DiskIdentity
+	rand         *rand.Rand
+	outputs      outputs
 
 	core    *consensus.Core
 	journal *journal.Journal
@@ -88,28 +92,64 @@
 // only once all that was committed before the restart is applied again, so that
 // nothing older is seen than before.
 func openReplica(folder journal.Folder, id uint64, random *rand.Rand, now time.Duration, out outputs) (*replica, error) {
-	fresh := &wire.DiskIdentity{Id: id, Disk: random.Uint64() | 1}
-	if id == 0 {
-		fresh.Id = 1 + random.Uint64N(maxFirstID)
-	}
-	j, contents, err := journal.Open(folder, fresh)
-	if err != nil {
-		return nil, err
-	}
 	r := &replica{
-		identity: contents.Identity, rand: random, outputs: out,
-		journal: j, waiting: make(map[uint64]waiter), leaseAt: now, compactAfter: snapshotEntries,
+		folder: folder, configuredID: id, rand: random, outputs: out,
+		waiting: make(map[uint64]waiter), leaseAt: now, compactAfter: snapshotEntries,
 		joiners: make(map[string]joiner), isSelfNumbered: id == 0,
 	}
 	r.held.Store(new(Held))
-	if err := r.checkIdentity(id, contents); err != nil {
+	if _, err := r.load(now); err != nil {
 		return nil, err
 	}
-	stored := consensus.Stored{State: contents.State, Snapshot: contents.Snapshot, Entries: contents.Entries}
-	if err := r.restore(stored, now); err != nil {
+	return r, r.work(now)
+}
+
+// load takes over what the data folder holds.
+func (r *replica) load(now time.Duration) (*journal.Contents, error) {
+	fresh := &wire.DiskIdentity{Id: r.configuredID, Disk: r.rand.Uint64() | 1}
+	if r.configuredID == 0 {
+		fresh.Id = 1 + r.rand.Uint64N(maxFirstID)
+	}
+	j, contents, err := journal.Open(r.folder, fresh)
+	if err != nil {
 		return nil, err
 	}
-	return r, r.work(now)
+	r.journal, r.identity = j, contents.Identity
+	if err := r.checkIdentity(r.configuredID, contents); err != nil {
+		return nil, err
+	}
+	stored := consensus.Stored{State: contents.State, Snapshot: contents.Snapshot, Entries: contents.Entries}
+	return contents, r.restore(stored, now)
+}
+
+// reload begins anew after a failure of the journal, as a restart would, with what
+// can be read back. What has been durable is not known: all is stored once more.
+func (r *replica) reload(now time.Duration) error {
+	// The file is done with, and its failure known.
+	_ = r.journal.Close()
+	contents, err := r.load(now)
+	if err != nil {
+		return err
+	}
+	if contents.Snapshot != nil {
+		return r.journal.Replace(contents.Snapshot, contents.State, contents.Entries)
+	}
+	if err := r.journal.StoreIdentity(r.identity); err != nil || contents.State == nil {
+		return err
+	}
+	return r.journal.Save(contents.State, contents.Entries)
+}
+
+// stepDown hands the lead over and answers the proposals that wait. All else that
+// was to be sent promises what has not been stored.
+func (r *replica) stepDown(now time.Duration) {
+	r.core.Resign(now)
+	for _, m := range r.core.Ready().Messages {
+		if m.Kind == wire.ConsensusMessage_KIND_CAMPAIGN {
+			r.outputs.send(m)
+		}
+	}
+	r.failWaiting()
 }
 
 // checkIdentity refuses a folder that another member has used. One that was
