Keep the flows that an endpoint took before its first announcement

Cause: an endpoint that starts again in the place of one that has crashed may take flows before it announces itself; the agent, which still believed in the one before, then reset them with all others. Now only flows that began before the last announcement of the endpoint before are reset at once; of the rest the endpoint bounces what it does not hold, and the bounce resets the flow. By the steady clock alone: the time of birth that endpoints state may be wrong. Ruled out: the time of birth as the bound.

The soak also has: planned change alone (-planned, no flow may break), flows of many requests, a route that turns, zones out and in, full disks, torn records, wrong clocks of endpoints.

--- a/cmd/sassafrasturnd/run.go
+++ b/cmd/sassafrasturnd/run.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 	"github.com/zeebo/errs"
@@ -83,6 +85,8 @@
 }
 
 func (r *runCommand) runInstance(ctx context.Context, s *settings.Settings) error {
+	// A limit on the size of files, or a quota, shows as a write that fails.
+	signal.Ignore(syscall.SIGXFSZ)
 	instance, err := machine.New(s)
 	if err != nil {
 		return err
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"time"
 )
 
@@ -44,6 +45,8 @@
 	awaitedAt                  time.Duration
 	callerIsDone, endpointDone bool
 	seen                       time.Duration
+	// answeredAt is when the endpoint's SYN was seen, 0 of an adopted flow.
+	answeredAt time.Duration
 }
 
 // Table holds the flows of an agent's one endpoint. It is not safe for
@@ -220,6 +223,9 @@
 	if !f.hasFirst || h.IsSYN && !f.isOpen {
 		f.first, f.highest, f.hasFirst = h.Seq, end, true
 		f.isAdopted = !h.IsSYN
+		if h.IsSYN {
+			f.answeredAt = now
+		}
 	} else if int32(end-f.highest) > 0 {
 		f.highest = end
 	}
@@ -262,13 +268,35 @@
 // Clear forgets all flows and returns those that were open, whose callers can
 // be told that their endpoint is gone.
 func (t *Table) Clear() []*Flow {
-	var open []*Flow
+	open, _ := t.end(math.MaxInt64)
+	return open
+}
+
+// Succeed follows an endpoint that has ended unnoticed, and was last heard at a time.
+// It forgets the flows that began before and returns those that were open, as Clear
+// does. The rest may be flows of the next endpoint; it bounces those that are not.
+func (t *Table) Succeed(heardAt time.Duration) []*Flow {
+	open, kept := t.end(heardAt)
+	for _, f := range kept {
+		// What it waits for may never come.
+		f.isBusy, f.isAwaited = false, false
+		t.flows[f.Key] = f
+	}
+	return open
+}
+
+// end empties the table and returns the open flows of those that began before a
+// time, and all later ones that the endpoint has answered.
+func (t *Table) end(before time.Duration) (open, later []*Flow) {
 	for _, f := range t.flows {
-		if f.isOpen && !(f.callerIsDone && f.endpointDone) {
+		switch {
+		case f.hasFirst && f.answeredAt > before:
+			later = append(later, f)
+		case f.isOpen && !(f.callerIsDone && f.endpointDone):
 			open = append(open, f)
 		}
 	}
 	// Nothing that was seen of this endpoint says anything about the next.
 	*t = *NewTable()
-	return open
+	return open, later
 }
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -3,6 +3,7 @@
 package harness
 
 import (
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -56,24 +57,30 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	defer log.Close()
 	p.command = exec.Command(p.path, p.args...)
-	p.command.Stdout = log
-	p.command.Stderr = log
+	// A pipe, so that a limit on the process's files is none on its log.
+	output := struct{ io.Writer }{log}
+	p.command.Stdout = output
+	p.command.Stderr = output
 	// No process outlives the test that started it.
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
+		log.Close()
 		return Error.Wrap(err)
 	}
 	p.done = make(chan struct{})
 	go func(command *exec.Cmd, done chan struct{}) {
 		// How it ended stands in ProcessState.
 		_ = command.Wait()
+		log.Close()
 		close(done)
 	}(p.command, p.done)
 	return nil
 }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) error {
 	return Error.Wrap(p.command.Process.Signal(signal))
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -43,7 +43,8 @@
 			a.instance.Log.Info().Str("endpoint", announcement.ID).Msg("late announcement of an earlier endpoint ignored")
 			return false
 		}
-		a.endEndpoint("endpoint-restarted")
+		// The next endpoint may have taken flows before it announced itself.
+		a.endEndpoint("endpoint-restarted", a.table.Succeed(held.HeardAt-reuseMargin))
 	}
 	before := a.record.Sequence
 	a.endpoint = &flow.Endpoint{
@@ -80,7 +81,7 @@
 	isOwn := a.endpoint != nil && a.endpoint.ID == id
 	if isOwn {
 		a.instance.Log.Info().Str("endpoint", id).Msg("endpoint left")
-		a.endEndpoint("endpoint-left")
+		a.endEndpoint("endpoint-left", a.table.Clear())
 		a.withdraw()
 	}
 	a.mu.Unlock()
@@ -91,9 +92,9 @@
 
 // endEndpoint forgets an endpoint that is gone and tells the callers of its
 // open flows to dial again.
-func (a *Agent) endEndpoint(reason string) {
+func (a *Agent) endEndpoint(reason string, open []*flow.Flow) {
 	a.endpoint = nil
-	for _, f := range a.table.Clear() {
+	for _, f := range open {
 		a.sendReset(f.Key, f.CallerAck, reason)
 	}
 }
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -282,6 +282,33 @@
 	})
 }
 
+// An endpoint starts again in the place of one that has crashed, and takes flows
+// before its first announcement. Those flows are its own and go on; those of the one
+// before are reset.
+func TestFlowsOutliveTheFirstAnnouncementOfTheirEndpoint(t *testing.T) {
+	play(t, false, 3, 1, func(w *world) {
+		s := w.sites[0]
+		before := w.openFlows(5)
+		w.sleep(1300 * time.Millisecond)
+		late := w.openFlows(1)[0]
+		s.startUnheardEndpoint("orders")
+		own := w.openFlows(5)
+		s.endpoint.isMute = false
+		s.endpoint.announce()
+		w.sleep(50 * time.Millisecond)
+		for _, f := range before {
+			w.g.Expect(f.isReset).To(BeTrue(), "flow of the endpoint before")
+		}
+		for _, f := range own {
+			w.g.Expect(f.isReset).To(BeFalse(), "flow of the new endpoint")
+			w.g.Expect(f.request()).NotTo(BeEmpty())
+		}
+		// Nobody can tell whose it is until the endpoint gets a packet of it.
+		w.g.Expect(late.request()).To(BeEmpty())
+		w.g.Expect(late.isReset).To(BeTrue())
+	})
+}
+
 // openFlows opens flows to the orders service and makes a request on each.
 func (w *world) openFlows(count int) []*callerFlow {
 	var flows []*callerFlow
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -350,9 +350,16 @@
 
 // startEndpoint starts an endpoint that announces itself once a second.
 func (s *site) startEndpoint(service string) {
+	s.startUnheardEndpoint(service)
+	s.endpoint.isMute = false
+	s.endpoint.announce()
+}
+
+// startUnheardEndpoint starts an endpoint that does not announce itself.
+func (s *site) startUnheardEndpoint(service string) {
 	if s.endpoint != nil {
 		s.endpoint.stop()
 	}
 	s.endpoint = newEndpoint(s, service)
-	s.endpoint.announce()
+	s.endpoint.isMute = true
 }
--- /dev/null
+++ b/internal/soak/disks.go
@@ -0,0 +1,80 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// fillDisk lets a process write no file beyond its first byte for a while, as a disk
+// that is full: its limit on the size of files is lowered and put back.
+func (w *world) fillDisk(i *instance, length time.Duration) {
+	if !i.claim() {
+		return
+	}
+	defer w.release(i)
+	w.checkRunning(i)
+	var before unix.Rlimit
+	if err := unix.Prlimit(i.PID(), unix.RLIMIT_FSIZE, nil, &before); err != nil {
+		w.violate("limit of %s: %v", i.name, err)
+		return
+	}
+	full := unix.Rlimit{Cur: 1, Max: before.Max}
+	for _, limit := range []*unix.Rlimit{&full, &before} {
+		if err := unix.Prlimit(i.PID(), unix.RLIMIT_FSIZE, limit, nil); err != nil {
+			w.violate("limit of %s: %v", i.name, err)
+			return
+		}
+		if limit == &full {
+			time.Sleep(length)
+		}
+	}
+}
+
+// tearLog kills a control instance and leaves a part of a record behind the last one,
+// as a write that was under way would.
+func (w *world) tearLog(i *instance, random *rand.Rand, down time.Duration) {
+	if !i.claim() {
+		return
+	}
+	defer w.release(i)
+	w.checkRunning(i)
+	w.end(i, syscall.SIGKILL)
+	if err := appendPart(filepath.Join(w.config.Folder, i.name+".data"), random); err != nil {
+		w.violate("log of %s: %v", i.name, err)
+	}
+	time.Sleep(down)
+	w.startAgain(i)
+}
+
+// appendPart appends a part of the first record of the newest log in a data folder.
+func appendPart(folder string, random *rand.Rand) error {
+	logs, err := filepath.Glob(filepath.Join(folder, "log-*"))
+	if err != nil || len(logs) == 0 {
+		return Error.Wrap(err)
+	}
+	newest := ""
+	for _, name := range logs {
+		if !strings.HasSuffix(name, ".new") {
+			newest = max(newest, name)
+		}
+	}
+	data, err := os.ReadFile(newest)
+	if err != nil || len(data) < 2 {
+		return Error.Wrap(err)
+	}
+	file, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer file.Close()
+	// No record is shorter than its header of 12 bytes.
+	const headerBytes = 12
+	_, err = file.Write(data[:1+random.IntN(min(headerBytes, len(data))-1)])
+	return Error.Wrap(err)
+}
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -50,6 +50,7 @@
 
 	mu       sync.Mutex
 	id       string
+	starts   int
 	born     int64
 	sequence int
 	flows    map[flow.Key]uint32
@@ -75,12 +76,23 @@
 	return nil
 }
 
+// clockErrors are how wrong the time of day may be when an endpoint starts.
+var clockErrors = []time.Duration{0, 0, 0, time.Hour, -time.Hour, 2 * time.Second, -2 * time.Second}
+
+// isRunning reports whether the endpoint still is the incarnation of an identity.
+func (s *site) isRunning(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.id == id
+}
+
 // restart gives the endpoint a new incarnation, which knows no flows.
 func (s *site) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.born = time.Now().UnixMilli()
-	s.id = fmt.Sprintf("%s-%d-%d", s.agent.name, s.n, s.born)
+	s.starts++
+	s.born = time.Now().Add(clockErrors[s.world.drawClock(len(clockErrors))]).UnixMilli()
+	s.id = fmt.Sprintf("%s-%d-%d", s.agent.name, s.n, s.starts)
 	s.sequence, s.isDraining, s.drainedAt = 0, false, time.Time{}
 	s.flows = make(map[flow.Key]uint32)
 }
@@ -168,12 +180,7 @@
 
 func (s *site) takeSYN(key flow.Key, answer *flow.Header, next uint32, isHeld bool, h *flow.Header) []byte {
 	if !isHeld {
-		if key.Dialed != routeOf(serviceOf(s.n)) {
-			s.world.violate("%s of %s got a flow to %s", s.id, serviceOf(s.n), key.Dialed)
-		}
-		if !s.drainedAt.IsZero() && time.Since(s.drainedAt) > drainTime {
-			s.world.violate("%s got a flow %s after its drain was acknowledged", s.id, time.Since(s.drainedAt))
-		}
+		s.checkNewFlow(key)
 		next = rand.Uint32()
 		s.flows[key] = next
 	}
@@ -192,7 +199,14 @@
 	random  *rand.Rand
 
 	mu      sync.Mutex
-	waiting map[flow.Key]chan flow.Header
+	waiting map[flow.Key]chan reply
+}
+
+// reply is a packet for a caller.
+type reply struct {
+	flow.Header
+	// endpoint is the identity that an answer names.
+	endpoint string
 }
 
 func newCallers(ctx context.Context, w *world) ([]*caller, error) {
@@ -206,7 +220,7 @@
 		context.AfterFunc(ctx, func() { conn.Close() })
 		c := &caller{
 			world: w, host: netip.MustParseAddr(host), conn: conn, port: 1000, isRough: n%4 == 3,
-			random: rand.New(rand.NewPCG(w.config.Seed, uint64(n))), waiting: make(map[flow.Key]chan flow.Header),
+			random: rand.New(rand.NewPCG(w.config.Seed, uint64(n))), waiting: make(map[flow.Key]chan reply),
 		}
 		go c.receive()
 		pool = append(pool, c)
@@ -230,7 +244,7 @@
 		waiting := c.waiting[h.FromEndpoint()]
 		c.mu.Unlock()
 		select {
-		case waiting <- h:
+		case waiting <- reply{Header: h, endpoint: string(buffer[n-h.Length : n])}:
 		default:
 		}
 	}
@@ -241,6 +255,10 @@
 	lateOne      = 10
 	lateTime     = 50 * time.Millisecond
 	flowPatience = 1500 * time.Millisecond
+	// plannedPatience is longer than an agent takes to stop and start again.
+	plannedPatience = 8 * time.Second
+	// maxWait bounds the time between copies of a request.
+	maxWait = 800 * time.Millisecond
 )
 
 // send sends a packet through one of the balancers that are up.
@@ -263,11 +281,19 @@
 	}
 }
 
-// serve opens a flow, sends a few requests and reports whether all were answered.
-func (c *caller) serve(ctx context.Context, dialed netip.AddrPort) bool {
+// shortFlow is how many requests most flows have, and longFlow the rest.
+const (
+	shortFlow = 3
+	longFlow  = 60
+	// longPause separates the requests of a long flow.
+	longPause = 100 * time.Millisecond
+)
+
+// serve opens a flow, sends some requests and reports whether all were answered.
+func (c *caller) serve(ctx context.Context, dialed netip.AddrPort, requests int) bool {
 	c.port++
 	key := flow.Key{Caller: netip.AddrPortFrom(c.host, c.port), Dialed: dialed}
-	replies := make(chan flow.Header, 64)
+	replies := make(chan reply, 64)
 	c.mu.Lock()
 	c.waiting[key] = replies
 	c.mu.Unlock()
@@ -277,58 +303,102 @@
 		c.mu.Unlock()
 	}()
 	opened, ok := c.open(ctx, key, replies)
-	for seq := uint32(1); ok && seq <= 3; seq++ {
-		ok = c.request(ctx, key, seq, opened.Seq+1, replies)
+	for seq := uint32(1); ok && seq <= uint32(requests); seq++ {
+		ok = c.request(ctx, key, seq, opened, replies)
+		if requests > shortFlow {
+			time.Sleep(longPause)
+		}
 	}
-	if ok {
+	switch {
+	case ok:
 		c.world.served.Add(1)
-	} else {
+	case ctx.Err() == nil:
 		c.world.unserved.Add(1)
 	}
 	return ok
 }
 
-func (c *caller) open(ctx context.Context, key flow.Key, replies chan flow.Header) (flow.Header, bool) {
+// open returns the endpoint's first number, and the identity that its answers name
+// from then on.
+func (c *caller) open(ctx context.Context, key flow.Key, replies chan reply) (*opened, bool) {
 	for attempt := range 3 {
 		c.send(key, flow.Header{IsSYN: true, Attempt: attempt}, nil)
-		h, ok := await(ctx, replies, time.Duration(attempt+1)*200*time.Millisecond, func(h flow.Header) bool { return h.IsSYN || h.IsRST })
+		r, ok := await(ctx, replies, time.Duration(attempt+1)*200*time.Millisecond, func(r reply) bool { return r.IsSYN || r.IsRST })
 		if ok {
-			return h, !h.IsRST
+			return &opened{ack: r.Seq + 1}, !r.IsRST
 		}
 	}
-	return flow.Header{}, false
+	return nil, false
 }
 
-func (c *caller) request(ctx context.Context, key flow.Key, seq, ack uint32, replies chan flow.Header) bool {
+// opened is an open flow.
+type opened struct {
+	ack uint32
+	// endpoint is the identity of the endpoint, "" before the first answer.
+	endpoint string
+}
+
+func (c *caller) request(ctx context.Context, key flow.Key, seq uint32, o *opened, replies chan reply) bool {
+	patience := flowPatience
+	if c.world.config.Planned {
+		patience = plannedPatience
+	}
 	sent := time.Now()
-	for wait := 200 * time.Millisecond; time.Since(sent) < flowPatience; wait *= 2 {
-		c.send(key, flow.Header{IsACK: true, Seq: seq, Ack: ack}, content(key, seq))
+	for wait := 200 * time.Millisecond; time.Since(sent) < patience && ctx.Err() == nil; wait = min(2*wait, maxWait) {
+		c.send(key, flow.Header{IsACK: true, Seq: seq, Ack: o.ack}, content(key, seq))
 		want := seq + uint32(len(content(key, seq)))
-		h, ok := await(ctx, replies, wait, func(h flow.Header) bool { return h.IsRST || h.Length > 0 && h.Ack == want })
+		r, ok := await(ctx, replies, wait, func(r reply) bool { return r.IsRST || r.Length > 0 && r.Ack == want })
 		if !ok {
 			continue
 		}
-		if h.IsRST && time.Since(time.Unix(0, c.world.disturbedAt.Load())) > recoveryTime {
-			c.world.violate("open flow %s was reset in calm", key)
+		if r.IsRST {
+			c.checkReset(key, o)
+			return false
+		}
+		if o.endpoint != "" && o.endpoint != r.endpoint {
+			c.world.violate("flow %s is answered by %s, and by %s before", key, r.endpoint, o.endpoint)
+		}
+		o.endpoint = r.endpoint
+		return true
+	}
+	if c.world.config.Planned && ctx.Err() == nil && c.world.isRunning(o.endpoint) {
+		c.world.violate("open flow %s at %s got no answer for %s, though all change was planned", key, o.endpoint, patience)
+	}
+	return false
+}
+
+// checkReset checks that an open flow was reset for a reason: its endpoint has
+// ended, or something was disturbed that may have hidden it.
+func (c *caller) checkReset(key flow.Key, o *opened) {
+	isCalm := c.world.config.Planned || time.Since(time.Unix(0, c.world.disturbedAt.Load())) > recoveryTime
+	if isCalm && c.world.isRunning(o.endpoint) {
+		c.world.violate("open flow %s at %s was reset, and its endpoint runs", key, o.endpoint)
+	}
+}
+
+// isRunning reports whether an endpoint runs in the incarnation of an identity.
+func (w *world) isRunning(id string) bool {
+	for _, s := range w.sites {
+		if s.isRunning(id) {
+			return true
 		}
-		return !h.IsRST
 	}
 	return false
 }
 
 // await waits for a packet that the caller looks for.
-func await(ctx context.Context, replies chan flow.Header, patience time.Duration, isWanted func(flow.Header) bool) (flow.Header, bool) {
+func await(ctx context.Context, replies chan reply, patience time.Duration, isWanted func(reply) bool) (reply, bool) {
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return flow.Header{}, false
+			return reply{}, false
 		case <-timer.C:
-			return flow.Header{}, false
-		case h := <-replies:
-			if isWanted(h) {
-				return h, true
+			return reply{}, false
+		case r := <-replies:
+			if isWanted(r) {
+				return r, true
 			}
 		}
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"sync"
@@ -34,11 +35,19 @@
 	for n, c := range pool {
 		working.Go(func() {
 			for ctx.Err() == nil {
-				c.serve(ctx, routeOf(serviceOf(n)))
+				switch {
+				case n%4 == 1:
+					c.serve(ctx, routeOf(serviceOf(n/4)), longFlow)
+				case n%4 == 2:
+					c.serve(ctx, turningRoute, shortFlow)
+				default:
+					c.serve(ctx, routeOf(serviceOf(n)), shortFlow)
+				}
 				time.Sleep(callerPause)
 			}
 		})
 	}
+	working.Go(func() { newOperator(w, evacuator).evacuate(ctx) })
 	working.Go(func() {
 		for ctx.Err() == nil {
 			w.operator.replace(ctx)
@@ -48,13 +57,44 @@
 	})
 	var faults sync.WaitGroup
 	for ctx.Err() == nil {
-		w.inject(&faults)
+		if w.config.Planned {
+			w.change(&faults)
+		} else {
+			w.inject(&faults)
+		}
 		time.Sleep(time.Duration(w.random.Int64N(int64(maxGap))))
 	}
 	faults.Wait()
 	working.Wait()
 }
 
+// Streams of randomness of the operators.
+const (
+	replacer  = 99
+	evacuator = 98
+)
+
+// change draws one planned change: a process that stops and starts again, an
+// endpoint that drains and ends.
+func (w *world) change(undoing *sync.WaitGroup) {
+	w.faults++
+	s := w.sites[w.random.IntN(len(w.sites))]
+	all := w.all()
+	target := all[w.random.IntN(len(all))]
+	if w.random.IntN(4) > 0 {
+		undoing.Go(func() { w.restart(target, syscall.SIGTERM, plannedDown) })
+		return
+	}
+	s.drain()
+	undoing.Go(func() {
+		time.Sleep(2 * drainTime)
+		s.restart()
+	})
+}
+
+// plannedDown is how long a process is away that was stopped by plan.
+const plannedDown = 300 * time.Millisecond
+
 // inject draws one fault. Each is undone by itself.
 func (w *world) inject(undoing *sync.WaitGroup) {
 	length := time.Duration(w.random.Int64N(int64(maxPause)))
@@ -63,7 +103,7 @@
 	s := w.sites[w.random.IntN(len(w.sites))]
 	w.faults++
 	w.disturbedAt.Store(time.Now().UnixNano())
-	switch w.random.IntN(11) {
+	switch w.random.IntN(13) {
 	case 0, 1:
 		undoing.Go(func() { w.restart(target, syscall.SIGKILL, length) })
 	case 2:
@@ -89,6 +129,12 @@
 		undoing.Go(func() { w.harmLink(target, kind, length) })
 	case 10:
 		target.proxy.reset()
+	case 11:
+		i := w.controls[w.random.IntN(controls)]
+		undoing.Go(func() { w.fillDisk(i, length) })
+	case 12:
+		i, random := w.controls[w.random.IntN(controls)], rand.New(rand.NewPCG(w.random.Uint64(), 1))
+		undoing.Go(func() { w.tearLog(i, random, length) })
 	}
 }
 
@@ -129,10 +175,17 @@
 func (i *instance) claim() bool { return i.isStopped.CompareAndSwap(false, true) }
 
 func (w *world) release(i *instance) {
-	w.disturbedAt.Store(time.Now().UnixNano())
+	now := time.Now().UnixNano()
+	w.disturbedAt.Store(now)
+	i.disturbedAt.Store(now)
 	i.isStopped.Store(false)
 }
 
+// isCalm reports whether the instance has not been disturbed lately.
+func (i *instance) isCalm() bool {
+	return !i.isStopped.Load() && time.Since(time.Unix(0, i.disturbedAt.Load())) > calmTime
+}
+
 // checkRunning finds processes that have ended by themselves.
 func (w *world) checkRunning(i *instance) {
 	select {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -22,12 +23,14 @@
 	// version is the newest sent, accepted the newest acknowledged, read the
 	// newest read back.
 	version, accepted, read uint64
+	// phase says where the turning route leads.
+	phase int
 }
 
 const orderPatience = time.Second
 
-func newOperator(w *world) *operator {
-	return &operator{world: w, client: &http.Client{Timeout: orderPatience}, random: rand.New(rand.NewPCG(w.config.Seed, 99))}
+func newOperator(w *world, stream uint64) *operator {
+	return &operator{world: w, client: &http.Client{Timeout: orderPatience}, random: rand.New(rand.NewPCG(w.config.Seed, stream))}
 }
 
 func (o *operator) url(path string) string {
@@ -37,6 +40,10 @@
 // replace sends a new version until it is acknowledged or some tries have failed.
 func (o *operator) replace(ctx context.Context) {
 	o.version += 1 + uint64(o.random.IntN(3))
+	if o.random.IntN(turnOneIn) == 0 {
+		o.phase++
+	}
+	o.world.rules.send(o.phase)
 	body, err := json.Marshal(o.desiredState())
 	if err != nil {
 		o.world.violate("desired state: %v", err)
@@ -44,10 +51,11 @@
 	}
 	o.sent++
 	for range 8 {
-		status := o.post(ctx, body)
+		status := o.post(ctx, "/Config.Replace", body)
 		switch {
 		case status == http.StatusOK:
 			o.accepted = max(o.accepted, o.version)
+			o.world.rules.acknowledge(o.phase)
 			return
 		case status >= 400 && status < 500:
 			o.world.violate("version %d was refused with %d", o.version, status)
@@ -59,27 +67,30 @@
 
 func (o *operator) desiredState() map[string]any {
 	routes, known := []any{}, []any{}
-	for _, service := range services {
-		dialed := routeOf(service)
+	add := func(name string, dialed netip.AddrPort, service string) {
 		routes = append(routes, map[string]any{
-			"name": service, "host": dialed.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", dialed.Port()),
+			"name": name, "host": dialed.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", dialed.Port()),
 			"timeout-ms": 1000 + o.version, "service": service,
 		})
+	}
+	for _, service := range services {
+		add(service, routeOf(service), service)
 		known = append(known, map[string]any{"name": service})
 	}
+	add("turning", turningRoute, serviceOfPhase(o.phase))
 	return map[string]any{
 		"version": o.version, "routes": routes, "services": known, "limits": map[string]any{"idle-timeout-ms": 15000},
 	}
 }
 
 // post sends an order. One in four breaks its connection off before the answer.
-func (o *operator) post(ctx context.Context, body []byte) int {
+func (o *operator) post(ctx context.Context, path string, body []byte) int {
 	if o.random.IntN(4) == 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(o.random.IntN(5))*time.Millisecond)
 		defer cancel()
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, o.url("/Config.Replace"), bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, o.url(path), bytes.NewReader(body))
 	if err != nil {
 		o.world.violate("order: %v", err)
 		return 0
@@ -92,6 +103,35 @@
 	return response.StatusCode
 }
 
+// turnOneIn is how often the turning route turns, in orders: it must stay as it is
+// for longer than a change takes.
+const turnOneIn = 25
+
+// evacuate takes one zone after the other out of service for a while, and back in.
+func (o *operator) evacuate(ctx context.Context) {
+	for zone := 0; ctx.Err() == nil; zone++ {
+		time.Sleep(time.Duration(o.random.Int64N(int64(evacuationTime))))
+		if !o.order(ctx, "/Evacuations.Start/"+zoneOf(zone)) {
+			continue
+		}
+		o.world.rules.evacuate(zoneOf(zone), true)
+		time.Sleep(evacuationTime + time.Duration(o.random.Int64N(int64(evacuationTime))))
+		o.world.rules.evacuate(zoneOf(zone), false)
+		// The zone is to be in service at the end, also where the faults end first.
+		o.order(context.WithoutCancel(ctx), "/Evacuations.End/"+zoneOf(zone))
+	}
+}
+
+// order sends an order without a body until it is acknowledged.
+func (o *operator) order(ctx context.Context, path string) bool {
+	for deadline := time.Now().Add(recoveryTime); ctx.Err() == nil && time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		if o.post(ctx, path, nil) == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
+
 // checkRead reads the routing table back: an answer must hold what was accepted
 // before the read was sent.
 func (o *operator) checkRead(ctx context.Context) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -2,9 +2,10 @@
 // loopback, disturbs them from outside by a seeded schedule, and checks the
 // promises from what callers, endpoints and the operator see.
 //
-// It injects kills, pauses, graceful stops, lost data folders, endpoints that
-// drain and restart, lost and late packets between callers and balancers, and
-// operators' connections that are reset, silent or late. Between instances stand
+// It injects kills, pauses, graceful stops, lost data folders, full disks and torn
+// records, endpoints that drain and restart and whose clocks are wrong, lost and late
+// packets between callers and balancers, and operators' connections that are reset,
+// silent or late. Between instances stand
 // proxies, which lose, delay, silence and reset what an instance is sent, or let
 // nothing through in one direction.
 package soak
@@ -40,6 +41,8 @@
 	// Sites is how many agents with endpoints there are, and Balancers how many
 	// balancers; 0 stands for the usual few.
 	Sites, Balancers int
+	// Planned: nothing is disturbed but by planned change, which must break no flow.
+	Planned bool
 }
 
 func (c *Config) fill() {
@@ -86,8 +89,10 @@
 	controls, balancers []*instance
 	sites               []*site
 	operator            *operator
+	rules               rules
 
 	mu         sync.Mutex
+	clocks     *rand.Rand
 	violations []string
 	served     atomic.Int64
 	unserved   atomic.Int64
@@ -96,6 +101,13 @@
 	disturbedAt atomic.Int64
 }
 
+// drawClock draws how wrong a clock is.
+func (w *world) drawClock(n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.clocks.IntN(n)
+}
+
 func (w *world) violate(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -109,6 +121,8 @@
 	proxy      *proxy
 	// isStopped: the soak has ended or paused it.
 	isStopped atomic.Bool
+	// disturbedAt is when a fault of this process ended.
+	disturbedAt atomic.Int64
 	// lostUntil is until when the disk of a control instance counts as lost.
 	lostUntil time.Time
 }
@@ -226,14 +240,18 @@
 // Run plays one seed.
 func Run(ctx context.Context, config Config) (Report, error) {
 	config.fill()
-	w := &world{config: config, subnet: harness.Subnet(), random: rand.New(rand.NewPCG(config.Seed, 23)), started: time.Now()}
+	w := &world{
+		config: config, subnet: harness.Subnet(), started: time.Now(),
+		random: rand.New(rand.NewPCG(config.Seed, 23)), clocks: rand.New(rand.NewPCG(config.Seed, 24)),
+	}
+	w.rules.out = make(map[string]time.Time)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer w.close()
 	if err := w.startAll(ctx); err != nil {
 		return Report{}, err
 	}
-	w.operator = newOperator(w)
+	w.operator = newOperator(w, replacer)
 	for _, s := range w.sites {
 		if err := s.start(ctx); err != nil {
 			return Report{}, err
@@ -262,7 +280,7 @@
 		if w.operator.accepted == 0 {
 			w.operator.replace(ctx)
 		}
-		if pool[0].serve(ctx, routeOf("orders")) {
+		if pool[0].serve(ctx, routeOf("orders"), shortFlow) {
 			return nil
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -278,7 +296,7 @@
 	w.operator.checkRead(ctx)
 	served := 0
 	for n := range finalFlows {
-		if pool[n%len(pool)].serve(ctx, routeOf(serviceOf(n))) {
+		if pool[n%len(pool)].serve(ctx, routeOf(serviceOf(n)), shortFlow) {
 			served++
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,17 +10,21 @@
 	"sassafrasturn.example/internal/soak"
 )
 
-// A short seeded run; `sassafrasturnbench soak` plays more of them, and longer.
+// Short seeded runs; `sassafrasturnbench soak` plays more of them, and longer.
 func TestSoak(t *testing.T) {
-	g := NewWithT(t)
-	binaries, err := harness.Build("../..", t.TempDir())
-	g.Expect(err).NotTo(HaveOccurred())
-	report, err := soak.Run(t.Context(), soak.Config{
-		Daemon: binaries.Daemon, Folder: t.TempDir(), Seed: 1, Length: 5 * time.Second,
-	})
-	g.Expect(err).NotTo(HaveOccurred())
-	t.Logf("%+v", report)
-	g.Expect(report.Violations).To(BeEmpty())
-	g.Expect(report.Served).To(BeNumerically(">", 0))
-	g.Expect(report.Faults).To(BeNumerically(">", 0))
+	for name, isPlanned := range map[string]bool{"faults": false, "planned change": true} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			binaries, err := harness.Build("../..", t.TempDir())
+			g.Expect(err).NotTo(HaveOccurred())
+			report, err := soak.Run(t.Context(), soak.Config{
+				Daemon: binaries.Daemon, Folder: t.TempDir(), Seed: 1, Length: 5 * time.Second, Planned: isPlanned,
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Logf("%+v", report)
+			g.Expect(report.Violations).To(BeEmpty())
+			g.Expect(report.Served).To(BeNumerically(">", 0))
+			g.Expect(report.Faults).To(BeNumerically(">", 0))
+		})
+	}
 }
