Offer new flows last to agents that answer neither a SYN nor a probe

Cause: an agent that dies without a word is taken for gone by control after 2 to 3 s. Until then every new flow that began with it waited 200 ms for the second copy of its SYN, which is later than most routes' objective. A copy now throws doubt on the agent that the one before began with; the balancer probes it and offers it flows last while it does not answer. Ruled out: resets of open flows at suspected agents (an agent that restarts by plan is silent too); silence alone (balancers hear agents seldom); a shorter time until control gives up.

--- a/cmd/sassafrasturnbench/soak.go
+++ b/cmd/sassafrasturnbench/soak.go
@@ -20,6 +20,7 @@
 	count   uint64
 	fresh   bool
 	planned bool
+	keep    bool
 	seconds int
 	folder  string
 	// sites and balancers are how many there are; 0 stands for the usual few.
@@ -34,7 +35,7 @@
 
 // Usage describes the command.
 func (*soakCommand) Usage() string {
-	return `soak [-seed N] [-count N] [-fresh] [-planned] [-seconds N] [-sites N] [-balancers N] [-folder DIR]
+	return `soak [-seed N] [-count N] [-fresh] [-planned] [-keep] [-seconds N] [-sites N] [-balancers N] [-folder DIR]
   Runs 14 processes on loopback for each seed, or as many as asked for, disturbs
   them and the links between them, and checks the promises. Logs of seeds that
   fail stay in the folder. Exit code 1 when one fails. Run it in the project's
@@ -48,6 +49,7 @@
 	flags.Uint64Var(&c.count, "count", 1, "how many seeds")
 	flags.BoolVar(&c.fresh, "fresh", false, "begin at a seed drawn from the time")
 	flags.BoolVar(&c.planned, "planned", false, "disturb nothing but by planned change, and allow no flow to break")
+	flags.BoolVar(&c.keep, "keep", false, "keep the logs of seeds that pass, too")
 	flags.IntVar(&c.seconds, "seconds", 20, "how long faults are injected")
 	flags.IntVar(&c.sites, "sites", 0, "how many agents with endpoints, up to 160; a few by default")
 	flags.IntVar(&c.balancers, "balancers", 0, "how many balancers, up to 60; a few by default")
@@ -113,5 +115,8 @@
 		fmt.Println("    logs:", folder)
 		return false, nil
 	}
+	if c.keep {
+		return true, nil
+	}
 	return true, os.RemoveAll(folder)
 }
--- /dev/null
+++ b/internal/flow/suspects_test.go
@@ -0,0 +1,89 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func addresses(members []Member) []netip.AddrPort {
+	var found []netip.AddrPort
+	for _, member := range members {
+		found = append(found, member.Address)
+	}
+	return found
+}
+
+func threeAgents() []Member {
+	return []Member{
+		NewMember(addressOf(1), "a", "orders"), NewMember(addressOf(2), "a", "orders"), NewMember(addressOf(3), "b", "orders"),
+	}
+}
+
+func TestAgentThatAnswersNoProbeComesLast(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSuspects()
+	now := 10 * time.Second
+	g.Expect(s.Doubt(now, addressOf(1))).To(BeTrue())
+	agents := threeAgents()
+	fresh, count := s.PutLast(now+probeTime, agents)
+	g.Expect(fresh).To(BeEmpty())
+	g.Expect(count).To(BeZero(), "the answer may be on its way")
+	now += probeTime + 1
+	fresh, count = s.PutLast(now, agents)
+	g.Expect(fresh).To(ConsistOf(addressOf(1)))
+	g.Expect(count).To(Equal(1))
+	g.Expect(addresses(agents)).To(HaveExactElements(addressOf(2), addressOf(3), addressOf(1)))
+
+	agents = threeAgents()
+	fresh, _ = s.PutLast(now, agents)
+	g.Expect(fresh).To(BeEmpty(), "said once")
+	g.Expect(s.Hear(addressOf(1))).To(BeTrue())
+	_, count = s.PutLast(now, agents)
+	g.Expect(count).To(BeZero())
+}
+
+// A copy of a SYN alone shows nothing: the packet or the answer may be lost.
+func TestAgentThatAnswersProbesIsNotSuspected(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSuspects()
+	for now := time.Second; now < 5*time.Second; now += probeTime / 2 {
+		agents := threeAgents()
+		if s.Doubt(now, addressOf(1)) {
+			s.Hear(addressOf(1))
+		}
+		_, count := s.PutLast(now, agents)
+		g.Expect(count).To(BeZero())
+	}
+}
+
+func TestSuspectsAreProbedSparinglyAndForgotten(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSuspects()
+	probes := 0
+	for now := time.Second; now < 2*time.Second; now += time.Millisecond {
+		if s.Doubt(now, addressOf(1)) {
+			probes++
+		}
+	}
+	g.Expect(probes).To(Equal(10))
+	late := 2*time.Second + suspectMemory
+	_, count := s.PutLast(late, threeAgents())
+	g.Expect(count).To(BeZero())
+	s.Sweep(late)
+	g.Expect(s.agents).To(BeEmpty())
+}
+
+func TestAllSuspectedKeepTheirOrder(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSuspects()
+	agents := threeAgents()
+	for _, agent := range agents {
+		s.Doubt(0, agent.Address)
+	}
+	_, count := s.PutLast(time.Second, agents)
+	g.Expect(count).To(Equal(3))
+	g.Expect(addresses(agents)).To(Equal(addresses(threeAgents())))
+}
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -46,7 +46,7 @@
 	}
 	a.given.note(now, key, offer)
 	a.deliver(buffer[opaque.OfferSpace:])
-	if offer.Hops > 0 || h.Attempt > 0 {
+	if offer.Hops > 0 || h.Attempt > 0 || offer.IsReordered {
 		a.node.SendNotice(key, a.node.Address(), offer.Balancer)
 	}
 }
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -33,6 +33,7 @@
 	codec    flow.Codec
 	conn     machine.Socket
 	holders  *holders
+	suspects *suspects
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
 	// leaving is closed once the balancer is to take no new packets.
@@ -51,7 +52,7 @@
 // New prepares the role.
 func New(instance *machine.Instance, codec flow.Codec) (*Balancer, error) {
 	b := &Balancer{
-		instance: instance, codec: codec, holders: newHolders(),
+		instance: instance, codec: codec, holders: newHolders(), suspects: newSuspects(instance.Metrics),
 		origin:  flow.TagOf(instance.Settings.Zone),
 		leaving: make(chan struct{}),
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -59,7 +60,7 @@
 		}, []string{"outcome"}),
 	}
 	instance.Metrics.MustRegister(b.packets)
-	node, err := opaque.NewNode(instance, nil, opaque.Handlers{Notice: b.takeNotice})
+	node, err := opaque.NewNode(instance, nil, opaque.Handlers{Notice: b.takeNotice, Probed: b.takeProbed})
 	if err != nil {
 		return nil, err
 	}
@@ -129,13 +130,16 @@
 		w.refuse(h, key, state, outcomeNoEndpoint)
 		return outcomeNoEndpoint
 	}
-	offer := opaque.Offer{Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address()}
+	suspected := b.putSuspectsLast(h.Attempt, agents)
+	offer := opaque.Offer{
+		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(), IsReordered: suspected > 0,
+	}
 	for i := range agents {
 		offer.AddCandidate(agents[(i+h.Attempt)%len(agents)].Address)
 	}
 	first, _ := offer.PopCandidate()
 	b.instance.Decisions.Decision("offer").Str("flow", key.String()).Int("attempt", h.Attempt).Str("service", service).
-		Stringer("agent", first).Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
+		Stringer("agent", first).Int("suspected", suspected).Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
 	b.node.SendOffer(&offer, buffer, first)
 	return outcomeOffered
 }
--- /dev/null
+++ b/internal/machine/opaque/balancer/suspects.go
@@ -0,0 +1,67 @@
+package balancer
+
+import (
+	"net/netip"
+	"sync"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sassafrasturn.example/internal/flow"
+)
+
+// suspects guards flow.Suspects: packets and answers to probes come on goroutines
+// of their own.
+type suspects struct {
+	mu     sync.Mutex
+	agents *flow.Suspects
+	noted  prometheus.Counter
+}
+
+func newSuspects(registry *prometheus.Registry) *suspects {
+	noted := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sassafrasturn_agents_suspected_total", Help: "Agents that answered neither a SYN nor a probe.",
+	})
+	registry.MustRegister(noted)
+	return &suspects{agents: flow.NewSuspects(), noted: noted}
+}
+
+// putSuspectsLast moves the agents that do not answer behind the others of an order
+// of offers, and returns how many they are. A copy of a SYN throws doubt on the agent
+// that the one before began with.
+func (b *Balancer) putSuspectsLast(attempt int, agents []flow.Member) int {
+	now := b.node.Now()
+	s := b.suspects
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if attempt > 0 {
+		b.doubt(agents[(attempt-1)%len(agents)].Address)
+	}
+	fresh, count := s.agents.PutLast(now, agents)
+	for _, agent := range fresh {
+		s.noted.Inc()
+		b.instance.Log.Warn().Stringer("agent", agent).Msg("agent answers neither a SYN nor a probe; others are offered flows first")
+	}
+	for _, agent := range agents[len(agents)-count:] {
+		// It may be back.
+		b.doubt(agent.Address)
+	}
+	return count
+}
+
+// doubt probes an agent unless it was probed just now. The caller holds the lock.
+func (b *Balancer) doubt(agent netip.AddrPort) {
+	if b.suspects.agents.Doubt(b.node.Now(), agent) {
+		b.node.Probe(agent)
+	}
+}
+
+func (b *Balancer) takeProbed(agent netip.AddrPort) {
+	s := b.suspects
+	s.mu.Lock()
+	wasSuspected := s.agents.Hear(agent)
+	s.agents.Sweep(b.node.Now())
+	s.mu.Unlock()
+	if wasSuspected {
+		b.instance.Log.Info().Stringer("agent", agent).Msg("agent answers again")
+	}
+}
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -63,6 +63,9 @@
 	IsIncomplete bool
 	// IsDetour: a shortcut went wrong, and one of the hops was out of turn.
 	IsDetour bool
+	// IsReordered: the balancer did not begin with the first agent of the order, and
+	// needs to be told who takes the flow.
+	IsReordered bool
 	// Origin is the zone in which the packet came in.
 	Origin flow.ZoneTag
 	// Service is the service that the balancer chose for a SYN.
@@ -127,6 +130,9 @@
 	if o.IsDetour {
 		b[3] |= markDetour
 	}
+	if o.IsReordered {
+		b[3] |= markReordered
+	}
 	binary.BigEndian.PutUint32(b[4:], uint32(o.Origin))
 	binary.BigEndian.PutUint32(b[8:], uint32(o.Service))
 	putAddress(b[12:], o.Balancer)
@@ -143,6 +149,7 @@
 	markShortcut = 1 << iota
 	markIncomplete
 	markDetour
+	markReordered
 )
 
 // maxHops bounds the way of a packet over agents.
@@ -158,6 +165,7 @@
 		IsShortcut:     data[3]&markShortcut != 0,
 		IsIncomplete:   data[3]&markIncomplete != 0,
 		IsDetour:       data[3]&markDetour != 0,
+		IsReordered:    data[3]&markReordered != 0,
 		Origin:         flow.ZoneTag(binary.BigEndian.Uint32(data[4:])),
 		Service:        ServiceTag(binary.BigEndian.Uint32(data[8:])),
 		Balancer:       getAddress(data[12:]),
--- a/internal/machine/opaque/datagram_test.go
+++ b/internal/machine/opaque/datagram_test.go
@@ -13,7 +13,7 @@
 	for candidates := range MaxCandidates + 1 {
 		g := NewWithT(t)
 		offer := Offer{
-			Hops: 3, IsShortcut: candidates%2 == 0, IsIncomplete: candidates%3 == 0, IsDetour: candidates == 1, Origin: flow.TagOf("a"), Service: TagOfService("orders"),
+			Hops: 3, IsShortcut: candidates%2 == 0, IsIncomplete: candidates%3 == 0, IsDetour: candidates == 1, IsReordered: candidates%2 == 1, Origin: flow.TagOf("a"), Service: TagOfService("orders"),
 			Balancer: netip.MustParseAddrPort("10.0.0.1:7000"), RoutingVersion: 1 << 60, ZoneIndex: 9,
 		}
 		for i := range candidates {
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -53,6 +53,8 @@
 	Notice func(Notice)
 	// Message gets a protobuf message that is no poll answer.
 	Message func(kind Kind, data []byte, from netip.AddrPort)
+	// Probed is told which agent has answered a probe.
+	Probed func(agent netip.AddrPort)
 	// Known is called when KnownAt has moved on. It runs on the goroutine that polls.
 	Known func()
 }
@@ -197,8 +199,7 @@
 	case KindProbe:
 		isWhole = n.answerProbe(data[1:], from)
 	case KindProbeAnswer:
-		n.noteReach((*flow.Reach).Answer)
-		isWhole = n.poller == nil || n.poller.takePeer(data[1:], from)
+		isWhole = n.takeProbeAnswer(data[1:], from)
 	case KindPollAnswer:
 		n.noteReach(func(reach *flow.Reach) { reach.Hear(n.Now()) })
 		isWhole = n.poller == nil || n.poller.take(data[1:], from)
@@ -222,17 +223,46 @@
 	agents := n.State().View.Sample(flow.TagOf(n.instance.Settings.Zone), n.Address(), probedAgents, rand.Shuffle)
 	n.noteReach(func(reach *flow.Reach) { reach.Ask(len(agents)) })
 	for _, agent := range agents {
-		n.SendMessage(KindProbe, n.poller.heldQuestion(), agent)
+		n.sendProbe(n.poller.heldQuestion(), agent)
 	}
 }
 
+// Probe asks an agent whether it hears this instance.
+func (n *Node) Probe(agent netip.AddrPort) {
+	state := n.State()
+	n.sendProbe(&wire.Poll{ZoneIndex: state.ZoneIndex, RoutingVersion: state.Table.Version}, agent)
+}
+
+// sendProbe sends a probe whose number names the agent: the answer may come from
+// another address, where ports are forwarded.
+func (n *Node) sendProbe(probe *wire.Poll, agent netip.AddrPort) {
+	probe.Sequence = uint64(routing.AddressNumber(agent.Addr()))<<16 | uint64(agent.Port())
+	n.SendMessage(KindProbe, probe, agent)
+}
+
+// takeProbeAnswer learns that an agent hears this instance, and what it knows.
+func (n *Node) takeProbeAnswer(data []byte, from netip.AddrPort) bool {
+	answer := new(wire.PollAnswer)
+	if proto.Unmarshal(data, answer) != nil {
+		return false
+	}
+	n.noteReach((*flow.Reach).Answer)
+	if n.handlers.Probed != nil {
+		n.handlers.Probed(netip.AddrPortFrom(routing.NumberAddress(uint32(answer.Sequence>>16)), uint16(answer.Sequence)))
+	}
+	if n.poller != nil {
+		n.poller.takePeer(answer, from)
+	}
+	return true
+}
+
 // answerProbe tells another instance what this one knows and that one lacks.
 func (n *Node) answerProbe(data []byte, from netip.AddrPort) bool {
 	probe := new(wire.Poll)
 	if proto.Unmarshal(data, probe) != nil {
 		return false
 	}
-	answer := new(wire.PollAnswer)
+	answer := &wire.PollAnswer{Sequence: probe.Sequence}
 	n.State().held.AddTo(answer, probe)
 	n.SendMessage(KindProbeAnswer, answer, from)
 	return true
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -419,6 +419,34 @@
 	})
 }
 
+// An agent has died, and control does not notice. Each balancer loses one flow's time
+// to it, or two that come at once; after that, others are offered flows first. Once
+// the agent is back, it gets its share again.
+func TestDeadAgentIsAvoidedBeforeControlNotices(t *testing.T) {
+	play(t, false, 3, 4, func(w *world) {
+		w.control.isDown = true
+		dead := w.sites[0]
+		link := netip.AddrPortFrom(dead.address, linkPort)
+		w.network.cutOff(link)
+		late := 0
+		for range 60 {
+			start := time.Now()
+			f := w.dial(orders, anyZone)
+			if time.Since(start) >= firstCopy {
+				late++
+			}
+			w.g.Expect(f.request()).NotTo(BeEmpty())
+		}
+		w.g.Expect(late).To(BeNumerically("<=", len(w.balancers)), "flows that waited for a copy")
+
+		w.network.heal(link)
+		w.sleep(200 * time.Millisecond)
+		before := len(dead.endpoint.opened)
+		w.openFlows(40)
+		w.g.Expect(len(dead.endpoint.opened)).To(BeNumerically(">", before))
+	})
+}
+
 // Control has just started and hears of one agent after the other. A balancer
 // that goes on with the first list that it got would offer all flows to few.
 func TestNodesFollowAYoungRosterClosely(t *testing.T) {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -107,21 +107,15 @@
 	return true
 }
 
-// takePeer gets what an agent tells; it reports false for what cannot be read. An
-// agent that knows nothing newer is of no use.
-func (p *poller) takePeer(data []byte, from netip.AddrPort) bool {
-	message := new(wire.PollAnswer)
-	if proto.Unmarshal(data, message) != nil {
-		return false
-	}
+// takePeer gets what an agent knows; what is not newer is of no use.
+func (p *poller) takePeer(message *wire.PollAnswer, from netip.AddrPort) {
 	if !p.node.State().held.isOlderThan(message) {
-		return true
+		return
 	}
 	select {
 	case p.peers <- answer{message: message, from: from}:
 	default:
 	}
-	return true
 }
 
 func (p *poller) run(ctx context.Context) {
@@ -277,7 +271,7 @@
 	before := len(p.fetch.data)
 	p.takeHeld(a, false)
 	if len(p.fetch.data) > before {
-		p.node.SendMessage(KindProbe, p.heldQuestion(), a.from)
+		p.node.sendProbe(p.heldQuestion(), a.from)
 	}
 }
 
