Bind cold endpoints by their requests, not by their new flows alone

Cause: where a service states what its cold endpoints bear, an agent bound the new flows of a second. Long flows go on asking: 22 flows a second pile up to many times what the endpoint bears, it falls over, comes back cold, and falls over again. The table now counts requests on new and open flows, and a cold endpoint that has what it bears gets no new flow.

--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -60,8 +60,9 @@
 	IsLeaving      bool
 	// Others is how many other agents are left to offer the flow to.
 	Others int
-	// Busy is how many requests are in flight at the endpoint.
-	Busy int
+	// Busy is how many requests are in flight at the endpoint, and Recent how many it
+	// was given within the last second.
+	Busy, Recent int
 	// IsFull: the endpoint holds as many flows as its service states.
 	IsFull bool
 	// Pace is how long the endpoint has lately taken for an answer, and LongestWait
@@ -93,8 +94,10 @@
 	// less than the time after which its address may serve another service.
 	Silence time.Duration
 	// ColdFactor times the requests a second that a service states for cold
-	// endpoints, and ColdSlack more, may reach one in any second. A service that
-	// states none has no such bound: its cold endpoints get what they can work on.
+	// endpoints, and ColdSlack more, may reach one in any second. It gets no new flow
+	// while it has what it bears, on open flows too: long flows would pile up. A
+	// service that states none has no such bound: its cold endpoints get what they
+	// can work on.
 	ColdFactor float64
 	ColdSlack  int
 
@@ -160,12 +163,19 @@
 	if request.Others > 0 && request.isSlow(endpoint.Slots) {
 		return RefusedSlow
 	}
-	if now < endpoint.ColdUntil && coldPerSecond > 0 && !g.admitCold(now, coldPerSecond) {
+	isCold := now < endpoint.ColdUntil && coldPerSecond > 0
+	if isCold && (float64(request.Recent) >= coldPerSecond || !g.admitCold(now, coldPerSecond)) {
 		return RefusedCold
 	}
 	return Taken
 }
 
+// UnknownCold is what a cold endpoint is taken to bear a second while its service is
+// not known: the slack, which any service allows.
+func (g *Gate) UnknownCold() float64 {
+	return max(1, float64(g.ColdSlack-coldMargin))
+}
+
 // admitCold counts a flow against the allowance of a cold endpoint.
 func (g *Gate) admitCold(now time.Duration, perSecond float64) bool {
 	bound := int(perSecond*g.ColdFactor) + g.ColdSlack - coldMargin
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -39,6 +39,8 @@
 
 	isOpen bool
 	isBusy bool
+	// isFresh: no request has come yet. The first one was counted with the SYN.
+	isFresh bool
 	// isAwaited: the endpoint has been given a SYN or data at awaitedAt, and has not
 	// answered since.
 	isAwaited                  bool
@@ -54,6 +56,8 @@
 type Table struct {
 	flows map[Key]*Flow
 	busy  int
+	// begun are the times of the requests of the last requestWindow.
+	begun []time.Duration
 	pace  Pace
 	// failures are the requests whose flows the endpoint reset.
 	failures Failures
@@ -84,14 +88,47 @@
 		if len(t.flows) >= maxFlows {
 			return nil
 		}
-		f = &Flow{Key: key}
+		f = &Flow{Key: key, isFresh: true}
 		t.flows[key] = f
+		t.noteRequest(now)
 	}
 	f.seen = now
 	t.await(now, f)
 	return f
 }
 
+const (
+	// requestWindow is the second in which a cold endpoint bears so many requests,
+	// and the way between agent and endpoint.
+	requestWindow = coldWindow + coldWindowSlack
+	// maxBegun bounds the requests that are remembered: more than any endpoint of
+	// the known deployments works on in a second.
+	maxBegun = 4096
+)
+
+// noteRequest notes that the endpoint is given a request.
+func (t *Table) noteRequest(now time.Duration) {
+	t.forgetRequests(now)
+	if len(t.begun) < maxBegun {
+		t.begun = append(t.begun, now)
+	}
+}
+
+func (t *Table) forgetRequests(now time.Duration) {
+	old := 0
+	for old < len(t.begun) && now-t.begun[old] >= requestWindow {
+		old++
+	}
+	t.begun = append(t.begun[:0], t.begun[old:]...)
+}
+
+// Recent returns how many requests the endpoint was given within the last second, on
+// new flows and open ones.
+func (t *Table) Recent(now time.Duration) int {
+	t.forgetRequests(now)
+	return len(t.begun)
+}
+
 // await notes that the endpoint is given something to answer.
 func (t *Table) await(now time.Duration, f *Flow) {
 	if !f.isAwaited {
@@ -172,6 +209,10 @@
 	}
 	f.isOpen = true
 	if h.Length > 0 {
+		if !f.isAwaited && !f.isFresh {
+			t.noteRequest(now)
+		}
+		f.isFresh = false
 		t.await(now, f)
 	}
 	if h.IsFIN {
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -153,6 +153,26 @@
 	g.Expect(table.LongestWait(810 * ms)).To(BeZero())
 }
 
+// A request counts once, however many packets it has, and with its flow's SYN where
+// it is the first.
+func TestRecentCountsRequestsOfNewFlowsAndOpenOnes(t *testing.T) {
+	g := NewWithT(t)
+	table := opened()
+	g.Expect(table.Recent(0)).To(Equal(1))
+	table.FromCaller(time.Millisecond, fromCaller(seqAfter(1), 100))
+	table.FromCaller(2*time.Millisecond, fromCaller(seqAfter(1), 100))
+	g.Expect(table.Recent(2 * time.Millisecond)).To(Equal(1), "the first request of the flow, in two packets")
+	for second := 1; second <= 3; second++ {
+		now := time.Duration(second) * 100 * time.Millisecond
+		table.FromEndpoint(now, fromEndpoint(seqAfter(uint32(second)), 1))
+		table.FromCaller(now+time.Millisecond, fromCaller(seqAfter(uint32(second+1)), 0))
+		table.FromCaller(now+2*time.Millisecond, fromCaller(seqAfter(uint32(second+1)), 100))
+	}
+	g.Expect(table.Recent(400 * time.Millisecond)).To(Equal(4))
+	g.Expect(table.Recent(1150 * time.Millisecond)).To(Equal(2))
+	g.Expect(table.Recent(3 * time.Second)).To(BeZero())
+}
+
 func TestPaceFollowsAndForgets(t *testing.T) {
 	const ms = time.Millisecond
 	g := NewWithT(t)
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -65,7 +65,7 @@
 		entry = entry.Str("endpoint", a.endpoint.ID).Dur("heard_ago_ms", a.node.Now()-a.endpoint.HeardAt)
 	}
 	entry.Str("flow", key.String()).Int("attempt", h.Attempt).Int("hops", offer.Hops).Str("outcome", outcomeOf(reason)).
-		Int("in_flight", a.table.Busy()).Dur("pace_ms", a.table.Pace(a.node.Now())).Uint64("routing_version", state.Table.Version).
+		Int("in_flight", a.table.Busy()).Int("last_second", a.table.Recent(a.node.Now())).Dur("pace_ms", a.table.Pace(a.node.Now())).Uint64("routing_version", state.Table.Version).
 		Uint64("offered_version", offer.RoutingVersion).Uint64("zone_index", state.ZoneIndex).Msg("")
 }
 
@@ -78,6 +78,7 @@
 		IsLeaving: a.isLeaving,
 		Others:    len(offer.Candidates()),
 		Busy:      a.table.Busy(),
+		Recent:    a.table.Recent(now),
 		Pace:      a.table.Pace(now), LongestWait: a.table.LongestWait(now),
 		FailShare: a.table.FailShare(now),
 	}
@@ -87,8 +88,12 @@
 	}
 	var coldPerSecond float64
 	if a.endpoint != nil {
-		service, _ := state.Table.Service(a.endpoint.Service)
+		service, isKnown := state.Table.Service(a.endpoint.Service)
 		coldPerSecond = service.ColdPerSecond
+		if !isKnown {
+			// The agent has just started, and balancers know a table before it does.
+			coldPerSecond = a.gate.UnknownCold()
+		}
 		request.IsFull = service.MaxFlows > 0 && a.table.Len() >= service.MaxFlows
 		request.IsRouteAllowed = offer.Service == opaque.TagOfService(a.endpoint.Service)
 		if offer.RoutingVersion <= state.Table.Version {
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -419,6 +419,26 @@
 	})
 }
 
+// An agent that has just started knows no table, and so not what its cold endpoint
+// bears; balancers know both.
+func TestAgentWithoutATableTakesLittleForAColdEndpoint(t *testing.T) {
+	play(t, false, 2, 1, func(w *world) {
+		s := w.sites[0]
+		s.endpoint.coldLeft = 5 * time.Second
+		w.control.isDown = true
+		w.network.cutLink(s.address, controlAddress.Addr())
+		s.restartAgent(0)
+		s.endpoint.announce()
+		start := time.Now()
+		for time.Since(start) < 900*time.Millisecond {
+			w.dial(orders, anyZone)
+			w.sleep(20 * time.Millisecond)
+		}
+		w.g.Expect(s.endpoint.opened).NotTo(BeEmpty())
+		w.g.Expect(len(s.endpoint.opened)).To(BeNumerically("<", 5), "the slack that every service allows")
+	})
+}
+
 // An agent has died, and control does not notice. Each balancer loses one flow's time
 // to it, or two that come at once; after that, others are offered flows first. Once
 // the agent is back, it gets its share again.
