Count closed flows no more against the connections of an endpoint

Cause: an agent remembers a closed flow for 4 s, for late packets, and counted it against the connections that the service states. With few connections an endpoint looked full while it had room. Ruled out: memory, cores, heartbeats and far clients, which that deployment has changed as well.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -46,7 +46,9 @@
 	isAwaited                  bool
 	awaitedAt                  time.Duration
 	callerIsDone, endpointDone bool
-	seen                       time.Duration
+	// isClosed: both ends have finished, and the endpoint holds the flow no more.
+	isClosed bool
+	seen     time.Duration
 	// answeredAt is when the endpoint's SYN was seen, 0 of an adopted flow.
 	answeredAt time.Duration
 }
@@ -55,7 +57,8 @@
 // concurrent use.
 type Table struct {
 	flows map[Key]*Flow
-	busy  int
+	// closed is how many of the flows are closed, and busy how many wait for an answer.
+	closed, busy int
 	// begun are the times of the requests of the last requestWindow.
 	begun []time.Duration
 	pace  Pace
@@ -73,6 +76,18 @@
 // Len returns how many flows the table holds.
 func (t *Table) Len() int { return len(t.flows) }
 
+// Held returns how many flows the endpoint holds: all but those that are remembered
+// for late packets only.
+func (t *Table) Held() int { return len(t.flows) - t.closed }
+
+// noteEnd notes that an end of the flow may have finished.
+func (t *Table) noteEnd(f *Flow) {
+	if f.callerIsDone && f.endpointDone && !f.isClosed {
+		f.isClosed = true
+		t.closed++
+	}
+}
+
 // Busy returns how many flows wait for an answer of the endpoint: an estimate
 // of the requests in flight that needs no knowledge of what the flows carry.
 func (t *Table) Busy() int { return t.busy }
@@ -182,6 +197,9 @@
 
 func (t *Table) remove(f *Flow) {
 	t.setBusy(f, false)
+	if f.isClosed {
+		t.closed--
+	}
 	delete(t.flows, f.Key)
 }
 
@@ -217,6 +235,7 @@
 	}
 	if h.IsFIN {
 		f.callerIsDone = true
+		t.noteEnd(f)
 	}
 	if h.IsRST {
 		t.remove(f)
@@ -283,6 +302,7 @@
 	}
 	if h.IsFIN {
 		f.endpointDone = true
+		t.noteEnd(f)
 	}
 	if h.IsRST {
 		t.remove(f)
@@ -296,7 +316,7 @@
 	for _, f := range t.flows {
 		idle := now - f.seen
 		switch {
-		case f.callerIsDone && f.endpointDone && idle > closedTime,
+		case f.isClosed && idle > closedTime,
 			!f.isOpen && idle > handshakeTime+closedTime,
 			idleTimeout > 0 && idle > idleTimeout+closedTime:
 			t.remove(f)
@@ -322,6 +342,9 @@
 		// What it waits for may never come.
 		f.isBusy, f.isAwaited = false, false
 		t.flows[f.Key] = f
+		if f.isClosed {
+			t.closed++
+		}
 	}
 	return open
 }
@@ -333,7 +356,7 @@
 		switch {
 		case f.hasFirst && f.answeredAt > before:
 			later = append(later, f)
-		case f.isOpen && !(f.callerIsDone && f.endpointDone):
+		case f.isOpen && !f.isClosed:
 			open = append(open, f)
 		}
 	}
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -153,6 +153,27 @@
 	g.Expect(table.LongestWait(810 * ms)).To(BeZero())
 }
 
+// Closed flows are remembered for late packets; the endpoint has room for others.
+func TestClosedFlowsAreNotHeld(t *testing.T) {
+	g := NewWithT(t)
+	table := opened()
+	g.Expect(table.Held()).To(Equal(1))
+	end := fromCaller(seqAfter(1), 0)
+	end.IsFIN = true
+	table.FromCaller(0, end)
+	g.Expect(table.Held()).To(Equal(1), "the endpoint has not finished")
+	for range 2 {
+		last := fromEndpoint(seqAfter(1), 0)
+		last.IsFIN = true
+		table.FromEndpoint(0, last)
+		g.Expect(table.Held()).To(BeZero(), "also after a copy of its end")
+	}
+	g.Expect(table.Len()).To(Equal(1))
+	table.Sweep(closedTime+time.Millisecond, time.Minute)
+	g.Expect(table.Len()).To(BeZero())
+	g.Expect(table.Held()).To(BeZero())
+}
+
 // A request counts once, however many packets it has, and with its flow's SYN where
 // it is the first.
 func TestRecentCountsRequestsOfNewFlowsAndOpenOnes(t *testing.T) {
@@ -161,7 +182,7 @@
 	g.Expect(table.Recent(0)).To(Equal(1))
 	table.FromCaller(time.Millisecond, fromCaller(seqAfter(1), 100))
 	table.FromCaller(2*time.Millisecond, fromCaller(seqAfter(1), 100))
-	g.Expect(table.Recent(2 * time.Millisecond)).To(Equal(1), "the first request of the flow, in two packets")
+	g.Expect(table.Recent(2*time.Millisecond)).To(Equal(1), "the first request of the flow, in two packets")
 	for second := 1; second <= 3; second++ {
 		now := time.Duration(second) * 100 * time.Millisecond
 		table.FromEndpoint(now, fromEndpoint(seqAfter(uint32(second)), 1))
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -94,7 +94,7 @@
 			// The agent has just started, and balancers know a table before it does.
 			coldPerSecond = a.gate.UnknownCold()
 		}
-		request.IsFull = service.MaxFlows > 0 && a.table.Len() >= service.MaxFlows
+		request.IsFull = service.MaxFlows > 0 && a.table.Held() >= service.MaxFlows
 		request.IsRouteAllowed = offer.Service == opaque.TagOfService(a.endpoint.Service)
 		if offer.RoutingVersion <= state.Table.Version {
 			request.IsRouteAllowed = request.IsRouteAllowed && route.Allows(a.endpoint.Service)
