Let balancers leave after 1.25 s

Cause: a balancer that was told to stop said for 3 s that it was not ready. Routers need two refusals, a second at most. Found by logging each packet in a scratch copy: copies of those packets never came twice.

--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -23,8 +23,10 @@
 var Error = errs.Class("balancer")
 
 // leaveTime is how long a balancer forwards after it has said that it is not
-// ready: routers ask twice a second and need two refusals.
-const leaveTime = 3 * time.Second
+// ready: routers ask twice a second and need two refusals, and some delay. Longer is
+// worse: of balancers that stop one after the other, more are out of rotation at a
+// time, until routers use all of a zone, also those that are down.
+const leaveTime = 1250 * time.Millisecond
 
 // Balancer is the balancer role of an instance.
 type Balancer struct {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -285,6 +285,8 @@
 	address netip.AddrPort
 	role    *balancer.Balancer
 	isReady bool
+	// isDown: its process is gone for the moment.
+	isDown bool
 	stop    context.CancelFunc
 }
 
