--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -59,14 +59,14 @@
 }
 
 func (a *Agent) logOffer(key flow.Key, h *flow.Header, offer *opaque.Offer, reason flow.Reason) {
-	state := a.node.State()
+	now, state := a.node.Now(), a.node.State()
 	entry := a.instance.Decisions.Decision("take")
 	if a.endpoint != nil {
-		entry = entry.Str("endpoint", a.endpoint.ID).Dur("heard_ago_ms", a.node.Now()-a.endpoint.HeardAt)
+		entry = entry.Str("endpoint", a.endpoint.ID).Dur("heard_ago_ms", now-a.endpoint.HeardAt)
 	}
 	entry.Str("flow", key.String()).Int("attempt", h.Attempt).Int("hops", offer.Hops).Str("outcome", outcomeOf(reason)).
-		Int("in_flight", a.table.Busy()).Int("last_second", a.table.Recent(a.node.Now())).Dur("pace_ms", a.table.Pace(a.node.Now())).Uint64("routing_version", state.Table.Version).
-		Uint64("offered_version", offer.RoutingVersion).Uint64("zone_index", state.ZoneIndex).Msg("")
+		Int("in_flight", a.table.Busy()).Int("last_second", a.table.Recent(now)).Dur("pace_ms", a.table.Pace(now)).
+		Uint64("routing_version", state.Table.Version).Uint64("offered_version", offer.RoutingVersion).Uint64("zone_index", state.ZoneIndex).Msg("")
 }
 
 // decide asks the gate. The newer of the two routing tables, the balancer's and
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -141,7 +141,8 @@
 	}
 	first, _ := offer.PopCandidate()
 	b.instance.Decisions.Decision("offer").Str("flow", key.String()).Int("attempt", h.Attempt).Str("service", service).
-		Stringer("agent", first).Int("suspected", suspected).Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
+		Stringer("agent", first).Int("suspected", suspected).
+		Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
 	b.node.SendOffer(&offer, buffer, first)
 	return outcomeOffered
 }
--- a/internal/machine/opaque/balancer/suspects.go
+++ b/internal/machine/opaque/balancer/suspects.go
@@ -34,6 +34,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if attempt > 0 {
+		s.agents.Sweep(now)
 		b.doubt(agents[(attempt-1)%len(agents)].Address)
 	}
 	fresh, count := s.agents.PutLast(now, agents)
@@ -59,7 +60,6 @@
 	s := b.suspects
 	s.mu.Lock()
 	wasSuspected := s.agents.Hear(agent)
-	s.agents.Sweep(b.node.Now())
 	s.mu.Unlock()
 	if wasSuspected {
 		b.instance.Log.Info().Stringer("agent", agent).Msg("agent answers again")
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -287,7 +287,7 @@
 	isReady bool
 	// isDown: its process is gone for the moment.
 	isDown bool
-	stop    context.CancelFunc
+	stop   context.CancelFunc
 }
 
 func (w *world) addBalancer() *runningBalancer {
