Keep the zones that are out once, and share what the change had written twice

Found on reading the change again; behaviour stays as it is. State and poller held the zones out as a set beside the list in Held; Held now builds the question for what is newer for polls and probes alike; the window of requests is copied only where something has left it; Folder.Restart ends as Folder.Kill does; the soak's limit on files has one place, and an alias is gone.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -134,7 +135,7 @@
 	for old < len(t.begun) && now-t.begun[old] >= requestWindow {
 		old++
 	}
-	t.begun = append(t.begun[:0], t.begun[old:]...)
+	t.begun = slices.Delete(t.begun, 0, old)
 }
 
 // Recent returns how many requests the endpoint was given within the last second, on
--- a/internal/harness/cluster.go
+++ b/internal/harness/cluster.go
@@ -79,7 +79,7 @@
 
 var clusters atomic.Int32
 
-// subnet gives each cluster a loopback /24 of its own, from the process ID and
+// Subnet gives each cluster a loopback /24 of its own, from the process ID and
 // the number of the cluster within the process.
 func Subnet() string {
 	const clustersPerProcess = 64
--- a/internal/journal/journaltest/folder.go
+++ b/internal/journal/journaltest/folder.go
@@ -70,7 +70,7 @@
 		held.synced = kept
 	}
 	f.names = maps.Clone(f.durable)
-	f.CrashAt, f.FailAt, f.isCrashed = 0, 0, false
+	f.Kill()
 }
 
 // Kill gives the folder as a process finds it that starts after the one before was
--- a/internal/machine/opaque/held.go
+++ b/internal/machine/opaque/held.go
@@ -19,6 +19,11 @@
 // datagram on networks with an MTU of 1,500 bytes together with some records.
 const partBytes = 500
 
+// question asks for what is newer.
+func (h *Held) question() *wire.Poll {
+	return &wire.Poll{ZoneIndex: h.ZoneIndex, RoutingVersion: h.RoutingVersion}
+}
+
 // AddTo adds to an answer what the polling node lacks, and a part of the table.
 func (h *Held) AddTo(answer *wire.PollAnswer, poll *wire.Poll) {
 	answer.ZoneIndex = h.ZoneIndex
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,12 +38,10 @@
 	held *Held
 	// IsUsable: a routing table and a whole list of agents are known.
 	IsUsable bool
-
-	zonesOut map[string]bool
 }
 
 // IsOut reports whether a zone is out of service.
-func (s *State) IsOut(zone string) bool { return s.zonesOut[zone] }
+func (s *State) IsOut(zone string) bool { return slices.Contains(s.held.ZonesOut, zone) }
 
 // Handlers take what reaches the socket besides poll answers. They run on the
 // socket's one goroutine and must not keep the slices.
@@ -229,8 +228,7 @@
 
 // Probe asks an agent whether it hears this instance.
 func (n *Node) Probe(agent netip.AddrPort) {
-	state := n.State()
-	n.sendProbe(&wire.Poll{ZoneIndex: state.ZoneIndex, RoutingVersion: state.Table.Version}, agent)
+	n.sendProbe(n.State().held.question(), agent)
 }
 
 // sendProbe sends a probe whose number names the agent: the answer may come from
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -58,8 +58,7 @@
 	// interval is how long to wait for the next poll.
 	interval time.Duration
 
-	replica  *roster.Replica
-	zonesOut map[string]bool
+	replica *roster.Replica
 	// held is the newest that is known of the log, whoever told it.
 	held  Held
 	fetch fetch
@@ -236,7 +235,7 @@
 
 // heldQuestion asks for the routing table and the zones alone.
 func (p *poller) heldQuestion() *wire.Poll {
-	poll := &wire.Poll{ZoneIndex: p.held.ZoneIndex, RoutingVersion: p.held.RoutingVersion}
+	poll := p.held.question()
 	if p.fetch.version > 0 {
 		poll.FetchVersion, poll.FetchOffset = p.fetch.version, uint32(len(p.fetch.data))
 	}
@@ -290,10 +289,6 @@
 
 func (p *poller) takeZones(a answer) {
 	p.held.ZoneIndex, p.held.ZonesOut = a.message.ZoneIndex, a.message.ZonesOut
-	p.zonesOut = make(map[string]bool)
-	for _, name := range p.held.ZonesOut {
-		p.zonesOut[name] = true
-	}
 	p.node.instance.Log.Info().Uint64("zone_index", p.held.ZoneIndex).Strs("out", p.held.ZonesOut).
 		Stringer("told_by", a.from).Msg("zones changed")
 }
@@ -336,7 +331,7 @@
 	}
 	held := p.held
 	state := &State{
-		Table: table, View: p.view(), ZoneIndex: held.ZoneIndex, zonesOut: p.zonesOut, held: &held,
+		Table: table, View: p.view(), ZoneIndex: held.ZoneIndex, held: &held,
 		IsUsable: p.replica.IsWhole() && table.Version > 0,
 	}
 	p.node.state.Store(state)
--- a/internal/soak/disks.go
+++ b/internal/soak/disks.go
@@ -24,15 +24,14 @@
 		w.violate("limit of %s: %v", i.name, err)
 		return
 	}
-	full := unix.Rlimit{Cur: 1, Max: before.Max}
-	for _, limit := range []*unix.Rlimit{&full, &before} {
-		if err := unix.Prlimit(i.PID(), unix.RLIMIT_FSIZE, limit, nil); err != nil {
-			w.violate("limit of %s: %v", i.name, err)
-			return
-		}
-		if limit == &full {
-			time.Sleep(length)
-		}
+	w.limitFiles(i, unix.Rlimit{Cur: 1, Max: before.Max})
+	time.Sleep(length)
+	w.limitFiles(i, before)
+}
+
+func (w *world) limitFiles(i *instance, limit unix.Rlimit) {
+	if err := unix.Prlimit(i.PID(), unix.RLIMIT_FSIZE, &limit, nil); err != nil {
+		w.violate("limit of %s: %v", i.name, err)
 	}
 }
 
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -77,7 +77,7 @@
 		add(service, routeOf(service), service)
 		known = append(known, map[string]any{"name": service})
 	}
-	add("turning", turningRoute, serviceOfPhase(o.phase))
+	add("turning", turningRoute, serviceOf(o.phase))
 	return map[string]any{
 		"version": o.version, "routes": routes, "services": known, "limits": map[string]any{"idle-timeout-ms": 15000},
 	}
--- a/internal/soak/rules.go
+++ b/internal/soak/rules.go
@@ -28,11 +28,10 @@
 	ackedAt     time.Time
 }
 
-// turningRoute leads to one service in even phases and to the other in odd ones.
+// turningRoute leads to serviceOf each phase: to one service in even phases and to
+// the other in odd ones.
 var turningRoute = netip.MustParseAddrPort("198.18.0.3:443")
 
-func serviceOfPhase(phase int) string { return serviceOf(phase) }
-
 func (r *rules) send(phase int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -77,7 +76,7 @@
 		first = max(0, first-1)
 	}
 	for phase := first; phase <= r.sent; phase++ {
-		if serviceOfPhase(phase) == service {
+		if serviceOf(phase) == service {
 			return true
 		}
 	}
