List a control instance that nobody hears: its agents are taken for gone

Cause: a one-way cut loses what a control instance sends. It hears all others, so it stays fresh for the agents that poll it, while the others hear nothing of them and take them for gone after 2 s; open flows at them are reset.

--- a/internal/roster/contacts_test.go
+++ b/internal/roster/contacts_test.go
@@ -135,3 +135,29 @@
 	}
 	g.Expect(c.Known(0)).To(HaveLen(maxContacts))
 }
+
+// What an instance sends is lost while it hears all others. They do not name it among
+// those they hear, and take the agents that only it hears for gone: it must step aside
+// before they do.
+func TestInstanceThatNobodyHearsStepsAside(t *testing.T) {
+	g := NewWithT(t)
+	own := netip.MustParseAddrPort("10.0.0.1:7000")
+	others := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:7000"), netip.MustParseAddrPort("10.0.0.3:7000")}
+	members := append([]netip.AddrPort{own}, others...)
+	contacts := NewContacts()
+	const cutAt = 5 * time.Second
+	for now := time.Second; now <= cutAt+Timeout; now += 500 * time.Millisecond {
+		for _, other := range others {
+			contacts.Hear(now, other)
+			for _, named := range members {
+				if named != other && (named != own || now <= cutAt) {
+					contacts.Told(now, named)
+				}
+			}
+		}
+		if now <= cutAt {
+			g.Expect(contacts.IsComplete(now, own, members)).To(BeTrue(), "%s", now)
+		}
+	}
+	g.Expect(contacts.IsComplete(cutAt+Timeout, own, members)).To(BeFalse())
+}
