Do not reset flows that an expired agent serves

Cause: an agent whose polls are lost for 2 s expires at control while it serves its flows. The last live agent of a flow's order then saw each of its packets, and took two of them more than 0.5 s apart for a sign that nobody owns the flow: the comment relied on callers that send only retransmissions, but callers of long flows send their next request. The flow was reset while it was served.

Ruled out: balancers that drop their shortcut to the expired owner cost hops, but the packets still arrive.

Change: only a packet that is sent again without progress counts (same sequence numbers and length), and expired agents are probed with the tracker that balancers use; while one answers, or before it had the time to, nothing is reset.

Test: TestFlowsOfAServingAgentThatExpiresStayOpen, in virtual time, cuts an agent from control for 8 s with a fast and a slow endpoint. TestFlowsThatMayHaveAnOwnerAreNotReported covers the decision.

--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -166,6 +166,18 @@
 	return next, false, ok
 }
 
+// AppendExpired appends the addresses of the expired agents of the order.
+func (o *Order) AppendExpired(addresses []netip.AddrPort) []netip.AddrPort {
+	for _, name := range o.Services {
+		for i := range o.View.byService[name] {
+			if member := &o.View.byService[name][i]; member.IsExpired {
+				addresses = append(addresses, member.Address)
+			}
+		}
+	}
+	return addresses
+}
+
 // Len returns the number of agents in the order.
 func (o *Order) Len() int {
 	count := 0
--- a/internal/flow/orphans.go
+++ b/internal/flow/orphans.go
@@ -18,8 +18,13 @@
 // of the flow's order.
 type OrphanPacket struct {
 	Flow Key
-	// Ack is the next sequence number that the caller expects.
-	Ack uint32
+	// Seq, Ack and Length are those of the packet. Ack is the next sequence number that
+	// the caller expects.
+	Seq, Ack uint32
+	Length   int
+	// MayHaveOwner is true if an expired agent that may own the flow has not been found
+	// silent.
+	MayHaveOwner bool
 	// VisitedView is the view whose agents have all received this packet, none of
 	// them expired. It is nil if some agents have not received it.
 	VisitedView *View
@@ -29,10 +34,13 @@
 // Their endpoint has ended without closing them, for example because of a power
 // failure, and without a notification the caller would wait until its deadline.
 //
+// Only packets that are sent again without progress count: a flow on which both ends
+// progress has an owner, one that this agent takes for expired.
+//
 // A caller is notified once control has confirmed, after all agents received the
 // packet, that there are no other agents. If some agents could not be reached, or the
 // list of agents has changed, the flow must have been without an owner for
-// OrphanDelay.
+// OrphanDelay, and no expired agent may answer probes.
 type Orphans struct {
 	seen map[Key]*orphan
 }
@@ -48,25 +56,30 @@
 }
 
 // Observe records a packet of a flow that no agent owns. It returns true if the caller
-// is to be notified: the flow has been without an owner for OrphanDelay, and the list
-// of agents, which was current at syncedAt, is more recent than the flow's first
-// packet here.
+// is to be notified: the same packet has been sent for OrphanDelay, and the list of
+// agents, which was current at syncedAt, is more recent than its first transmission
+// here.
 func (o *Orphans) Observe(now, syncedAt time.Duration, packet OrphanPacket) bool {
 	entry := o.seen[packet.Flow]
-	if entry == nil || now-entry.lastSeen > orphanTTL {
-		if len(o.seen) < maxOrphans {
+	if entry == nil || now-entry.lastSeen > orphanTTL || !entry.isSentAgain(&packet) {
+		if entry != nil || len(o.seen) < maxOrphans {
 			o.seen[packet.Flow] = &orphan{OrphanPacket: packet, firstSeen: now, lastSeen: now}
 		}
 		return false
 	}
 	entry.OrphanPacket, entry.lastSeen = packet, now
-	if now-entry.firstSeen < OrphanDelay || syncedAt <= entry.firstSeen {
+	if packet.MayHaveOwner || now-entry.firstSeen < OrphanDelay || syncedAt <= entry.firstSeen {
 		return false
 	}
 	delete(o.seen, packet.Flow)
 	return true
 }
 
+// isSentAgain reports whether a packet is a retransmission of the recorded one.
+func (p *OrphanPacket) isSentAgain(packet *OrphanPacket) bool {
+	return p.Seq == packet.Seq && p.Ack == packet.Ack && p.Length == packet.Length
+}
+
 // PopConfirmed removes and returns the flows whose callers are to be notified because
 // control has confirmed the view as of syncedAt.
 func (o *Orphans) PopConfirmed(syncedAt time.Duration, view *View) []OrphanPacket {
--- a/internal/flow/orphans_test.go
+++ b/internal/flow/orphans_test.go
@@ -36,6 +36,43 @@
 	}
 }
 
+// A flow whose packets differ has an owner, and one that an expired agent may own is
+// not reset either. Both are reset once that ends.
+func TestFlowsThatMayHaveAnOwnerAreNotReported(t *testing.T) {
+	const ms = time.Millisecond
+	sent := OrphanPacket{Flow: key, Seq: 10, Ack: 20, Length: 100}
+	answered, acknowledged, mayHaveOwner := sent, sent, sent
+	answered.Ack = 30
+	acknowledged.Seq = 110
+	mayHaveOwner.MayHaveOwner = true
+	cases := []struct {
+		name    string
+		packets [3]OrphanPacket
+		want    bool
+	}{
+		{"same packet", [3]OrphanPacket{sent, sent, sent}, true},
+		{"progress of the answer", [3]OrphanPacket{sent, answered, answered}, false},
+		{"progress of the request", [3]OrphanPacket{sent, acknowledged, acknowledged}, false},
+		{"new progress each time", [3]OrphanPacket{sent, answered, sent}, false},
+		{"expired agent answers", [3]OrphanPacket{sent, sent, mayHaveOwner}, false},
+		{"expired agent answered before", [3]OrphanPacket{mayHaveOwner, mayHaveOwner, sent}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			orphans := NewOrphans()
+			isReported := false
+			for i, packet := range c.packets {
+				at := time.Duration(i) * 300 * ms
+				isReported = orphans.Observe(at, at-10*ms, packet)
+			}
+			g.Expect(isReported).To(Equal(c.want))
+			isReported = isReported || orphans.Observe(1300*ms, 1290*ms, c.packets[2]) || orphans.Observe(1900*ms, 1890*ms, c.packets[2])
+			g.Expect(isReported).To(Equal(!c.packets[2].MayHaveOwner))
+		})
+	}
+}
+
 func TestPopConfirmedRequiresConfirmedView(t *testing.T) {
 	const ms = time.Millisecond
 	view, other := NewView(nil), NewView(nil)
--- a/internal/flow/suspects.go
+++ b/internal/flow/suspects.go
@@ -16,12 +16,17 @@
 	suspectTTL = 3 * time.Second
 )
 
-// Suspects tracks the agents that do not answer a balancer. Control takes 2 s or more
-// to detect an agent that fails without notice. Until then, each new flow that is
-// offered to it would first have to wait for the second transmission of its SYN. A
-// retransmitted SYN raises the suspicion that the agent that received the previous
-// copy has failed, and an answer to a probe clears it. It is not safe for concurrent
-// use.
+// Suspects tracks the agents that do not answer an instance. It is not safe for
+// concurrent use.
+//
+// Balancers use it because control takes 2 s or more to detect an agent that fails
+// without notice. Until then, each new flow that is offered to it would first have to
+// wait for the second transmission of its SYN. A retransmitted SYN raises the suspicion
+// that the agent that received the previous copy has failed, and an answer to a probe
+// clears it.
+//
+// Agents use it for agents that have expired at control. These may serve their flows all
+// the same, when only their polls are lost.
 type Suspects struct {
 	agents map[netip.AddrPort]*suspect
 }
@@ -38,8 +43,8 @@
 	return &Suspects{agents: make(map[netip.AddrPort]*suspect)}
 }
 
-// RecordUnanswered records that a SYN that was offered to an agent was not answered.
-// It returns true if the agent is to be probed now.
+// RecordUnanswered records that an agent has not answered an offered SYN, or has
+// expired. It returns true if the agent is to be probed now.
 func (s *Suspects) RecordUnanswered(now time.Duration, agent netip.AddrPort) (isProbeDue bool) {
 	entry := s.agents[agent]
 	switch {
@@ -88,6 +93,16 @@
 	return newlySuspected, count
 }
 
+// AreAllSuspected reports whether all agents are suspected.
+func (s *Suspects) AreAllSuspected(now time.Duration, agents []netip.AddrPort) bool {
+	for _, agent := range agents {
+		if !s.agents[agent].isSuspected(now) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *suspect) isSuspected(now time.Duration) bool {
 	return s != nil && now-s.unansweredSince > probeTimeout && now-s.probedAt <= suspectTTL
 }
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -55,12 +56,15 @@
 	// endpoint, and those that it bounces are forwarded to the next agent.
 	adoptUntil time.Duration
 	orphans    *flow.Orphans
+	// suspects are the expired agents that do not answer probes.
+	suspects *flow.Suspects
 	// record is the record that the agent reports of itself.
 	record wire.AgentRecord
 	// isLeaving is set by Drain.
 	isLeaving bool
-	// reset and services are buffers that are reused for each packet.
+	// reset, expired and services are buffers that are reused for each packet.
 	reset    []byte
+	expired  []netip.AddrPort
 	services [8]string
 }
 
@@ -75,6 +79,7 @@
 		},
 		bounceable: make(bounceableOffers),
 		orphans:    flow.NewOrphans(),
+		suspects:   flow.NewSuspects(),
 		adoptUntil: s.Opaque.MaxFlowLifetime,
 		metrics:    newMetrics(instance.Metrics),
 	}
@@ -85,7 +90,9 @@
 		// from before the agent's start.
 		Zone: s.Zone, Service: s.Opaque.Service, Incarnation: instance.Incarnation,
 	}
-	node, err := opaque.NewNode(instance, a.describe, opaque.Handlers{Offer: a.handleOffer, Synced: a.resetOrphans})
+	node, err := opaque.NewNode(instance, a.describe, opaque.Handlers{
+		Offer: a.handleOffer, ProbeAnswered: a.handleProbeAnswer, Synced: a.resetOrphans,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -155,6 +162,7 @@
 		a.table.Sweep(a.node.Now(), a.node.State().Table.IdleTimeout)
 		a.bounceable.sweep(a.node.Now())
 		a.orphans.Sweep(a.node.Now())
+		a.suspects.Sweep(a.node.Now())
 		a.metrics.flows.Set(float64(a.table.Len()))
 		a.metrics.inFlight.Set(float64(a.table.InFlight()))
 		before := a.record.Sequence
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"net/netip"
 	"time"
 
 	"sassafrasturn.example/internal/flow"
@@ -174,14 +175,15 @@
 
 // isOrphan reports whether to reset a flow because no agent owns it. It is called when
 // the packet has reached all live agents, this one being the last. Expired agents still
-// get the packet: if one is alive behind a network partition and owns the flow, its
-// endpoint answers, and the caller does not send the retransmission on which the flow
-// would be reset.
+// get the packet, and are probed: while one of them answers, it may own the flow.
 func (a *Agent) isOrphan(h *flow.Header, offer *opaque.Offer, order *flow.Order, isLast bool) bool {
 	if h.IsRST || !h.IsACK || offer.IsInconclusive {
 		return false
 	}
-	packet := flow.OrphanPacket{Flow: h.KeyFromCaller(), Ack: h.Ack}
+	packet := flow.OrphanPacket{
+		Flow: h.KeyFromCaller(), Seq: h.Seq, Ack: h.Ack, Length: h.Length,
+		MayHaveOwner: !a.areExpiredSilent(order),
+	}
 	// Only a caller that has sent data waits for an answer.
 	if isLast && h.Length > 0 && offer.Visited() >= order.Len() {
 		packet.VisitedView = order.View
@@ -193,6 +195,26 @@
 	return false
 }
 
+// areExpiredSilent probes the expired agents of an order and reports whether none of
+// them has answered earlier probes.
+func (a *Agent) areExpiredSilent(order *flow.Order) bool {
+	now := a.node.Now()
+	a.expired = order.AppendExpired(a.expired[:0])
+	areSilent := a.suspects.AreAllSuspected(now, a.expired)
+	for _, agent := range a.expired {
+		if a.suspects.RecordUnanswered(now, agent) {
+			a.node.Probe(agent)
+		}
+	}
+	return areSilent
+}
+
+func (a *Agent) handleProbeAnswer(agent netip.AddrPort) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.suspects.RecordAnswer(agent)
+}
+
 // resetOrphans resets the flows that no agent owns, after control has confirmed that
 // there are no other agents.
 func (a *Agent) resetOrphans() {
--- a/internal/machine/opaque/pathtest/endpoint_test.go
+++ b/internal/machine/opaque/pathtest/endpoint_test.go
@@ -26,6 +26,8 @@
 	isDraining bool
 	isFull     bool
 	isSilent   bool
+	// isPaused is set while the endpoint does not answer requests.
+	isPaused bool
 	// isStarting is set while the endpoint resets every flow.
 	isStarting bool
 	flows      map[flow.Key]*endpointFlow
@@ -137,6 +139,7 @@
 		bounced := *h
 		bounced.IsBounced = true
 		e.send(encode(&bounced, packet[codecHeaderBytes:]))
+	case h.Length > 0 && e.isPaused:
 	case h.Length > 0 && existing.lastAnswer != nil && h.Seq <= existing.answeredSeq:
 		e.send(existing.lastAnswer)
 	case h.Length > 0:
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -528,6 +529,51 @@
 	})
 }
 
+// The polls of an agent do not reach control, and it expires there, while it serves its
+// flows. Requests on them must be answered and no flow may be reset, also while the
+// endpoint is so slow that callers retransmit.
+func TestFlowsOfAServingAgentThatExpiresStayOpen(t *testing.T) {
+	cases := []struct {
+		name string
+		// pauseAfter and pause are when and for how long the endpoint answers nothing.
+		pauseAfter, pause time.Duration
+	}{
+		{"fast endpoint", 0, 0},
+		{"slow endpoint", 3500 * time.Millisecond, 1100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runInCluster(t, false, 3, 5, func(tc *testCluster) {
+				flows := tc.openFlows(30)
+				silent := slices.MaxFunc(tc.sites, func(a, b *site) int { return len(a.endpoint.flows) - len(b.endpoint.flows) })
+				flows = slices.DeleteFunc(flows, func(f *callerFlow) bool { return silent.endpoint.flows[f.key] == nil })
+				tc.g.Expect(flows).NotTo(BeEmpty())
+				tc.network.cutLink(controlAddress.Addr(), silent.address)
+				start := time.Now()
+				for time.Since(start) < 8*time.Second {
+					sinceStart := time.Since(start)
+					silent.endpoint.isPaused = sinceStart >= c.pauseAfter && sinceStart < c.pauseAfter+c.pause
+					if silent.endpoint.isPaused {
+						time.AfterFunc(c.pause, func() {
+							tc.mu.Lock()
+							defer tc.mu.Unlock()
+							silent.endpoint.isPaused = false
+						})
+					}
+					for _, f := range flows {
+						tc.g.Expect(f.request()).NotTo(BeEmpty(), "%s after the cut, reset %t", time.Since(start), f.isReset)
+					}
+					tc.sleep(100 * time.Millisecond)
+				}
+				tc.g.Expect(tc.control.roster.LiveCount()).To(Equal(4), "the agent must have expired")
+				for _, f := range flows {
+					tc.g.Expect(f.isReset).To(BeFalse())
+				}
+			})
+		})
+	}
+}
+
 // All instances lose power, and some endpoints do not restart. Their agents detect this
 // at their start, so that the resets of lost flows are not delayed.
 func TestAgentsWithoutEndpointDoNotDelayResets(t *testing.T) {
