Let control instances use their roster only while others receive its gossip

Agents that polled it expired at the others, whose nodes reset their open flows.

A model of rosters and agents under random directed cuts showed three more causes of the same failure, in this order of frequency: - an agent that leaves one silent instance may find another that is silent too, and reappears later than Timeout allows; - the name of an expired agent in gossip did not revive it when the request for its record was lost; - an instance that had missed gossip for seconds swept its roster in that time, and counted as complete 0.1 s after its return.

Ruled out: a shorter limit for confirmations. Below 1.1 s one lost datagram takes a healthy instance out of use, and the second hop remains too slow.

Change: gossip carries its send time on the sender's clock, and echoes the newest one received from each instance. An instance is complete only while a majority, itself included, has confirmed gossip of the last 1.4 s. After a member has fallen silent, agents get 1.5 s more for 3.5 s. Gossip revives expired agents. A roster is not swept while gossip is missing, and converges anew afterwards.

--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -63,7 +63,7 @@
 func newDiscovery(c *Control) (*discovery, error) {
 	d := &discovery{
 		control: c, changed: make(chan struct{}, 1),
-		contacts: roster.NewContacts(), wasComplete: true,
+		contacts: roster.NewContacts(rand.Uint64()), wasComplete: true,
 		nextResyncAt: make(map[netip.AddrPort]time.Duration),
 	}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.handleMessage})
@@ -98,7 +98,7 @@
 	for range startRequests {
 		for _, address := range d.controlAddresses() {
 			if address != d.node.Address() {
-				d.node.SendMessage(opaque.KindResync, &wire.Gossip{From: d.node.Address().String()}, address)
+				d.requestRecords(address)
 			}
 		}
 		d.gossip()
@@ -131,8 +131,8 @@
 			d.handleGossip(gossip, sender)
 		}
 	case opaque.KindResync:
-		if _, sender, ok := parseGossip(data); ok {
-			d.recordContact(sender)
+		if request, sender, ok := parseGossip(data); ok {
+			d.recordContact(sender, request.SentAt)
 			d.sendOwnRecords(sender)
 		}
 	}
@@ -149,20 +149,42 @@
 	return gossip, sender, err == nil
 }
 
-func (d *discovery) recordContact(sender netip.AddrPort) {
+func (d *discovery) recordContact(sender netip.AddrPort, sentAt uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.contacts.RecordReceived(d.node.Now(), sender)
+	d.contacts.RecordReceived(d.node.Now(), sender, sentAt)
+}
+
+// newGossip returns a gossip message that reports from which control instances this
+// one receives gossip. The caller holds the lock.
+func (d *discovery) newGossip(now time.Duration) *wire.Gossip {
+	message := &wire.Gossip{From: d.node.Address().String(), SentAt: d.contacts.SendTime(now)}
+	for _, report := range d.contacts.Reports(now) {
+		message.Control = append(message.Control, report.Address.String())
+		message.ControlSentAt = append(message.ControlSentAt, report.SentAt)
+	}
+	return message
+}
+
+// requestRecords asks another control instance for the records of all agents that
+// have polled it.
+func (d *discovery) requestRecords(from netip.AddrPort) {
+	request := &wire.Gossip{From: d.node.Address().String(), SentAt: d.contacts.SendTime(d.node.Now())}
+	d.node.SendMessage(opaque.KindResync, request, from)
 }
 
 // sendOwnRecords sends another control instance the records of all agents that have
 // polled this one. Without any it sends an empty message as a heartbeat.
 func (d *discovery) sendOwnRecords(to netip.AddrPort) {
+	now := d.node.Now()
 	d.mu.Lock()
-	records := d.roster.PolledSince(d.node.Now() - 2*gossipInterval)
+	records := d.roster.PolledSince(now - 2*gossipInterval)
+	message := d.newGossip(now)
 	d.mu.Unlock()
 	for isFirst := true; isFirst || len(records) > 0; isFirst = false {
-		message := &wire.Gossip{From: d.node.Address().String()}
+		if !isFirst {
+			message = &wire.Gossip{From: message.From, SentAt: message.SentAt}
+		}
 		message.Changed, records = split(records, maxGossipRecords)
 		d.node.SendMessage(opaque.KindGossip, message, to)
 	}
@@ -190,6 +212,7 @@
 	if !answer.Fresh {
 		return answer
 	}
+	d.roster.SetMemberSilent(d.contacts.HasRecentlySilentMember(now, d.node.Address(), d.members()))
 	delta := d.roster.Since(now, poll.Roster, poll.Revision, answerRecordBytes)
 	answer.Roster, answer.Revision, answer.Records = delta.Roster, delta.Revision, delta.Records
 	answer.More, answer.Restart, answer.Settled = delta.More, delta.Restart, delta.IsConverged
@@ -206,6 +229,7 @@
 	}
 	d.wasComplete = isComplete
 	if isComplete {
+		d.roster.Resume(now)
 		d.control.instance.Log.Info().Int("agents", d.roster.LiveCount()).Msg("receiving gossip of the other control instances")
 	} else {
 		d.control.instance.Log.Warn().Int("agents", d.roster.LiveCount()).
@@ -230,27 +254,23 @@
 func (d *discovery) gossip() {
 	now := d.node.Now()
 	d.mu.Lock()
-	expired := d.roster.Sweep(now)
+	expired := d.sweep(now)
 	changed, seen := d.roster.Gossip(now, now-2*gossipInterval)
 	addresses := d.addresses(now)
-	var recent []string
-	for _, address := range d.contacts.Recent(now) {
-		recent = append(recent, address.String())
-	}
+	message := d.newGossip(now)
 	d.mu.Unlock()
+	d.addLeader(message)
 	for _, record := range expired {
 		d.control.instance.Log.Info().Stringer("agent", routing.NumberAddress(record.Address)).Str("service", record.Service).
 			Str("zone", record.Zone).Msg("agent expired: not seen within the timeout")
 	}
 	own := d.node.Address()
 	for isFirst := true; isFirst || len(changed) > 0 || len(seen) > 0; isFirst = false {
-		message := &wire.Gossip{From: own.String()}
+		if !isFirst {
+			message = &wire.Gossip{From: message.From, SentAt: message.SentAt}
+		}
 		message.Changed, changed = split(changed, maxGossipRecords)
 		message.Heard, seen = split(seen, maxGossipSeen)
-		if isFirst {
-			d.addLeader(message)
-			message.Control = recent
-		}
 		for _, address := range addresses {
 			if address != own {
 				d.node.SendMessage(opaque.KindGossip, message, address)
@@ -259,6 +279,16 @@
 	}
 }
 
+// sweep removes expired agents from the roster and returns them. While gossip is
+// missing, the silence of an agent is no evidence. The caller holds the lock.
+func (d *discovery) sweep(now time.Duration) []*wire.AgentRecord {
+	if !d.hasAllContacts(now) {
+		return nil
+	}
+	d.roster.SetMemberSilent(d.contacts.HasRecentlySilentMember(now, d.node.Address(), d.members()))
+	return d.roster.Sweep(now)
+}
+
 func split[T any](items []T, limit int) (first, rest []T) {
 	limit = min(limit, len(items))
 	return items[:limit], items[limit:]
@@ -277,18 +307,29 @@
 	now := d.node.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.contacts.RecordReceived(now, from)
-	for _, text := range gossip.Control {
-		if address, err := netip.ParseAddrPort(text); err == nil {
-			d.contacts.RecordReported(now, address)
-		}
-	}
+	d.contacts.RecordReceived(now, from, gossip.SentAt)
+	d.recordReports(now, gossip, from)
 	if leader, err := netip.ParseAddrPort(gossip.Leader); err == nil && gossip.Term >= d.leaderTerm {
 		d.leader, d.leaderTerm, d.leaderAt = leader, gossip.Term, now
 	}
 	if d.roster.Merge(now, gossip.Changed, gossip.Heard) && now >= d.nextResyncAt[from] {
 		d.nextResyncAt[from] = now + resyncInterval
-		d.node.SendMessage(opaque.KindResync, &wire.Gossip{From: d.node.Address().String()}, from)
+		d.requestRecords(from)
+	}
+}
+
+// recordReports records from which control instances the sender of the gossip receives
+// gossip. If this instance is among them, the sender has confirmed its gossip.
+func (d *discovery) recordReports(now time.Duration, gossip *wire.Gossip, from netip.AddrPort) {
+	for i, text := range gossip.Control {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			continue
+		}
+		d.contacts.RecordReported(now, address)
+		if address == d.node.Address() && i < len(gossip.ControlSentAt) {
+			d.contacts.RecordConfirmed(now, from, gossip.ControlSentAt[i])
+		}
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,6 +23,11 @@
 	// time in which a node switches to another control instance, one round of
 	// gossip, and as much again for lost datagrams.
 	Timeout = 2 * time.Second
+	// relocationTime is how much longer an agent may be silent after a control instance
+	// has fallen silent. The agent may poll that instance, which stops giving usable
+	// answers within maxConfirmationAge, and then needs one or two polls until another
+	// instance reports it.
+	relocationTime = 1500 * time.Millisecond
 	// tombstoneRetention is how long the roster keeps the record of an expired agent.
 	// Nodes whose revision is older fetch the roster from its first revision.
 	tombstoneRetention = time.Minute
@@ -69,9 +74,11 @@
 
 // Roster is the list of agents of one control instance.
 type Roster struct {
-	id       uint64
-	started  time.Duration
-	revision uint64
+	id uint64
+	// started is when the roster began to collect records.
+	started        time.Duration
+	isMemberSilent bool
+	revision       uint64
 	// floor is the revision below which changes have been deleted.
 	floor   uint64
 	entries map[Key]*entry
@@ -91,9 +98,29 @@
 }
 
 // IsConverged reports whether every live agent has had the time to poll and to appear
-// in the roster.
+// in the roster. Agents that poll a silent member need relocationTime more.
 func (r *Roster) IsConverged(now time.Duration) bool {
-	return now-r.started >= ConvergenceTime
+	needed := ConvergenceTime
+	if r.isMemberSilent {
+		needed += relocationTime
+	}
+	return now-r.started >= needed
+}
+
+// SetMemberSilent sets whether a member of the group has recently fallen silent, so
+// that the agents that poll it may be missing.
+func (r *Roster) SetMemberSilent(isSilent bool) { r.isMemberSilent = isSilent }
+
+// Resume is called after a time in which gossip was missing and the roster was neither
+// used nor swept. The silence of agents during that time is no evidence, so they get
+// their timeout anew, and the roster has to converge again.
+func (r *Roster) Resume(now time.Duration) {
+	r.started = now
+	for _, e := range r.entries {
+		if !e.record.Gone {
+			e.lastSeen = now
+		}
+	}
 }
 
 // isNewer reports whether a record replaces another of the same agent.
@@ -159,17 +186,19 @@
 	return e != nil && e.revision == c.revision
 }
 
-// Sweep marks agents that have been silent for longer than Timeout as expired, and
-// deletes those whose record has been expired for longer than tombstoneRetention. It
-// returns the newly expired ones.
+// Sweep marks agents that have been silent for too long as expired, and deletes those
+// whose record has been expired for longer than tombstoneRetention. It returns the
+// newly expired ones.
 func (r *Roster) Sweep(now time.Duration) []*wire.AgentRecord {
+	timeout := Timeout
+	if r.isMemberSilent {
+		timeout += relocationTime
+	}
 	var expired []*wire.AgentRecord
 	for key, e := range r.entries {
 		switch {
-		case !e.record.Gone && now-e.lastSeen > Timeout:
-			e.record = proto.CloneOf(e.record)
-			e.record.Gone = true
-			r.recordChange(now, key, e)
+		case !e.record.Gone && now-e.lastSeen > timeout:
+			r.setGone(now, key, e, true)
 			expired = append(expired, e.record)
 		case e.record.Gone && now-e.changedAt > tombstoneRetention:
 			r.floor = max(r.floor, e.revision)
@@ -179,6 +208,12 @@
 	return expired
 }
 
+func (r *Roster) setGone(now time.Duration, key Key, e *entry, isGone bool) {
+	e.record = proto.CloneOf(e.record)
+	e.record.Gone = isGone
+	r.recordChange(now, key, e)
+}
+
 // Gossip returns what to send to the other control instances: the agents that have
 // polled this instance since a time, with their complete record where it changed
 // within fullRecordPeriod, and by their key alone otherwise.
@@ -200,7 +235,9 @@
 const fullRecordPeriod = 3 * time.Second
 
 // Merge applies the gossip of another control instance. It reports whether that
-// instance was polled by agents that are absent from this roster or expired in it.
+// instance was polled by agents that are absent from this roster or were expired in
+// it. The latter are live again, with their last known record, since a request for the
+// current one may be lost.
 func (r *Roster) Merge(now time.Duration, changed []*wire.AgentRecord, seen []uint64) (isMissing bool) {
 	for _, record := range changed {
 		r.mergeRecord(now, record)
@@ -213,6 +250,7 @@
 		}
 		e.lastSeen = now
 		if e.record.Gone {
+			r.setGone(now, Key(key), e, false)
 			isMissing = true
 		}
 	}
