Apply rotations of the keyring to idempotency keys

Cause: token.KeyCodec derived its MAC keys once and did not follow Keyring.Replace. After a rotation without a restart an agent issued keys of the old epoch, rejected those of the new one that other agents issued, and went on accepting keys of a withdrawn epoch until its next restart.

Change: the codec uses keyring.EpochKeys, as connection IDs and envelopes do. keyring.New no longer keeps the caller's map.

--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -51,7 +51,7 @@
 		return nil, Error.New("no secret of %d bytes for the current epoch %d", SecretBytes, current)
 	}
 	k := new(Keyring)
-	k.epochs.Store(&epochSet{current: current, secrets: secrets})
+	k.epochs.Store(&epochSet{current: current, secrets: maps.Clone(secrets)})
 	return k, nil
 }
 
--- a/internal/token/idempotency.go
+++ b/internal/token/idempotency.go
@@ -60,23 +60,23 @@
 	Expires time.Duration
 }
 
-// KeyCodec issues and verifies idempotency keys. It is safe for concurrent use.
+// KeyCodec issues and verifies idempotency keys. It is safe for concurrent use and
+// applies rotations of its keyring.
 type KeyCodec struct {
-	current keyring.Epoch
-	macKeys map[keyring.Epoch][]byte
+	macKeys *keyring.EpochKeys[[]byte]
 }
 
 // NewKeyCodec returns a codec for all epochs of the keyring.
 func NewKeyCodec(keys *keyring.Keyring) (*KeyCodec, error) {
-	codec := &KeyCodec{current: keys.Current(), macKeys: make(map[keyring.Epoch][]byte)}
-	for _, epoch := range keys.Epochs() {
-		macKey, err := keys.Derive(epoch, purposeIdempotencyKey, macKeyBytes)
-		if err != nil {
-			return nil, err
-		}
-		codec.macKeys[epoch] = macKey
+	macKeys, err := keyring.NewEpochKeys(keys, newMACKey)
+	if err != nil {
+		return nil, err
 	}
-	return codec, nil
+	return &KeyCodec{macKeys: macKeys}, nil
+}
+
+func newMACKey(derive func(purpose string, length int) ([]byte, error)) ([]byte, error) {
+	return derive(purposeIdempotencyKey, macKeyBytes)
 }
 
 // NewLedgerNumber returns a random number for a ledger.
@@ -105,8 +105,9 @@
 	if err != nil {
 		return "", Error.Wrap(err)
 	}
-	sealed := append([]byte{byte(c.current)}, body...)
-	sealed = append(sealed, mac(c.macKeys[c.current], sealed)...)
+	epoch, macKey := c.macKeys.Current()
+	sealed := append([]byte{byte(epoch)}, body...)
+	sealed = append(sealed, mac(macKey, sealed)...)
 	text := keyPrefix + base64.RawURLEncoding.EncodeToString(sealed)
 	if len(text) > MaxIdempotencyKeyBytes {
 		return "", Error.New("idempotency key of %d bytes, at most %d are allowed; shorten the instance's name", len(text), MaxIdempotencyKeyBytes)
@@ -130,7 +131,7 @@
 		return Key{}, ErrInvalidKey
 	}
 	body, sum := sealed[:len(sealed)-macBytes], sealed[len(sealed)-macBytes:]
-	macKey, ok := c.macKeys[keyring.Epoch(sealed[0])]
+	macKey, ok := c.macKeys.ForEpoch(keyring.Epoch(sealed[0]))
 	if !ok || !hmac.Equal(sum, mac(macKey, body)) {
 		return Key{}, ErrInvalidKey
 	}
