Register agents in the replicated log, so that lost flows are reset at once

A restarted roster began empty and called itself converged after a fixed ConvergenceTime, which is no evidence: nobody may say that a flow has no owner before it is known which agents exist. Callers of lost flows waited for that second, many until their deadline.

Ruled out: a shorter ConvergenceTime. A file of each control instance: it may be old where the instance was down.

Change: the leader proposes agents that are new or have changed zone or service, and removes those that have left. Agents accept new flows only once registered. A restarted roster contains all registered agents as unseen, which nodes try last, and keep if they know better; so it is converged at once. Nodes still poll it often for its first second, and balancers do not refuse flows in that time because no agent is known to be ready.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/contract"
+	"sassafrasturn.example/internal/roster"
 	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/token"
 	"sassafrasturn.example/internal/wire"
@@ -76,6 +77,9 @@
 	// routing is the current routing table, or nil before the first one.
 	routing      *wire.ReplaceRouting
 	routingIndex uint64
+	// agents are the registered agents of the opaque mode.
+	agents      roster.Registry
+	agentsIndex uint64
 }
 
 // New returns an empty catalog.
@@ -146,6 +150,8 @@
 		return c.applyRegisterZone(index, body.RegisterZone), nil
 	case *wire.Command_ReplaceRouting:
 		return c.applyReplaceRouting(index, body.ReplaceRouting), nil
+	case *wire.Command_RegisterAgents:
+		return c.applyRegisterAgents(index, body.RegisterAgents), nil
 	default:
 		return nil, ErrUnknownCommand.New("index %d", index)
 	}
@@ -260,6 +266,16 @@
 	return c.routing
 }
 
+func (c *Catalog) applyRegisterAgents(index uint64, register *wire.RegisterAgents) *wire.CommandResult {
+	c.agents = c.agents.With(register.Added, register.Removed)
+	c.agentsIndex = index
+	return &wire.CommandResult{Outcome: wire.CommandResult_OUTCOME_ACCEPTED, Index: index}
+}
+
+// Agents returns the registered agents of the opaque mode, and the log index of their
+// last change.
+func (c *Catalog) Agents() (agents roster.Registry, index uint64) { return c.agents, c.agentsIndex }
+
 // ZonesOut returns the names of the zones that are out of service, sorted.
 func (c *Catalog) ZonesOut() []string {
 	var names []string
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -286,3 +286,34 @@
 	g.Expect(c.ZonesOut()).To(BeEmpty())
 	g.Expect(c.ZoneIndex()).To(Equal(uint64(3)))
 }
+
+func TestRegisteredAgentsSurviveASnapshot(t *testing.T) {
+	g := NewWithT(t)
+	c := catalog.New()
+	agent := func(address uint32, service string) *wire.RegisteredAgent {
+		return &wire.RegisteredAgent{Address: address, Port: 7000, Zone: "a", Service: service}
+	}
+	apply := func(index uint64, register *wire.RegisterAgents) {
+		result, err := c.Apply(index, &wire.Command{Body: &wire.Command_RegisterAgents{RegisterAgents: register}})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Outcome).To(Equal(accepted))
+		data, err := c.Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		c, err = catalog.Restore(data)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	services := func() (uint64, map[uint32]string) {
+		agents, index := c.Agents()
+		found := make(map[uint32]string)
+		for _, agent := range agents {
+			found[agent.Address] = agent.Service
+		}
+		return index, found
+	}
+	apply(1, &wire.RegisterAgents{Added: []*wire.RegisteredAgent{agent(1, "orders"), agent(2, "orders")}})
+	apply(2, &wire.RegisterAgents{Added: []*wire.RegisteredAgent{agent(2, "drawings"), agent(3, "orders")}})
+	apply(3, &wire.RegisterAgents{Removed: []uint64{1<<16 | 7000, 9<<16 | 7000}})
+	index, found := services()
+	g.Expect(index).To(Equal(uint64(3)))
+	g.Expect(found).To(Equal(map[uint32]string{2: "drawings", 3: "orders"}))
+}
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -5,13 +5,14 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasturn.example/internal/roster"
 	"sassafrasturn.example/internal/wire"
 )
 
 // Snapshot returns the serialized state, including the results stored for
 // resent commands.
 func (c *Catalog) Snapshot() ([]byte, error) {
-	state := &wire.CatalogState{NextNumber: c.nextNumber, Routing: c.routing, RoutingIndex: c.routingIndex}
+	state := &wire.CatalogState{NextNumber: c.nextNumber, Routing: c.routing, RoutingIndex: c.routingIndex, AgentsIndex: c.agentsIndex}
 	for name, s := range c.services {
 		state.Services = append(state.Services, &wire.CatalogService{
 			Name: name, Number: s.number, Version: s.version, Index: s.index,
@@ -23,6 +24,13 @@
 		state.Zones = append(state.Zones, &wire.CatalogZone{Name: name, Number: z.number, Out: z.isOut, Index: z.index})
 	}
 	sort.Slice(state.Zones, func(a, b int) bool { return state.Zones[a].Number < state.Zones[b].Number })
+	for _, agent := range c.agents {
+		state.Agents = append(state.Agents, agent)
+	}
+	sort.Slice(state.Agents, func(a, b int) bool {
+		first, second := state.Agents[a], state.Agents[b]
+		return first.Address < second.Address || first.Address == second.Address && first.Port < second.Port
+	})
 	for _, id := range c.results.order {
 		state.Remembered = append(state.Remembered, &wire.RememberedResult{SubmissionId: id, Result: c.results.byID[id]})
 	}
@@ -56,6 +64,7 @@
 		c.zones[z.Name] = &zone{number: z.Number, isOut: z.Out, index: z.Index}
 		c.zoneIndex = max(c.zoneIndex, z.Index)
 	}
+	c.agents, c.agentsIndex = roster.Registry(nil).With(state.Agents, nil), state.AgentsIndex
 	for _, r := range state.Remembered {
 		c.results.add(r.SubmissionId, r.Result)
 	}
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -56,6 +56,10 @@
 	leader     netip.AddrPort
 	leaderTerm uint64
 	leaderAt   time.Duration
+	// agentsIndex is the log index of the registered agents that the roster has.
+	agentsIndex uint64
+	// isRegistering is set while a change of the registered agents is proposed.
+	isRegistering bool
 	// nextResyncAt is the earliest time of the next resync request to each control instance.
 	nextResyncAt map[netip.AddrPort]time.Duration
 }
@@ -89,9 +93,62 @@
 			pause.For(ctx, changeBatchDelay)
 		}
 		d.gossip()
+		d.registerAgents(ctx)
 	}
 }
 
+// applyRegistry brings the registered agents of the log into the roster. The caller
+// holds the lock.
+func (d *discovery) applyRegistry(now time.Duration) {
+	committed := d.control.replica.committed.Load()
+	if committed.AgentsIndex != d.agentsIndex {
+		d.agentsIndex = committed.AgentsIndex
+		d.roster.SetRegistry(now, committed.Agents)
+	}
+}
+
+// registerAgents proposes the change of the registered agents that the roster requires.
+// It does nothing on instances that do not lead, or while another change is proposed.
+func (d *discovery) registerAgents(ctx context.Context) {
+	if !d.control.isLeader() {
+		return
+	}
+	now := d.node.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isRegistering || !d.hasAllContacts(now) || !d.roster.IsWarm(now) {
+		return
+	}
+	d.applyRegistry(now)
+	plan := d.roster.PlanRegistration(now)
+	if plan == nil {
+		return
+	}
+	d.isRegistering = true
+	go func() {
+		err := d.proposeRegistration(ctx, plan)
+		d.mu.Lock()
+		d.isRegistering = false
+		d.mu.Unlock()
+		if err == nil {
+			// Agents may have changed meanwhile. What has failed is planned again at the next
+			// gossip.
+			d.signalChange()
+		}
+	}()
+}
+
+func (d *discovery) proposeRegistration(ctx context.Context, plan *wire.RegisterAgents) error {
+	logger := d.control.instance.Log
+	result, err := d.control.propose(ctx, &wire.Command{Body: &wire.Command_RegisterAgents{RegisterAgents: plan}})
+	if err != nil {
+		logger.Warn().Err(err).Int("added", len(plan.Added)).Int("removed", len(plan.Removed)).Msg("agents not registered; trying again")
+		return err
+	}
+	logger.Info().Uint64("index", result.Index).Int("added", len(plan.Added)).Int("removed", len(plan.Removed)).Msg("agents registered")
+	return nil
+}
+
 // resyncAtStart requests the records of the other control instances and announces this
 // one to them. It repeats both, since datagrams may be lost.
 func (d *discovery) resyncAtStart(ctx context.Context) {
@@ -199,6 +256,7 @@
 		Sequence: poll.Sequence,
 		Fresh:    d.control.loop.isCurrent() && d.roster.IsWarm(now) && d.hasAllContacts(now) && !d.control.isDraining.Load(),
 	}
+	d.applyRegistry(now)
 	for _, address := range d.addresses(now) {
 		answer.Control = append(answer.Control, address.String())
 	}
@@ -216,6 +274,7 @@
 	delta := d.roster.Since(now, poll.Roster, poll.Revision, answerRecordBytes)
 	answer.Roster, answer.Revision, answer.Records = delta.Roster, delta.Revision, delta.Records
 	answer.More, answer.Restart, answer.Settled = delta.More, delta.Restart, delta.IsConverged
+	answer.Young = d.roster.IsYoung(now)
 	d.control.replica.committed.Load().AddTo(answer, poll)
 	return answer
 }
@@ -254,6 +313,7 @@
 func (d *discovery) gossip() {
 	now := d.node.Now()
 	d.mu.Lock()
+	d.applyRegistry(now)
 	expired := d.sweep(now)
 	changed, seen := d.roster.Gossip(now, now-2*gossipInterval)
 	addresses := d.addresses(now)
@@ -312,10 +372,15 @@
 	if leader, err := netip.ParseAddrPort(gossip.Leader); err == nil && gossip.Term >= d.leaderTerm {
 		d.leader, d.leaderTerm, d.leaderAt = leader, gossip.Term, now
 	}
+	before := d.roster.Revision()
 	if d.roster.Merge(now, gossip.Changed, gossip.Heard) && now >= d.nextResyncAt[from] {
 		d.nextResyncAt[from] = now + resyncInterval
 		d.requestRecords(from)
 	}
+	if d.roster.Revision() != before && d.control.isLeader() {
+		// The agents may have to be registered.
+		d.signalChange()
+	}
 }
 
 // recordReports records from which control instances the sender of the gossip receives
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -11,6 +11,7 @@
 	"sassafrasturn.example/internal/consensus"
 	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/roster"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -88,6 +89,10 @@
 	opaque.Committed
 	// Source is the routing table as the operator sent it, nil before the first.
 	Source []byte
+	// Agents are the registered agents, and AgentsIndex the log index of their last
+	// change.
+	Agents      roster.Registry
+	AgentsIndex uint64
 }
 
 // openReplica restores a replica from its data folder. The replica publishes its
@@ -345,8 +350,9 @@
 		r.outputs.publish(records)
 	}
 	table := r.catalog.Routing()
+	agents, agentsIndex := r.catalog.Agents()
 	r.committed.Store(&Committed{
-		Source: table.GetSource(),
+		Source: table.GetSource(), Agents: agents, AgentsIndex: agentsIndex,
 		Committed: opaque.Committed{
 			RoutingVersion: table.GetVersion(), Table: table.GetTable(),
 			ZoneIndex: r.catalog.ZoneIndex(), ZonesOut: r.catalog.ZonesOut(),
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -131,6 +131,10 @@
 	service := route.Pick(hash)
 	agents := flow.ChooseCandidates(state.View, service, hash, b.origin, state.IsOut)
 	if len(agents) == 0 {
+		if state.IsRosterYoung {
+			// The next transmission of the SYN probably finds an agent.
+			return outcomeNoEndpoint
+		}
 		w.refuse(h, key, state, outcomeNoEndpoint)
 		return outcomeNoEndpoint
 	}
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -43,6 +43,9 @@
 	committed *Committed
 	// IsUsable is set if a routing table and a complete list of agents are known.
 	IsUsable bool
+	// IsRosterYoung is set while the control instance has recently started, so that
+	// agents that accept new flows may be missing.
+	IsRosterYoung bool
 }
 
 // IsOut reports whether a zone is out of service.
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -355,6 +355,79 @@
 	})
 }
 
+// restartAll restarts control, all balancers and the given sites, which lose their
+// flows.
+func (tc *testCluster) restartAll(sites []*site) {
+	tc.control.isDown = true
+	for _, s := range sites {
+		s.stop()
+		s.startEndpoint("orders")
+	}
+	for _, b := range tc.balancers {
+		b.stop()
+	}
+	tc.sleep(300 * time.Millisecond)
+	for i, b := range tc.balancers {
+		tc.startBalancer(b, i+1)
+	}
+	for _, s := range sites {
+		s.startAgent()
+		s.endpoint.announce()
+	}
+	tc.control.restart()
+	tc.control.isDown = false
+}
+
+// Everything loses power, control included. With agents registered in the log, lost flows
+// are reset as soon as the agents have polled once, and not only when a roster that began
+// empty may call itself complete.
+func TestRegisteredAgentsSpeedUpResetsAfterAFullRestart(t *testing.T) {
+	for _, isRegistering := range []bool{true, false} {
+		t.Run(fmt.Sprintf("registering %t", isRegistering), func(t *testing.T) {
+			runInCluster(t, false, 3, 5, func(tc *testCluster) {
+				tc.control.isRegistering = isRegistering
+				tc.sleep(time.Second)
+				flows := tc.openFlows(10)
+				tc.restartAll(tc.sites)
+				tc.sleep(300 * time.Millisecond)
+				start := time.Now()
+				tc.g.Expect(flows[0].request()).To(BeEmpty())
+				tc.g.Expect(flows[0].isReset).To(BeTrue())
+				tc.g.Expect(time.Since(start) < 250*time.Millisecond).To(Equal(isRegistering), "%s", time.Since(start))
+				tc.g.Expect(tc.isServed(orders)).To(BeTrue())
+			})
+		})
+	}
+}
+
+// Everything but one agent restarts, and the polls of that agent do not reach control.
+// Its open flows are served, since control knows that it may own some. Control that has
+// only what agents poll takes it for gone, and the flows are reset.
+func TestFlowsOfARegisteredAgentSurviveARestartOfTheOthers(t *testing.T) {
+	for _, isRegistering := range []bool{true, false} {
+		t.Run(fmt.Sprintf("registering %t", isRegistering), func(t *testing.T) {
+			runInCluster(t, false, 3, 5, func(tc *testCluster) {
+				tc.control.isRegistering = isRegistering
+				tc.sleep(time.Second)
+				flows := tc.openFlows(30)
+				silent := slices.MaxFunc(tc.sites, func(a, b *site) int { return len(a.endpoint.flows) - len(b.endpoint.flows) })
+				flows = slices.DeleteFunc(flows, func(f *callerFlow) bool { return silent.endpoint.flows[f.key] == nil })
+				tc.network.cutLink(controlAddress.Addr(), silent.address)
+				tc.restartAll(slices.DeleteFunc(slices.Clone(tc.sites), func(s *site) bool { return s == silent }))
+				resets := 0
+				for start := time.Now(); time.Since(start) < 5*time.Second; tc.sleep(200 * time.Millisecond) {
+					for _, f := range flows {
+						if f.request() == "" {
+							resets++
+						}
+					}
+				}
+				tc.g.Expect(resets == 0).To(Equal(isRegistering), "%d requests without an answer", resets)
+			})
+		})
+	}
+}
+
 // A flow that cannot be served is refused immediately instead of timing out.
 func TestUnservableFlowsAreRefusedImmediately(t *testing.T) {
 	cases := []struct {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -174,6 +174,10 @@
 	zonesOut  []string
 	// isDown is set while polls are not answered.
 	isDown bool
+	// isRegistering is set if agents are registered in a log that survives restarts,
+	// whose state is registry.
+	isRegistering bool
+	registry      roster.Registry
 	// sealer is nil on an insecure cluster.
 	sealer *envelope.Sealer
 }
@@ -193,7 +197,17 @@
 
 // restart replaces the roster with that of a recently started instance.
 func (c *fakeControl) restart() {
-	c.roster = roster.New(2, time.Since(c.start))
+	now := time.Since(c.start)
+	c.roster = roster.New(2, now)
+	c.roster.SetRegistry(now, c.registry)
+}
+
+// register applies the change of the registry that the roster requires.
+func (c *fakeControl) register(now time.Duration) {
+	if plan := c.roster.PlanRegistration(now); plan != nil {
+		c.registry = c.registry.With(plan.Added, plan.Removed)
+		c.roster.SetRegistry(now, c.registry)
+	}
 }
 
 func (c *fakeControl) serve(s *socket) {
@@ -246,9 +260,13 @@
 	if poll.Self != nil {
 		answer.Incarnation = c.roster.RecordPoll(now, poll.Self)
 	}
+	if c.isRegistering {
+		c.register(now)
+	}
 	delta := c.roster.Since(now, poll.Roster, poll.Revision, 500)
 	answer.Roster, answer.Revision, answer.Records = delta.Roster, delta.Revision, delta.Records
 	answer.More, answer.Restart, answer.Settled = delta.More, delta.Restart, delta.IsConverged
+	answer.Young = c.roster.IsYoung(now)
 	data, _ := proto.Marshal(c.table)
 	answer.TableBytes = uint32(len(data))
 	if poll.RoutingVersion < c.table.Version {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -19,9 +19,9 @@
 	// pollInterval separates polls. A change reaches every node within pollInterval
 	// plus one round trip.
 	pollInterval = 500 * time.Millisecond
-	// unconvergedInterval separates polls of a control instance that has recently
-	// started and learns of more agents with each round trip.
-	unconvergedInterval = 100 * time.Millisecond
+	// youngInterval separates polls of a control instance that has recently started
+	// and learns of more agents with each round trip.
+	youngInterval = 100 * time.Millisecond
 	// answerTimeout is several round trips between the most distant zones.
 	answerTimeout = 250 * time.Millisecond
 	// refreshGap separates polls that are triggered by changes.
@@ -61,6 +61,9 @@
 	interval time.Duration
 
 	replica *roster.Replica
+	// isRosterYoung is set while agents may be missing from the replica because the
+	// control instance has recently started.
+	isRosterYoung bool
 	// committed is the newest known routing table and zones, from control or an agent.
 	committed Committed
 	fetch     fetch
@@ -152,8 +155,8 @@
 		if message != nil && message.Fresh {
 			p.setControlReachable(true)
 			p.interval = pollInterval
-			if !message.Settled {
-				p.interval = unconvergedInterval
+			if message.Young || !message.Settled {
+				p.interval = youngInterval
 			}
 			return p.apply(answer{message: message, from: p.control[0]})
 		}
@@ -261,7 +264,9 @@
 		Roster: message.Roster, Revision: message.Revision, Records: message.Records,
 		More: message.More, Restart: message.Restart, IsConverged: message.Settled,
 	}
-	p.applyCommitted(a, p.replica.Apply(now, delta))
+	isChanged := p.replica.Apply(now, delta) || message.Young != p.isRosterYoung
+	p.isRosterYoung = message.Young
+	p.applyCommitted(a, isChanged)
 	if !delta.More && delta.IsConverged {
 		p.node.syncedAt.Store(int64(p.polledAt))
 		if p.node.handlers.Synced != nil {
@@ -340,7 +345,8 @@
 	committed := p.committed
 	state := &State{
 		Table: table, View: p.view(), ZoneIndex: committed.ZoneIndex, committed: &committed,
-		IsUsable: p.replica.IsComplete() && table.Version > 0,
+		IsUsable:      p.replica.IsComplete() && table.Version > 0,
+		IsRosterYoung: p.isRosterYoung,
 	}
 	p.node.state.Store(state)
 	if state.View.LiveCount() != before.View.LiveCount() || state.IsUsable != before.IsUsable {
@@ -360,7 +366,7 @@
 		address := netip.AddrPortFrom(routing.NumberAddress(record.Address), uint16(record.Port))
 		member := flow.NewMember(address, record.Zone, record.Service)
 		member.IsReady = record.Ready
-		member.IsExpired = record.Gone
+		member.IsExpired = record.Gone || record.Unseen
 		members = append(members, member)
 	}
 	return flow.NewView(members)
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -70,6 +70,10 @@
 		r.records[key] = e
 	}
 	e.round = r.round
+	if record.Unseen && e.record != nil && !e.record.Gone {
+		// The control instance has restarted and knows less than this node.
+		return false
+	}
 	isChanged = e.record == nil || !isSame(e.record, record)
 	if record.Gone && (e.record == nil || !e.record.Gone) {
 		e.expiredAt = now
@@ -79,7 +83,7 @@
 }
 
 func isSame(a, b *wire.AgentRecord) bool {
-	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && a.Gone == b.Gone &&
+	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && a.Gone == b.Gone && a.Unseen == b.Unseen &&
 		a.Ready == b.Ready && a.Service == b.Service && a.Zone == b.Zone
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -49,9 +49,9 @@
 type Key uint64
 
 // KeyOf returns the key of a record.
-func KeyOf(record *wire.AgentRecord) Key {
-	return Key(uint64(record.Address)<<16 | uint64(uint16(record.Port)))
-}
+func KeyOf(record *wire.AgentRecord) Key { return newKey(record.Address, record.Port) }
+
+func newKey(address, port uint32) Key { return Key(uint64(address)<<16 | uint64(uint16(port))) }
 
 type entry struct {
 	record   *wire.AgentRecord
@@ -64,6 +64,8 @@
 	lastPoll  time.Duration
 	changedAt time.Duration
 	hasPolled bool
+	// isRegistered is whether the registry contained the record when it last changed.
+	isRegistered bool
 }
 
 // change is the change of a record at a revision.
@@ -78,7 +80,9 @@
 	// started is when the roster began to collect records.
 	started        time.Duration
 	isMemberSilent bool
-	revision       uint64
+	// registry is nil until the first registration is applied.
+	registry Registry
+	revision uint64
 	// floor is the revision below which changes have been deleted.
 	floor   uint64
 	entries map[Key]*entry
@@ -97,9 +101,18 @@
 	return now-r.started >= WarmUp
 }
 
-// IsConverged reports whether every live agent has had the time to poll and to appear
-// in the roster. Agents that poll a silent member need relocationTime more.
+// IsYoung reports whether the roster still learns of more agents with each poll.
+func (r *Roster) IsYoung(now time.Duration) bool {
+	return now-r.started < ConvergenceTime
+}
+
+// IsConverged reports whether the roster contains all agents that may own flows, because
+// they are registered. Without a registry, every live agent must have had the time to
+// poll; agents that poll a silent member need relocationTime more.
 func (r *Roster) IsConverged(now time.Duration) bool {
+	if len(r.registry) > 0 {
+		return true
+	}
 	needed := ConvergenceTime
 	if r.isMemberSilent {
 		needed += relocationTime
@@ -173,6 +186,7 @@
 }
 
 func (r *Roster) recordChange(now time.Duration, key Key, e *entry) {
+	e.isRegistered = r.registry.contains(key, e.record)
 	r.revision++
 	e.revision, e.changedAt = r.revision, now
 	r.changes = append(r.changes, change{revision: r.revision, key: key})
@@ -210,7 +224,7 @@
 
 func (r *Roster) setGone(now time.Duration, key Key, e *entry, isGone bool) {
 	e.record = proto.CloneOf(e.record)
-	e.record.Gone = isGone
+	e.record.Gone, e.record.Unseen = isGone, e.record.Unseen && !isGone
 	r.recordChange(now, key, e)
 }
 
@@ -244,7 +258,7 @@
 	}
 	for _, key := range seen {
 		e := r.entries[Key(key)]
-		if e == nil {
+		if e == nil || e.record.Unseen {
 			isMissing = true
 			continue
 		}
@@ -295,7 +309,7 @@
 		if !r.isCurrent(c) {
 			continue
 		}
-		record := r.entries[c.key].record
+		record := r.published(r.entries[c.key])
 		size += proto.Size(record) + recordOverhead
 		if size > maxBytes && len(delta.Records) > 0 {
 			delta.More = true
