Defer packets in balancers that do not know the routes yet

Cause: after a loss of power of everything, balancers listen 0.3 to 0.4 s before control can tell them routes and agents, and dropped what callers sent in that time. Callers send a SYN at 0, 0.2 and 0.6 s and data at intervals that double up to 1.6 s, so a packet dropped just before the end of the outage is sent again only up to 1.6 s later, or after the caller's deadline.

Ruled out: earlier polls. Control is reached 0.1 s after its election; the wait before that is for the third instance to start.

Change: such packets are held, at most 400 and 0.6 s, one for each transmission series, and forwarded in their order of arrival once routes and agents are known. While the roster is young, a SYN whose service has no ready agent yet waits too.

Tests: flow.Deferred (order, repetitions, age, bound).

--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"sassafrasturn.example/internal/rendezvous"
 )
@@ -80,6 +81,11 @@
 	return append(own, others[:min(len(others), count-len(own))]...)
 }
 
+// HasReady reports whether some agent of a service accepts new flows.
+func (v *View) HasReady(service string) bool {
+	return slices.ContainsFunc(v.byService[service], func(m Member) bool { return m.IsReady && !m.IsExpired })
+}
+
 // LiveCount returns how many agents of the view have not expired.
 func (v *View) LiveCount() int { return len(v.live) }
 
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -37,6 +37,7 @@
 	conn     machine.Socket
 	owners   *ownerCache
 	suspects *suspects
+	deferred deferredPackets
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
 	// draining is closed when Drain is called.
@@ -49,6 +50,7 @@
 	outcomeForwarded  = "forwarded"
 	outcomeNoRoute    = "no-route"
 	outcomeNoEndpoint = "no-endpoint"
+	outcomeDeferred   = "deferred"
 	outcomeMalformed  = "malformed"
 )
 
@@ -56,6 +58,7 @@
 func New(instance *machine.Instance, codec flow.Codec) (*Balancer, error) {
 	b := &Balancer{
 		instance: instance, codec: codec, owners: newOwnerCache(), suspects: newSuspects(instance.Metrics),
+		deferred: deferredPackets{packets: flow.NewDeferred()},
 		origin:   flow.TagOf(instance.Settings.Zone),
 		draining: make(chan struct{}),
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -63,7 +66,9 @@
 		}, []string{"outcome"}),
 	}
 	instance.Metrics.MustRegister(b.packets)
-	node, err := opaque.NewNode(instance, nil, opaque.Handlers{OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer})
+	node, err := opaque.NewNode(instance, nil, opaque.Handlers{
+		OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer, Synced: b.releaseDeferred,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -76,13 +81,13 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	go b.node.Run(ctx)
 	w := &worker{balancer: b, counts: b.counters()}
-	opaque.ReceivePackets(ctx, b.conn, b.instance.Log, w.handle)
+	opaque.ReceivePackets(ctx, b.conn, b.instance.Log, func(buffer []byte) { w.handle(buffer, b.node.Now()) })
 	return nil
 }
 
 func (b *Balancer) counters() map[string]prometheus.Counter {
 	counts := make(map[string]prometheus.Counter)
-	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeMalformed} {
+	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeDeferred, outcomeMalformed} {
 		counts[outcome] = b.packets.WithLabelValues(outcome)
 	}
 	return counts
@@ -102,12 +107,17 @@
 	reset    []byte
 }
 
-// handle handles one packet, which starts at offset OfferHeadroom of the buffer.
-func (w *worker) handle(buffer []byte) {
-	h, ok := w.balancer.codec.Parse(buffer[opaque.OfferHeadroom:])
+// handle handles one packet, which starts at offset OfferHeadroom of the buffer. While
+// the routes or the agents are not known, the packet is deferred.
+func (w *worker) handle(buffer []byte, arrivedAt time.Duration) {
+	b := w.balancer
+	h, ok := b.codec.Parse(buffer[opaque.OfferHeadroom:])
 	switch {
 	case !ok:
 		w.counts[outcomeMalformed].Inc()
+	case !b.canPlace(&h):
+		b.deferred.add(b.node.Now(), arrivedAt, &h, buffer[opaque.OfferHeadroom:])
+		w.counts[outcomeDeferred].Inc()
 	case h.IsSYN && !h.IsACK:
 		w.counts[w.offer(&h, buffer)].Inc()
 	default:
@@ -115,6 +125,21 @@
 	}
 }
 
+// canPlace reports whether the routes and agents that a packet needs may be known. A
+// balancer that has recently started lacks them, and after a restart of everything
+// control first has to learn which agents accept new flows.
+func (b *Balancer) canPlace(h *flow.Header) bool {
+	state := b.node.State()
+	if !state.IsUsable {
+		return false
+	}
+	if !state.IsRosterYoung || !h.IsSYN {
+		return true
+	}
+	route := state.Table.Lookup(h.Destination)
+	return route == nil || len(route.Services) == 0 || state.View.HasReady(route.Pick(h.KeyFromCaller().Hash()))
+}
+
 // offer sends a SYN to the first of the agents that may accept the flow. Each
 // retransmission starts at the next agent, so that a failed agent costs the caller one
 // retransmission.
@@ -131,10 +156,6 @@
 	service := route.Pick(hash)
 	agents := flow.ChooseCandidates(state.View, service, hash, b.origin, state.IsOut)
 	if len(agents) == 0 {
-		if state.IsRosterYoung {
-			// The next transmission of the SYN probably finds an agent.
-			return outcomeNoEndpoint
-		}
 		w.refuse(h, key, state, outcomeNoEndpoint)
 		return outcomeNoEndpoint
 	}
