Reset lost flows as soon as expired agents are found silent

Cause: where an agent did not return after a restart of everything, or had expired for another reason, flows that no live agent owns were reset only on the first retransmission after OrphanDelay, 0.6 s and more after the request.

Ruled out: a shorter OrphanDelay. It is the only protection where the list of agents is not confirmed.

Change: a packet counts as having visited all agents also if the rest has expired, and the flow is reset at a confirmation of the list once each of them has left two probes unanswered.

--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -184,7 +184,7 @@
 	return addresses
 }
 
-// Len returns the number of agents in the order.
+// Len returns the number of agents in the order, expired ones included.
 func (o *Order) Len() int {
 	count := 0
 	for _, name := range o.Services {
--- a/internal/flow/orphans.go
+++ b/internal/flow/orphans.go
@@ -1,6 +1,10 @@
 package flow
 
-import "time"
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
 
 const (
 	// OrphanDelay is how long a flow must have been without an owner before its caller
@@ -22,11 +26,11 @@
 	// the caller expects.
 	Seq, Ack uint32
 	Length   int
-	// MayHaveOwner is true if an expired agent that may own the flow has not been found
-	// silent.
-	MayHaveOwner bool
-	// VisitedView is the view whose agents have all received this packet, none of
-	// them expired. It is nil if some agents have not received it.
+	// Expired are the agents that may own the flow and have expired. They may be alive:
+	// only their polls may be lost.
+	Expired []netip.AddrPort
+	// VisitedView is the view whose other agents have all received this packet. It is
+	// nil if some have not.
 	VisitedView *View
 }
 
@@ -40,7 +44,7 @@
 // A caller is notified once control has confirmed, after all agents received the
 // packet, that there are no other agents. If some agents could not be reached, or the
 // list of agents has changed, the flow must have been without an owner for
-// OrphanDelay, and no expired agent may answer probes.
+// OrphanDelay. In both cases the expired agents must be silent.
 type Orphans struct {
 	seen map[Key]*orphan
 }
@@ -59,7 +63,7 @@
 // is to be notified: the same packet has been sent for OrphanDelay, and the list of
 // agents, which was current at syncedAt, is more recent than its first transmission
 // here.
-func (o *Orphans) Observe(now, syncedAt time.Duration, packet OrphanPacket) bool {
+func (o *Orphans) Observe(now, syncedAt time.Duration, packet OrphanPacket, isSilent func(agent netip.AddrPort) bool) bool {
 	entry := o.seen[packet.Flow]
 	if entry == nil || now-entry.lastSeen > orphanTTL || !entry.isSentAgain(&packet) {
 		if entry != nil || len(o.seen) < maxOrphans {
@@ -68,7 +72,7 @@
 		return false
 	}
 	entry.OrphanPacket, entry.lastSeen = packet, now
-	if packet.MayHaveOwner || now-entry.firstSeen < OrphanDelay || syncedAt <= entry.firstSeen {
+	if now-entry.firstSeen < OrphanDelay || syncedAt <= entry.firstSeen || !packet.areExpiredSilent(isSilent) {
 		return false
 	}
 	delete(o.seen, packet.Flow)
@@ -80,12 +84,29 @@
 	return p.Seq == packet.Seq && p.Ack == packet.Ack && p.Length == packet.Length
 }
 
+func (p *OrphanPacket) areExpiredSilent(isSilent func(agent netip.AddrPort) bool) bool {
+	return !slices.ContainsFunc(p.Expired, func(agent netip.AddrPort) bool { return !isSilent(agent) })
+}
+
+// AppendExpired appends the expired agents that recorded flows may have.
+func (o *Orphans) AppendExpired(agents []netip.AddrPort) []netip.AddrPort {
+	for _, entry := range o.seen {
+		for _, agent := range entry.Expired {
+			if !slices.Contains(agents, agent) {
+				agents = append(agents, agent)
+			}
+		}
+	}
+	return agents
+}
+
 // PopConfirmed removes and returns the flows whose callers are to be notified because
 // control has confirmed the view as of syncedAt.
-func (o *Orphans) PopConfirmed(syncedAt time.Duration, view *View) []OrphanPacket {
+func (o *Orphans) PopConfirmed(syncedAt time.Duration, view *View, isSilent func(agent netip.AddrPort) bool) []OrphanPacket {
 	var confirmed []OrphanPacket
 	for key, entry := range o.seen {
-		if entry.VisitedView != nil && entry.VisitedView == view && entry.lastSeen < syncedAt {
+		isConfirmed := entry.VisitedView != nil && entry.VisitedView == view && entry.lastSeen < syncedAt
+		if isConfirmed && entry.areExpiredSilent(isSilent) {
 			confirmed = append(confirmed, entry.OrphanPacket)
 			delete(o.seen, key)
 		}
--- a/internal/flow/suspects.go
+++ b/internal/flow/suspects.go
@@ -35,7 +35,9 @@
 	// unansweredSince is when the first probe without an answer was sent.
 	unansweredSince time.Duration
 	probedAt        time.Duration
-	isReported      bool
+	// probes is the number of probes since unansweredSince.
+	probes     int
+	isReported bool
 }
 
 // NewSuspects returns an empty tracker.
@@ -49,11 +51,12 @@
 	entry := s.agents[agent]
 	switch {
 	case entry == nil || now-entry.probedAt > suspectTTL:
-		s.agents[agent] = &suspect{unansweredSince: now, probedAt: now}
+		s.agents[agent] = &suspect{unansweredSince: now, probedAt: now, probes: 1}
 	case now-entry.probedAt < probeInterval:
 		return false
 	default:
 		entry.probedAt = now
+		entry.probes++
 	}
 	return true
 }
@@ -93,14 +96,11 @@
 	return newlySuspected, count
 }
 
-// AreAllSuspected reports whether all agents are suspected.
-func (s *Suspects) AreAllSuspected(now time.Duration, agents []netip.AddrPort) bool {
-	for _, agent := range agents {
-		if !s.agents[agent].isSuspected(now) {
-			return false
-		}
-	}
-	return true
+// IsSilent reports whether an agent has not answered two probes, of which one may have
+// been lost.
+func (s *Suspects) IsSilent(now time.Duration, agent netip.AddrPort) bool {
+	entry := s.agents[agent]
+	return entry.isSuspected(now) && entry.probes > 1 && now-entry.probedAt > probeTimeout
 }
 
 func (s *suspect) isSuspected(now time.Duration) bool {
--- a/internal/flow/suspects_test.go
+++ b/internal/flow/suspects_test.go
@@ -88,3 +88,40 @@
 	g.Expect(count).To(Equal(3))
 	g.Expect(addresses(agents)).To(Equal(addresses(threeAgents())))
 }
+
+// An agent is silent after two unanswered probes, of which one may have been lost.
+func TestSilentAfterTwoUnansweredProbes(t *testing.T) {
+	const ms = time.Millisecond
+	agent := netip.MustParseAddrPort("10.0.0.1:7000")
+	cases := []struct {
+		name     string
+		probes   []time.Duration
+		answerAt time.Duration
+		at       time.Duration
+		want     bool
+	}{
+		{"not probed", nil, 0, 300 * ms, false},
+		{"one probe", []time.Duration{0}, 0, 300 * ms, false},
+		{"two probes", []time.Duration{0, probeInterval}, 0, probeInterval + probeTimeout + ms, true},
+		{"second one may still be answered", []time.Duration{0, probeInterval}, 0, probeInterval + probeTimeout, false},
+		{"two at once count as one", []time.Duration{0, ms}, 0, 300 * ms, false},
+		{"answered", []time.Duration{0, probeInterval}, 150 * ms, 300 * ms, false},
+		{"answered between", []time.Duration{0, 200 * ms}, 100 * ms, 300 * ms, false},
+		{"long ago", []time.Duration{0, probeInterval}, 0, probeInterval + suspectTTL + ms, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			suspects := NewSuspects()
+			for _, at := range c.probes {
+				if c.answerAt > 0 && at > c.answerAt {
+					suspects.RecordAnswer(agent)
+				}
+				suspects.RecordUnanswered(at, agent)
+			}
+			if c.answerAt > 0 && c.probes[len(c.probes)-1] < c.answerAt {
+				suspects.RecordAnswer(agent)
+			}
+			NewWithT(t).Expect(suspects.IsSilent(c.at, agent)).To(Equal(c.want))
+		})
+	}
+}
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -162,6 +162,7 @@
 		a.table.Sweep(a.node.Now(), a.node.State().Table.IdleTimeout)
 		a.bounceable.sweep(a.node.Now())
 		a.orphans.Sweep(a.node.Now())
+		a.resetConfirmedOrphans()
 		a.suspects.Sweep(a.node.Now())
 		a.metrics.flows.Set(float64(a.table.Len()))
 		a.metrics.inFlight.Set(float64(a.table.InFlight()))
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -157,7 +157,7 @@
 		Services: state.Services(key, hash, a.services[:]),
 	}
 	next, isDetour, ok := order.Next(a.node.Address(), offer.IsShortcut)
-	if (!ok || next.IsExpired) && a.isOrphan(h, offer, &order, !ok) {
+	if (!ok || next.IsExpired) && a.isOrphan(h, offer, &order) {
 		a.sendReset(key, h.Ack, "no-agent-holds-flow")
 		return
 	}
@@ -176,37 +176,38 @@
 // isOrphan reports whether to reset a flow because no agent owns it. It is called when
 // the packet has reached all live agents, this one being the last. Expired agents still
 // get the packet, and are probed: while one of them answers, it may own the flow.
-func (a *Agent) isOrphan(h *flow.Header, offer *opaque.Offer, order *flow.Order, isLast bool) bool {
+func (a *Agent) isOrphan(h *flow.Header, offer *opaque.Offer, order *flow.Order) bool {
 	if h.IsRST || !h.IsACK || offer.IsInconclusive {
 		return false
 	}
 	packet := flow.OrphanPacket{
-		Flow: h.KeyFromCaller(), Seq: h.Seq, Ack: h.Ack, Length: h.Length,
-		MayHaveOwner: !a.areExpiredSilent(order),
+		Flow: h.KeyFromCaller(), Seq: h.Seq, Ack: h.Ack, Length: h.Length, Expired: order.AppendExpired(nil),
 	}
 	// Only a caller that has sent data waits for an answer.
-	if isLast && h.Length > 0 && offer.Visited() >= order.Len() {
+	if h.Length > 0 && offer.Visited() >= order.Len()-len(packet.Expired) {
 		packet.VisitedView = order.View
 	}
-	if a.orphans.Observe(a.node.Now(), a.node.SyncedAt(), packet) {
+	a.probe(packet.Expired)
+	if a.orphans.Observe(a.node.Now(), a.node.SyncedAt(), packet, a.isSilent) {
 		return true
 	}
 	a.node.Refresh()
 	return false
 }
 
-// areExpiredSilent probes the expired agents of an order and reports whether none of
-// them has answered earlier probes.
-func (a *Agent) areExpiredSilent(order *flow.Order) bool {
-	now := a.node.Now()
-	a.expired = order.AppendExpired(a.expired[:0])
-	areSilent := a.suspects.AreAllSuspected(now, a.expired)
-	for _, agent := range a.expired {
-		if a.suspects.RecordUnanswered(now, agent) {
+// probe probes agents that have expired, unless they were probed recently. The caller
+// holds the lock, as for isSilent.
+func (a *Agent) probe(agents []netip.AddrPort) {
+	for _, agent := range agents {
+		if a.suspects.RecordUnanswered(a.node.Now(), agent) {
 			a.node.Probe(agent)
 		}
 	}
-	return areSilent
+}
+
+// isSilent reports whether an agent has not answered its probes.
+func (a *Agent) isSilent(agent netip.AddrPort) bool {
+	return a.suspects.IsSilent(a.node.Now(), agent)
 }
 
 func (a *Agent) handleProbeAnswer(agent netip.AddrPort) {
@@ -216,13 +217,19 @@
 }
 
 // resetOrphans resets the flows that no agent owns, after control has confirmed that
-// there are no other agents.
+// there are no other agents. It probes the expired agents that may own others.
 func (a *Agent) resetOrphans() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, orphan := range a.orphans.PopConfirmed(a.node.SyncedAt(), a.node.State().View) {
+	a.resetConfirmedOrphans()
+}
+
+func (a *Agent) resetConfirmedOrphans() {
+	for _, orphan := range a.orphans.PopConfirmed(a.node.SyncedAt(), a.node.State().View, a.isSilent) {
 		a.sendReset(orphan.Flow, orphan.Ack, "no-agent-holds-flow")
 	}
+	a.expired = a.orphans.AppendExpired(a.expired[:0])
+	a.probe(a.expired)
 }
 
 // maxExpiredHops is the number of hops beyond the number of live agents that a packet
