--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"sassafrasturn.example/internal/rendezvous"
 )
@@ -80,6 +81,11 @@
 	return append(own, others[:min(len(others), count-len(own))]...)
 }
 
+// HasReady reports whether some agent of a service accepts new flows.
+func (v *View) HasReady(service string) bool {
+	return slices.ContainsFunc(v.byService[service], func(m Member) bool { return m.IsReady && !m.IsExpired })
+}
+
 // LiveCount returns how many agents of the view have not expired.
 func (v *View) LiveCount() int { return len(v.live) }
 
@@ -166,7 +172,19 @@
 	return next, false, ok
 }
 
-// Len returns the number of agents in the order.
+// AppendExpired appends the addresses of the expired agents of the order.
+func (o *Order) AppendExpired(addresses []netip.AddrPort) []netip.AddrPort {
+	for _, name := range o.Services {
+		for i := range o.View.byService[name] {
+			if member := &o.View.byService[name][i]; member.IsExpired {
+				addresses = append(addresses, member.Address)
+			}
+		}
+	}
+	return addresses
+}
+
+// Len returns the number of agents in the order, expired ones included.
 func (o *Order) Len() int {
 	count := 0
 	for _, name := range o.Services {
--- a/internal/flow/suspects.go
+++ b/internal/flow/suspects.go
@@ -16,12 +16,17 @@
 	suspectTTL = 3 * time.Second
 )
 
-// Suspects tracks the agents that do not answer a balancer. Control takes 2 s or more
-// to detect an agent that fails without notice. Until then, each new flow that is
-// offered to it would first have to wait for the second transmission of its SYN. A
-// retransmitted SYN raises the suspicion that the agent that received the previous
-// copy has failed, and an answer to a probe clears it. It is not safe for concurrent
-// use.
+// Suspects tracks the agents that do not answer an instance. It is not safe for
+// concurrent use.
+//
+// Balancers use it because control takes 2 s or more to detect an agent that fails
+// without notice. Until then, each new flow that is offered to it would first have to
+// wait for the second transmission of its SYN. A retransmitted SYN raises the suspicion
+// that the agent that received the previous copy has failed, and an answer to a probe
+// clears it.
+//
+// Agents use it for agents that have expired at control. These may serve their flows all
+// the same, when only their polls are lost.
 type Suspects struct {
 	agents map[netip.AddrPort]*suspect
 }
@@ -30,7 +35,9 @@
 	// unansweredSince is when the first probe without an answer was sent.
 	unansweredSince time.Duration
 	probedAt        time.Duration
-	isReported      bool
+	// probes is the number of probes since unansweredSince.
+	probes     int
+	isReported bool
 }
 
 // NewSuspects returns an empty tracker.
@@ -38,17 +45,18 @@
 	return &Suspects{agents: make(map[netip.AddrPort]*suspect)}
 }
 
-// RecordUnanswered records that a SYN that was offered to an agent was not answered.
-// It returns true if the agent is to be probed now.
+// RecordUnanswered records that an agent has not answered an offered SYN, or has
+// expired. It returns true if the agent is to be probed now.
 func (s *Suspects) RecordUnanswered(now time.Duration, agent netip.AddrPort) (isProbeDue bool) {
 	entry := s.agents[agent]
 	switch {
 	case entry == nil || now-entry.probedAt > suspectTTL:
-		s.agents[agent] = &suspect{unansweredSince: now, probedAt: now}
+		s.agents[agent] = &suspect{unansweredSince: now, probedAt: now, probes: 1}
 	case now-entry.probedAt < probeInterval:
 		return false
 	default:
 		entry.probedAt = now
+		entry.probes++
 	}
 	return true
 }
@@ -88,6 +96,13 @@
 	return newlySuspected, count
 }
 
+// IsSilent reports whether an agent has not answered two probes, of which one may have
+// been lost.
+func (s *Suspects) IsSilent(now time.Duration, agent netip.AddrPort) bool {
+	entry := s.agents[agent]
+	return entry.isSuspected(now) && entry.probes > 1 && now-entry.probedAt > probeTimeout
+}
+
 func (s *suspect) isSuspected(now time.Duration) bool {
 	return s != nil && now-s.unansweredSince > probeTimeout && now-s.probedAt <= suspectTTL
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -23,6 +23,11 @@
 	// time in which a node switches to another control instance, one round of
 	// gossip, and as much again for lost datagrams.
 	Timeout = 2 * time.Second
+	// relocationTime is how much longer an agent may be silent after a control instance
+	// has fallen silent. The agent may poll that instance, which stops giving usable
+	// answers within maxConfirmationAge, and then needs one or two polls until another
+	// instance reports it.
+	relocationTime = 1500 * time.Millisecond
 	// tombstoneRetention is how long the roster keeps the record of an expired agent.
 	// Nodes whose revision is older fetch the roster from its first revision.
 	tombstoneRetention = time.Minute
@@ -44,9 +49,9 @@
 type Key uint64
 
 // KeyOf returns the key of a record.
-func KeyOf(record *wire.AgentRecord) Key {
-	return Key(uint64(record.Address)<<16 | uint64(uint16(record.Port)))
-}
+func KeyOf(record *wire.AgentRecord) Key { return newKey(record.Address, record.Port) }
+
+func newKey(address, port uint32) Key { return Key(uint64(address)<<16 | uint64(uint16(port))) }
 
 type entry struct {
 	record   *wire.AgentRecord
@@ -59,6 +64,8 @@
 	lastPoll  time.Duration
 	changedAt time.Duration
 	hasPolled bool
+	// isRegistered is whether the registry contained the record when it last changed.
+	isRegistered bool
 }
 
 // change is the change of a record at a revision.
@@ -69,8 +76,12 @@
 
 // Roster is the list of agents of one control instance.
 type Roster struct {
-	id       uint64
-	started  time.Duration
+	id uint64
+	// started is when the roster began to collect records.
+	started        time.Duration
+	isMemberSilent bool
+	// registry is nil until the first registration is applied.
+	registry Registry
 	revision uint64
 	// floor is the revision below which changes have been deleted.
 	floor   uint64
@@ -90,10 +101,39 @@
 	return now-r.started >= WarmUp
 }
 
-// IsConverged reports whether every live agent has had the time to poll and to appear
-// in the roster.
+// IsYoung reports whether the roster still learns of more agents with each poll.
+func (r *Roster) IsYoung(now time.Duration) bool {
+	return now-r.started < ConvergenceTime
+}
+
+// IsConverged reports whether the roster contains all agents that may own flows, because
+// they are registered. Without a registry, every live agent must have had the time to
+// poll; agents that poll a silent member need relocationTime more.
 func (r *Roster) IsConverged(now time.Duration) bool {
-	return now-r.started >= ConvergenceTime
+	if len(r.registry) > 0 {
+		return true
+	}
+	needed := ConvergenceTime
+	if r.isMemberSilent {
+		needed += relocationTime
+	}
+	return now-r.started >= needed
+}
+
+// SetMemberSilent sets whether a member of the group has recently fallen silent, so
+// that the agents that poll it may be missing.
+func (r *Roster) SetMemberSilent(isSilent bool) { r.isMemberSilent = isSilent }
+
+// Resume is called after a time in which gossip was missing and the roster was neither
+// used nor swept. The silence of agents during that time is no evidence, so they get
+// their timeout anew, and the roster has to converge again.
+func (r *Roster) Resume(now time.Duration) {
+	r.started = now
+	for _, e := range r.entries {
+		if !e.record.Gone {
+			e.lastSeen = now
+		}
+	}
 }
 
 // isNewer reports whether a record replaces another of the same agent.
@@ -146,6 +186,7 @@
 }
 
 func (r *Roster) recordChange(now time.Duration, key Key, e *entry) {
+	e.isRegistered = r.registry.contains(key, e.record)
 	r.revision++
 	e.revision, e.changedAt = r.revision, now
 	r.changes = append(r.changes, change{revision: r.revision, key: key})
@@ -159,17 +200,19 @@
 	return e != nil && e.revision == c.revision
 }
 
-// Sweep marks agents that have been silent for longer than Timeout as expired, and
-// deletes those whose record has been expired for longer than tombstoneRetention. It
-// returns the newly expired ones.
+// Sweep marks agents that have been silent for too long as expired, and deletes those
+// whose record has been expired for longer than tombstoneRetention. It returns the
+// newly expired ones.
 func (r *Roster) Sweep(now time.Duration) []*wire.AgentRecord {
+	timeout := Timeout
+	if r.isMemberSilent {
+		timeout += relocationTime
+	}
 	var expired []*wire.AgentRecord
 	for key, e := range r.entries {
 		switch {
-		case !e.record.Gone && now-e.lastSeen > Timeout:
-			e.record = proto.CloneOf(e.record)
-			e.record.Gone = true
-			r.recordChange(now, key, e)
+		case !e.record.Gone && now-e.lastSeen > timeout:
+			r.setGone(now, key, e, true)
 			expired = append(expired, e.record)
 		case e.record.Gone && now-e.changedAt > tombstoneRetention:
 			r.floor = max(r.floor, e.revision)
@@ -179,6 +222,12 @@
 	return expired
 }
 
+func (r *Roster) setGone(now time.Duration, key Key, e *entry, isGone bool) {
+	e.record = proto.CloneOf(e.record)
+	e.record.Gone, e.record.Unseen = isGone, e.record.Unseen && !isGone
+	r.recordChange(now, key, e)
+}
+
 // Gossip returns what to send to the other control instances: the agents that have
 // polled this instance since a time, with their complete record where it changed
 // within fullRecordPeriod, and by their key alone otherwise.
@@ -200,19 +249,22 @@
 const fullRecordPeriod = 3 * time.Second
 
 // Merge applies the gossip of another control instance. It reports whether that
-// instance was polled by agents that are absent from this roster or expired in it.
+// instance was polled by agents that are absent from this roster or were expired in
+// it. The latter are live again, with their last known record, since a request for the
+// current one may be lost.
 func (r *Roster) Merge(now time.Duration, changed []*wire.AgentRecord, seen []uint64) (isMissing bool) {
 	for _, record := range changed {
 		r.mergeRecord(now, record)
 	}
 	for _, key := range seen {
 		e := r.entries[Key(key)]
-		if e == nil {
+		if e == nil || e.record.Unseen {
 			isMissing = true
 			continue
 		}
 		e.lastSeen = now
 		if e.record.Gone {
+			r.setGone(now, Key(key), e, false)
 			isMissing = true
 		}
 	}
@@ -257,7 +309,7 @@
 		if !r.isCurrent(c) {
 			continue
 		}
-		record := r.entries[c.key].record
+		record := r.published(r.entries[c.key])
 		size += proto.Size(record) + recordOverhead
 		if size > maxBytes && len(delta.Records) > 0 {
 			delta.More = true
