Enter each zone once on the walk over the agents that may own a flow

Cause: a packet whose owner is not known passes the agents of its service one after the other.

Ruled out: agents most likely to own the flow first, whatever their zone. Where that likelihood depends on the number of agents, two nodes whose views differ by one agent skip others.

Change: the order goes through one zone after the other, zones in rendezvous order for each flow. Of other zones a new flow is offered to the first agents of the next two in that order, so that its packets find them at the start of their zone.

--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -21,6 +21,8 @@
 
 	hash uint64
 	zone ZoneTag
+	// zoneIndex is the index of the zone in the zones of the view.
+	zoneIndex int
 }
 
 // ZoneTag is a hash that represents the name of a zone in messages.
@@ -43,12 +45,18 @@
 type View struct {
 	byService map[string][]Member
 	live      map[netip.AddrPort]bool
+	zones     []ZoneTag
 }
 
 // NewView returns a view of the members.
 func NewView(members []Member) *View {
 	view := &View{byService: make(map[string][]Member), live: make(map[netip.AddrPort]bool, len(members))}
 	for _, member := range members {
+		member.zoneIndex = slices.Index(view.zones, member.zone)
+		if member.zoneIndex < 0 {
+			member.zoneIndex = len(view.zones)
+			view.zones = append(view.zones, member.zone)
+		}
 		view.byService[member.Service] = append(view.byService[member.Service], member)
 		if !member.IsExpired {
 			view.live[member.Address] = true
@@ -93,20 +101,30 @@
 // expired.
 func (v *View) IsLive(address netip.AddrPort) bool { return v.live[address] }
 
-// position is the sort key of an agent in an Order. Lower ranks come first, and higher
-// scores within a rank.
+// position is the sort key of an agent in an Order. Lower ranks come first, within a rank
+// the zones with higher scores, and within a zone the agents with higher scores.
 type position struct {
-	rank  int
-	score uint64
+	rank      int
+	zoneScore uint64
+	score     uint64
 }
 
 func (p position) isBefore(other position) bool {
 	if p.rank != other.rank {
 		return p.rank < other.rank
 	}
+	if p.zoneScore != other.zoneScore {
+		return p.zoneScore > other.zoneScore
+	}
 	return p.score > other.score
 }
 
+// zoneScore orders the zones other than a caller's own for a flow. Every flow has its own
+// order, so that the load of a zone that is full spreads over all others.
+func zoneScore(flow uint64, zone ZoneTag) uint64 {
+	return rendezvous.Score(flow, uint64(zone))
+}
+
 const (
 	rankOwnZone = iota
 	rankOtherZone
@@ -116,20 +134,22 @@
 )
 
 func positionOf(member *Member, flow uint64, origin ZoneTag, service int) position {
-	rank := service * ranksPerService
+	at := position{rank: service * ranksPerService, score: rendezvous.Score(flow, member.hash)}
 	if member.zone != origin {
-		rank += rankOtherZone
+		at.rank += rankOtherZone
+		at.zoneScore = zoneScore(flow, member.zone)
 	}
 	if member.IsExpired {
-		rank += rankExpired
+		at.rank += rankExpired
 	}
-	return position{rank: rank, score: rendezvous.Score(flow, member.hash)}
+	return at
 }
 
 // Order is the order in which the packets of a flow are offered to the agents of some
 // services: earlier services come first, then agents in the zone at which the caller's
-// packet arrived, then the order of rendezvous hashing. All nodes with the same view
-// compute the same order.
+// packet arrived, then one zone after the other, since a hop between zones takes much
+// longer than one within. Zones and the agents in them are in the order of rendezvous
+// hashing. All nodes with the same view compute the same order.
 type Order struct {
 	View   *View
 	Flow   uint64
@@ -230,11 +250,12 @@
 // of one service that accept new flows and whose zone is in service. Agents of the
 // caller's zone come first. The last of them comes after those of other zones, because
 // the last candidate queues the flow, and a flow that has to queue need not leave its
-// zone.
+// zone. Those of other zones are of different ones, as far as possible.
 func ChooseCandidates(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool) []Member {
 	var ownSpace, otherSpace [MaxCandidates]*Member
 	var ownScores, otherScores [MaxCandidates]uint64
 	ownZone, otherZones := rendezvous.NewTopK(ownSpace[:], ownScores[:]), rendezvous.NewTopK(otherSpace[:], otherScores[:])
+	var bestOfZones [maxRankedZones]zoneBest
 	members := view.byService[service]
 	for i := range members {
 		member := &members[i]
@@ -244,13 +265,19 @@
 		score := rendezvous.Score(flow, member.hash)
 		if member.zone == origin {
 			ownZone.Add(member, score)
-		} else {
-			otherZones.Add(member, score)
+			continue
+		}
+		otherZones.Add(member, score)
+		if member.zoneIndex < maxRankedZones {
+			bestOfZones[member.zoneIndex].add(member, score)
 		}
 	}
 	own, others := ownZone.Items(), otherZones.Items()
 	own = own[:min(len(own), max(maxOwnZoneCandidates, MaxCandidates-len(others)))]
 	others = others[:min(len(others), MaxCandidates-len(own))]
+	if len(own) == maxOwnZoneCandidates {
+		spreadOverZones(view, flow, &bestOfZones, others)
+	}
 	beforeOthers := len(own)
 	if len(others) > 0 && len(own) >= maxOwnZoneCandidates {
 		beforeOthers--
@@ -263,3 +290,55 @@
 	}
 	return candidates
 }
+
+// maxRankedZones is how many zones are ranked when candidates are chosen.
+const maxRankedZones = 16
+
+// zoneBest are the two agents of a zone with the highest scores.
+type zoneBest struct {
+	first, second           *Member
+	firstScore, secondScore uint64
+}
+
+func (z *zoneBest) add(member *Member, score uint64) {
+	switch {
+	case z.first == nil || score > z.firstScore:
+		z.second, z.secondScore = z.first, z.firstScore
+		z.first, z.firstScore = member, score
+	case z.second == nil || score > z.secondScore:
+		z.second, z.secondScore = member, score
+	}
+}
+
+// spreadOverZones replaces the chosen agents by the best one of the zone that follows the
+// caller's own in the flow's Order, and by the best of the next zone, or the second best
+// where there is no other. So a flow's packets find these agents at the start of their
+// zone. There are at most two to choose.
+func spreadOverZones(view *View, flow uint64, zones *[maxRankedZones]zoneBest, chosen []*Member) {
+	first, next := -1, -1
+	var firstScore, nextScore uint64
+	for i := range min(len(view.zones), maxRankedZones) {
+		if zones[i].first == nil {
+			continue
+		}
+		score := zoneScore(flow, view.zones[i])
+		switch {
+		case first < 0 || score > firstScore:
+			next, nextScore = first, firstScore
+			first, firstScore = i, score
+		case next < 0 || score > nextScore:
+			next, nextScore = i, score
+		}
+	}
+	if first < 0 || len(chosen) == 0 {
+		return
+	}
+	chosen[0] = zones[first].first
+	switch {
+	case len(chosen) == 1:
+	case next >= 0:
+		chosen[1] = zones[next].first
+	case zones[first].second != nil:
+		chosen[1] = zones[first].second
+	}
+}
--- a/internal/flow/order_test.go
+++ b/internal/flow/order_test.go
@@ -200,3 +200,58 @@
 		}
 	}
 }
+
+// At the size of a large fleet a packet that no agent owns passes 163 agents in five
+// zones. It must enter each zone once: a hop between zones takes ten times as long as one
+// within. An agent of another zone that a new flow is offered to is the first of its zone,
+// so that the flow's packets reach it without passing the other agents there.
+func TestOrderEntersEachZoneOnce(t *testing.T) {
+	g := NewWithT(t)
+	var members []Member
+	for i := range 163 {
+		members = append(members, NewMember(addressOf(i), fmt.Sprintf("zone-%d", i%5), "orders"))
+	}
+	view := NewView(members)
+	afterOwn := make(map[string]int)
+	const flows = 500
+	for key := range uint64(flows) {
+		order := Order{View: view, Flow: rendezvous.Mix(key), Origin: TagOf("zone-1"), Services: []string{"orders"}}
+		entered := []string{}
+		firstOfZone := make(map[string]netip.AddrPort)
+		for _, address := range walk(order) {
+			zone := memberAt(members, address).Zone
+			if len(entered) == 0 || entered[len(entered)-1] != zone {
+				entered = append(entered, zone)
+				firstOfZone[zone] = address
+			}
+		}
+		g.Expect(entered).To(HaveLen(5))
+		afterOwn[entered[1]]++
+		inOtherZones := []netip.AddrPort{}
+		for _, candidate := range ChooseCandidates(view, "orders", order.Flow, order.Origin, func(string) bool { return false }) {
+			if candidate.Zone != "zone-1" {
+				inOtherZones = append(inOtherZones, candidate.Address)
+			}
+		}
+		g.Expect(inOtherZones).To(Equal([]netip.AddrPort{firstOfZone[entered[1]], firstOfZone[entered[2]]}))
+	}
+	for zone, count := range afterOwn {
+		g.Expect(count).To(BeNumerically("~", flows/4, flows/16), "flows whose first other zone is %s", zone)
+	}
+}
+
+func BenchmarkChooseCandidates(b *testing.B) {
+	for _, count := range []int{9, 163} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			var members []Member
+			for i := range count {
+				members = append(members, NewMember(addressOf(i), fmt.Sprintf("zone-%d", i%5), "orders"))
+			}
+			view, origin := NewView(members), TagOf("zone-1")
+			b.ReportAllocs()
+			for i := range b.N {
+				ChooseCandidates(view, "orders", rendezvous.Mix(uint64(i)), origin, func(string) bool { return false })
+			}
+		})
+	}
+}
