Search for a control instance with a shorter timeout

Cause: after a restart of everything a node polls instances that are still down and waits 0.25 s for each.

Ruled out: polls of several instances at once, which would multiply the load on control in just that moment.

Change: the timeout is 80 ms while no instance is reachable. A healthy instance that once takes longer still gets 250 ms.

--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -24,6 +24,10 @@
 	youngInterval = 100 * time.Millisecond
 	// answerTimeout is several round trips between the most distant zones.
 	answerTimeout = 250 * time.Millisecond
+	// searchTimeout is the timeout while no control instance is reachable: two such
+	// round trips. After a restart of everything, instances that are still down must not
+	// keep a node from one that is up.
+	searchTimeout = 80 * time.Millisecond
 	// refreshGap separates polls that are triggered by changes.
 	refreshGap = 20 * time.Millisecond
 	// retryStep is the pause after the first round in which no control instance gave a
@@ -197,13 +201,17 @@
 }
 
 // pollOnce polls the current control instance once. It returns nil if no answer
-// arrives within answerTimeout.
+// arrives in time.
 func (p *poller) pollOnce(ctx context.Context) *wire.PollAnswer {
 	sentAt := time.Now()
 	p.polledAt = p.node.Now()
 	p.sequence++
 	p.node.SendMessage(KindPoll, p.newPoll(), p.control[0])
-	timer := time.NewTimer(answerTimeout)
+	timeout := answerTimeout
+	if !p.isControlReachable {
+		timeout = searchTimeout
+	}
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	for {
 		select {
