Bound the time of the short search for a control instance

A node that stays without control would probe four agents with each unanswered poll, three times as often as before.

Change: the short timeout ends with the growing pauses between rounds, after ten rounds.

--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -24,9 +24,9 @@
 	youngInterval = 100 * time.Millisecond
 	// answerTimeout is several round trips between the most distant zones.
 	answerTimeout = 250 * time.Millisecond
-	// searchTimeout is the timeout while no control instance is reachable: two such
-	// round trips. After a restart of everything, instances that are still down must not
-	// keep a node from one that is up.
+	// searchTimeout is the timeout in the first seconds without a reachable control
+	// instance: two such round trips. After a restart of everything, instances that are
+	// still down must not keep a node from one that is up.
 	searchTimeout = 80 * time.Millisecond
 	// refreshGap separates polls that are triggered by changes.
 	refreshGap = 20 * time.Millisecond
@@ -208,7 +208,7 @@
 	p.sequence++
 	p.node.SendMessage(KindPoll, p.newPoll(), p.control[0])
 	timeout := answerTimeout
-	if !p.isControlReachable {
+	if !p.isControlReachable && p.interval < pollInterval {
 		timeout = searchTimeout
 	}
 	timer := time.NewTimer(timeout)
