--- a/internal/roster/partition_test.go
+++ b/internal/roster/partition_test.go
@@ -187,8 +187,9 @@
 	roster := m.rosters[instance]
 	roster.Sweep(now)
 	for _, record := range roster.DueProbes(now) {
-		isAnswered := m.random.IntN(partitionLossEvery) > 0 && m.random.IntN(partitionLossEvery) > 0
-		if isAnswered && !m.isNaive {
+		// The probe or its answer may be lost.
+		isLost := m.random.IntN(partitionLossEvery) < 2
+		if !isLost && !m.isNaive {
 			roster.RecordProbeAnswer(now, KeyOf(record))
 		}
 	}
