Fetch only the differences when a node changes to another control instance

Cause: the rosters of control instances have revisions of their own, so a node that changes to another one fetched all agents again. With every restart of an instance all its nodes do: nodes times agents, which is why control's traffic grew faster than the fleet (27, 182 and 672 KB a second at 100, 300 and 618 machines, docs/CAPACITY.md).

Ruled out: revisions shared through the replicated log. Readiness changes with each heartbeat and drain, too often for the log. Fewer changes of instance: they follow restarts.

Change: agents fall into 32 buckets by key. A node that polls an instance it has not fetched from sends the digest of its live agents in each (256 bytes), and receives the buckets that differ. Changes during the fetch are sent for all buckets.

--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -271,10 +271,8 @@
 	if !answer.Fresh {
 		return answer
 	}
-	delta := d.roster.Since(now, poll.Roster, poll.Revision, answerRecordBytes)
-	answer.Roster, answer.Revision, answer.Records = delta.Roster, delta.Revision, delta.Records
-	answer.More, answer.Restart, answer.Settled = delta.More, delta.Restart, delta.IsConverged
-	answer.Young = d.roster.IsYoung(now)
+	delta := d.roster.Since(now, roster.PositionOf(poll), answerRecordBytes)
+	delta.AddTo(answer)
 	d.control.replica.committed.Load().AddTo(answer, poll)
 	return answer
 }
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -264,10 +264,8 @@
 	if c.isRegistering {
 		c.register(now)
 	}
-	delta := c.roster.Since(now, poll.Roster, poll.Revision, 500)
-	answer.Roster, answer.Revision, answer.Records = delta.Roster, delta.Revision, delta.Records
-	answer.More, answer.Restart, answer.Settled = delta.More, delta.Restart, delta.IsConverged
-	answer.Young = c.roster.IsYoung(now)
+	delta := c.roster.Since(now, roster.PositionOf(poll), 500)
+	delta.AddTo(answer)
 	data, _ := proto.Marshal(c.table)
 	answer.TableBytes = uint32(len(data))
 	if poll.RoutingVersion < c.table.Version {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -65,6 +65,8 @@
 	interval time.Duration
 
 	replica *roster.Replica
+	// fetchedFrom is the control instance that the replica was last fetched from.
+	fetchedFrom netip.AddrPort
 	// isRosterYoung is set while agents may be missing from the replica because the
 	// control instance has recently started.
 	isRosterYoung bool
@@ -241,7 +243,8 @@
 func (p *poller) newPoll() *wire.Poll {
 	poll := p.newCommittedPoll()
 	poll.Sequence = p.sequence
-	poll.Roster, poll.Revision = p.replica.Position()
+	position := p.replica.Position(p.control[0] == p.fetchedFrom)
+	position.AddTo(poll)
 	if p.self != nil {
 		poll.Self = p.self()
 		poll.Self.Incarnation = max(poll.Self.Incarnation, p.minIncarnation)
@@ -268,10 +271,8 @@
 		p.minIncarnation = message.Incarnation + 1
 		isMore = true
 	}
-	delta := roster.Delta{
-		Roster: message.Roster, Revision: message.Revision, Records: message.Records,
-		More: message.More, Restart: message.Restart, IsConverged: message.Settled,
-	}
+	delta := roster.DeltaOf(message)
+	p.fetchedFrom = a.from
 	isChanged := p.replica.Apply(now, delta) || message.Young != p.isRosterYoung
 	p.isRosterYoung = message.Young
 	p.applyCommitted(a, isChanged)
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -13,6 +13,8 @@
 type Replica struct {
 	roster   uint64
 	revision uint64
+	// selection is that of the fetch in progress.
+	selection Selection
 	// round counts the rosters that were fetched from their first revision. Once the
 	// last one has converged, records that it lacks, and which are therefore of an
 	// earlier round, expire.
@@ -33,9 +35,18 @@
 	return &Replica{records: make(map[Key]*replicaEntry)}
 }
 
-// Position returns the roster and the revision from which the next poll continues.
-func (r *Replica) Position() (roster, revision uint64) {
-	return r.roster, r.revision
+// Position returns where the next poll continues. isSameSource is true if it is of the
+// control instance that the last delta came from.
+func (r *Replica) Position(isSameSource bool) Position {
+	position := Position{Roster: r.roster, Revision: r.revision, Selection: r.selection}
+	if isSameSource || !r.isComplete {
+		return position
+	}
+	position.Digests = new(Digests)
+	for _, e := range r.records {
+		position.Digests.add(e.record)
+	}
+	return position
 }
 
 // IsComplete reports whether a complete roster has been fetched at least once.
@@ -44,10 +55,12 @@
 // Apply applies a delta and reports whether any agent changed.
 func (r *Replica) Apply(now time.Duration, delta Delta) (isChanged bool) {
 	if delta.Restart {
-		r.round++
-		r.isFetching = true
+		r.startFetch(delta.Selection)
+	}
+	r.roster, r.revision, r.selection = delta.Roster, delta.Revision, Selection{}
+	if delta.More {
+		r.selection = delta.Selection
 	}
-	r.roster, r.revision = delta.Roster, delta.Revision
 	for _, record := range delta.Records {
 		isChanged = r.applyRecord(now, record) || isChanged
 	}
@@ -62,6 +75,18 @@
 	return r.removeExpired(now) || isChanged
 }
 
+// startFetch begins the fetch of a roster. The agents in buckets that are not selected
+// are those of the roster.
+func (r *Replica) startFetch(selection Selection) {
+	r.round++
+	r.isFetching = true
+	for key, e := range r.records {
+		if !selection.hasBucket(key) {
+			e.round = r.round
+		}
+	}
+}
+
 func (r *Replica) applyRecord(now time.Duration, record *wire.AgentRecord) (isChanged bool) {
 	key := KeyOf(record)
 	e := r.records[key]
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -100,6 +100,9 @@
 	// changes are sorted by revision. Changes that a later one of the same agent has
 	// replaced are skipped by readers.
 	changes []change
+	// digests are those as of digestsRevision.
+	digests         Digests
+	digestsRevision uint64
 }
 
 // New returns an empty roster. id must differ from that of every other roster.
@@ -320,22 +323,32 @@
 	More bool
 	// Restart is true if the records begin at the first revision.
 	Restart bool
+	// Selection is that of the fetch which the delta belongs to.
+	Selection Selection
 	// IsConverged is true if the roster has converged: agents that it lacks are not alive.
 	IsConverged bool
+	// IsYoung is true while the roster learns of more agents with each poll.
+	IsYoung bool
 }
 
-// Since returns the changes after a revision of the roster with the given ID, as many
-// as fit into maxBytes. For the ID of another roster, or a revision that is too old,
-// it starts from the first revision.
-func (r *Roster) Since(now time.Duration, id, revision uint64, maxBytes int) Delta {
-	delta := Delta{Roster: r.id, Revision: revision, IsConverged: r.IsConverged(now)}
-	if id != r.id || revision < r.floor || revision > r.revision {
-		delta.Revision, delta.Restart = 0, true
+// Since returns the changes after a position, as many as fit into maxBytes. For a
+// position in another roster, or one that is too old, it starts from the first revision,
+// with the buckets in which the node has other agents.
+func (r *Roster) Since(now time.Duration, position Position, maxBytes int) Delta {
+	delta := Delta{
+		Roster: r.id, Revision: position.Revision, Selection: position.Selection,
+		IsConverged: r.IsConverged(now), IsYoung: r.IsYoung(now),
+	}
+	if position.Roster != r.id || position.Revision < r.floor || position.Revision > r.revision {
+		delta.Revision, delta.Restart, delta.Selection = 0, true, Selection{}
+		if position.Digests != nil {
+			delta.Selection = differing(position.Digests, r.currentDigests(), r.revision)
+		}
 	}
 	start := sort.Search(len(r.changes), func(i int) bool { return r.changes[i].revision > delta.Revision })
 	size := 0
 	for _, c := range r.changes[start:] {
-		if !r.isCurrent(c) {
+		if !delta.Selection.includes(c) || !r.isCurrent(c) {
 			continue
 		}
 		record := r.published(r.entries[c.key])
@@ -351,6 +364,17 @@
 	return delta
 }
 
+// currentDigests returns the digests of the records as nodes receive them.
+func (r *Roster) currentDigests() *Digests {
+	if r.digestsRevision != r.revision {
+		r.digests, r.digestsRevision = Digests{}, r.revision
+		for _, e := range r.entries {
+			r.digests.add(r.published(e))
+		}
+	}
+	return &r.digests
+}
+
 // recordOverhead is the number of bytes of a record's tag and length in its list.
 const recordOverhead = 3
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -22,8 +22,7 @@
 // fetchAll applies deltas of a roster to a replica until there are no more changes.
 func fetchAll(now time.Duration, replica *Replica, roster *Roster) {
 	for {
-		id, revision := replica.Position()
-		delta := roster.Since(now, id, revision, 200)
+		delta := roster.Since(now, replica.Position(false), 200)
 		replica.Apply(now, delta)
 		if !delta.More {
 			return
@@ -102,8 +101,7 @@
 	g.Expect(describe(replica.Records())).To(HaveLen(40))
 
 	roster.RecordPoll(time.Second, agent(7, 1, 2))
-	id, revision := replica.Position()
-	delta := roster.Since(time.Second, id, revision, 200)
+	delta := roster.Since(time.Second, replica.Position(true), 200)
 	g.Expect(delta.Records).To(HaveLen(1), "only what has changed")
 	g.Expect(delta.Restart).To(BeFalse())
 }
@@ -165,7 +163,7 @@
 	g.Expect(describe(replica.Records())).To(HaveLen(9))
 	g.Expect(replica.Records()).To(HaveLen(10))
 	now := ConvergenceTime + ExpiredRetention + time.Second
-	replica.Apply(now, second.Since(now, 2, 9, 200))
+	replica.Apply(now, second.Since(now, Position{Roster: 2, Revision: 9}, 200))
 	g.Expect(replica.Records()).To(HaveLen(9), "the expired agent is deleted after ExpiredRetention")
 }
 
@@ -180,9 +178,9 @@
 	sweepUnanswered(now, roster)
 	roster.Sweep(now + tombstoneRetention + time.Second)
 	roster.RecordPoll(now+tombstoneRetention+time.Second, agent(2, 1, 2))
-	id, revision := replica.Position()
+	position := replica.Position(true)
 	now += tombstoneRetention + time.Second
-	g.Expect(roster.Since(now, id, revision, 1000).Restart).To(BeTrue())
+	g.Expect(roster.Since(now, position, 1000).Restart).To(BeTrue())
 	fetchAll(now, replica, roster)
 	g.Expect(describe(replica.Records())).To(HaveLen(1))
 }
@@ -279,11 +277,11 @@
 func BenchmarkRecordPollAndSince(b *testing.B) {
 	roster := designRoster()
 	record := agent(0x0a000000, 1_790_000_000_000, 3)
-	delta := roster.Since(0, 1, 0, 1<<30)
+	delta := roster.Since(0, Position{Roster: 1}, 1<<30)
 	b.ReportAllocs()
 	for b.Loop() {
 		roster.RecordPoll(time.Second, record)
-		roster.Since(0, 1, delta.Revision, 700)
+		roster.Since(0, Position{Roster: 1, Revision: delta.Revision}, 700)
 	}
 }
 
