Let a failing handler of the opaque mode drop its datagram, not the process

Cause: a panic while a datagram, a caller's packet or a poll answer was handled ended the process, and with it all flows of an agent. No datagram is known that causes one (fuzzing found none), but one unexpected value would be enough for the whole fleet.

Change: the handlers recover, count and log the panic with a bounded stack.

Test: TestFailingHandlersDoNotEndTheProcess injects a panic into each handler of datagrams, twice; it ended the test process before.

--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -218,6 +218,7 @@
 	}
 	a.isOrphanCheckScheduled = true
 	time.AfterFunc(orphanCheckInterval, func() {
+		defer a.node.RecoverPanic("check of flows without an owner")
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.isOrphanCheckScheduled = false
@@ -284,6 +285,7 @@
 
 // handleOutbound handles a packet that the endpoint has sent or bounced.
 func (a *Agent) handleOutbound(buffer []byte) {
+	defer a.node.RecoverPanic("packet of the endpoint")
 	packet := buffer[opaque.OfferHeadroom:]
 	h, ok := a.codec.Parse(packet)
 	if !ok {
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -111,6 +111,7 @@
 // the routes or the agents are not known, the packet is deferred.
 func (w *worker) handle(buffer []byte, arrivedAt time.Duration) {
 	b := w.balancer
+	defer b.node.RecoverPanic("packet of a caller")
 	h, ok := b.codec.Parse(buffer[opaque.OfferHeadroom:])
 	switch {
 	case !ok:
--- a/internal/machine/opaque/dispatch_test.go
+++ b/internal/machine/opaque/dispatch_test.go
@@ -28,7 +28,7 @@
 func (discardSocket) LocalAddr() net.Addr { return &net.UDPAddr{} }
 func (discardSocket) Close() error        { return nil }
 
-func newDiscardingNode(tb testing.TB) *Node {
+func newDiscardingNode(tb testing.TB, handlers Handlers) *Node {
 	instance, err := machine.New(&settings.Settings{
 		Mode: settings.ModeOpaque, Role: settings.RoleBalancer, Instance: "balancer", Zone: "zone-a",
 		Cluster: settings.Cluster{IsInsecure: true, Peers: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:7000")}},
@@ -37,7 +37,7 @@
 	NewWithT(tb).Expect(err).NotTo(HaveOccurred())
 	instance.Log = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	instance.ListenUDP = func(netip.AddrPort) (machine.Socket, error) { return discardSocket{}, nil }
-	node, err := NewNode(instance, nil, Handlers{Offer: func(*Offer, []byte) {}, OwnerUpdate: func(OwnerUpdate) {}})
+	node, err := NewNode(instance, nil, handlers)
 	NewWithT(tb).Expect(err).NotTo(HaveOccurred())
 	return node
 }
@@ -57,7 +57,7 @@
 		}
 	}
 	f.Fuzz(func(t *testing.T, kind byte, data []byte) {
-		node := newDiscardingNode(t)
+		node := newDiscardingNode(t, Handlers{Offer: func(*Offer, []byte) {}, OwnerUpdate: func(OwnerUpdate) {}})
 		from := netip.MustParseAddrPort("10.0.0.1:7000")
 		buffer := append(make([]byte, OfferHeadroom), append([]byte{kind}, data...)...)
 		var offer Offer
@@ -70,3 +70,33 @@
 		}
 	})
 }
+
+// A handler that fails drops its datagram. The process and later datagrams go on.
+func TestFailingHandlersDoNotEndTheProcess(t *testing.T) {
+	g := NewWithT(t)
+	handled := 0
+	fail := func() {
+		handled++
+		panic("injected")
+	}
+	node := newDiscardingNode(t, Handlers{
+		Offer:         func(*Offer, []byte) { fail() },
+		OwnerUpdate:   func(OwnerUpdate) { fail() },
+		Message:       func(Kind, []byte, netip.AddrPort) { fail() },
+		ProbeAnswered: func(netip.AddrPort) { fail() },
+	})
+	offer, update, probeAnswer := Offer{}, OwnerUpdate{}, []byte{byte(KindProbeAnswer)}
+	datagrams := [][]byte{
+		offer.wrap(append(make([]byte, OfferHeadroom), "packet"...)), update.marshal(make([]byte, ownerUpdateBytes)),
+		{byte(KindGossip)},
+		probeAnswer,
+		{byte(KindResync)},
+	}
+	for range 2 {
+		for _, datagram := range datagrams {
+			var read Offer
+			node.dispatch(&read, append(make([]byte, OfferHeadroom), datagram...), OfferHeadroom, netip.MustParseAddrPort("10.0.0.1:7000"))
+		}
+	}
+	g.Expect(handled).To(Equal(2 * len(datagrams)))
+}
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -88,6 +90,7 @@
 	polls      *prometheus.CounterVec
 	answerTime prometheus.Histogram
 	malformed  prometheus.Counter
+	panics     prometheus.Counter
 }
 
 // NewNode opens the socket of an instance at its link address. self returns the
@@ -135,10 +138,29 @@
 			Name: "sassafrasturn_datagrams_malformed_total", Help: "Datagrams between instances that could not be read.",
 		}),
 	}
-	registry.MustRegister(m.polls, m.answerTime, m.malformed)
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sassafrasturn_handler_panics_total", Help: "Packets and messages whose handler failed; they were dropped.",
+	})
+	registry.MustRegister(m.polls, m.answerTime, m.malformed, m.panics)
 	return m
 }
 
+// maxStackBytes bounds the stack in the log line of a panic.
+const maxStackBytes = 2048
+
+// RecoverPanic is to be deferred in handlers of packets and messages, so that none of
+// them ends the process. It logs and counts the panic.
+func (n *Node) RecoverPanic(handler string) {
+	reason := recover()
+	if reason == nil {
+		return
+	}
+	n.metrics.panics.Inc()
+	stack := debug.Stack()
+	n.instance.Log.Error().Str("handler", handler).Str("panic", fmt.Sprint(reason)).
+		Str("stack", string(stack[:min(len(stack), maxStackBytes)])).Msg("handler failed; what it handled is dropped")
+}
+
 // Now returns the time since the node was opened.
 func (n *Node) Now() time.Duration { return time.Since(n.started) }
 
@@ -184,6 +206,7 @@
 // dispatch decodes a datagram that starts at offset headroom of the buffer and passes
 // it to its handler.
 func (n *Node) dispatch(offer *Offer, buffer []byte, headroom int, from netip.AddrPort) {
+	defer n.RecoverPanic("datagram of an instance")
 	data := buffer[headroom:]
 	if n.sealer != nil {
 		content, err := n.sealer.OpenBytes(data)
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -152,6 +152,7 @@
 // round polls the control instances in turn until one gives a usable answer or all
 // have been tried. It reports whether to poll again without a pause.
 func (p *poller) round(ctx context.Context) (isMore bool) {
+	defer p.node.RecoverPanic("poll answer")
 	isProbed := false
 	for range max(1, len(p.control)) {
 		if ctx.Err() != nil || len(p.control) == 0 {
