Test the deferral of packets and the resets in a rush on the whole path

Found in the last read of the change: flow.Deferred and flow.Saturation had tests of the decisions, but none failed when balancers and agents did not use them.

TestPacketsWaitForTheRoutingTable and TestBusyEndpointsResetOnlyInALastingOverload play both in virtual time; each fails without its wiring, tried by hand. Saturation uses the handshake timeout that the package had already, with the same 1.4 s, and a comment on Suspects names the time in which control detects failures now. No behaviour changes.

--- a/internal/flow/saturation.go
+++ b/internal/flow/saturation.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// callerAttempt is how long a caller's attempt to open a flow lasts. It sends the SYN
-// three times in it.
-const callerAttempt = 1400 * time.Millisecond
-
 // Saturation tells a rush from a sustained overload at an endpoint whose slots are taken.
 //
 // After an outage or in a short burst, a caller that is reset tries again at once, finds
@@ -24,7 +20,8 @@
 	}
 }
 
-// IsSustained reports whether no slot has been free for longer than a caller's attempt.
+// IsSustained reports whether no slot has been free for longer than a caller's attempt,
+// in which it sends its SYN three times.
 func (s *Saturation) IsSustained(now time.Duration) bool {
-	return now-s.freeAt > callerAttempt
+	return now-s.freeAt > handshakeTimeout
 }
--- a/internal/flow/suspects.go
+++ b/internal/flow/suspects.go
@@ -19,7 +19,7 @@
 // Suspects tracks the agents that do not answer an instance. It is not safe for
 // concurrent use.
 //
-// Balancers use it because control takes 2 s or more to detect an agent that fails
+// Balancers use it because control takes 1.7 s or more to detect an agent that fails
 // without notice. Until then, each new flow that is offered to it would first have to
 // wait for the second transmission of its SYN. A retransmitted SYN raises the suspicion
 // that the agent that received the previous copy has failed, and an answer to a probe
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -428,6 +428,48 @@
 	}
 }
 
+// Balancers restart while control is down, and a caller dials. Its first SYN opens the flow
+// once control is back, before the caller sends the next one.
+func TestPacketsWaitForTheRoutingTable(t *testing.T) {
+	runInCluster(t, false, 3, 4, func(tc *testCluster) {
+		tc.control.isDown = true
+		for i, b := range tc.balancers {
+			b.stop()
+			tc.waitIdle()
+			tc.startBalancer(b, i+1)
+		}
+		time.AfterFunc(100*time.Millisecond, func() {
+			tc.mu.Lock()
+			defer tc.mu.Unlock()
+			tc.control.isDown = false
+		})
+		start := time.Now()
+		tc.g.Expect(tc.dial(orders, anyZone).isOpen).To(BeTrue())
+		tc.g.Expect(time.Since(start)).To(BeNumerically("<", firstRetransmit))
+	})
+}
+
+// All slots and queues are taken. Callers are not reset as long as this may be a rush, and
+// are reset at once when it lasts longer than a caller's attempt.
+func TestBusyEndpointsResetOnlyInALastingOverload(t *testing.T) {
+	runInCluster(t, false, 1, 1, func(tc *testCluster) {
+		endpoint := tc.sites[0].endpoint
+		endpoint.slots, endpoint.isPaused = 1, true
+		endpoint.announce()
+		for range 5 {
+			f := tc.dial(orders, anyZone)
+			tc.g.Expect(f.isOpen).To(BeTrue())
+			f.send(&flow.Header{IsACK: true, Seq: f.seq, Ack: f.ack}, "request")
+		}
+		tc.sleep(100 * time.Millisecond)
+		inRush := tc.dial(orders, anyZone)
+		tc.g.Expect(inRush.isOpen || inRush.isReset).To(BeFalse())
+		start := time.Now()
+		tc.g.Expect(tc.dial(orders, anyZone).isReset).To(BeTrue())
+		tc.g.Expect(time.Since(start)).To(BeNumerically("<", firstRetransmit))
+	})
+}
+
 // A flow that cannot be served is refused immediately instead of timing out.
 func TestUnservableFlowsAreRefusedImmediately(t *testing.T) {
 	cases := []struct {
