Correct the stale view of each balancer, not of the first one alone

Agents paced the corrections of balancers with one time stamp for all balancers: a packet of an established flow that came through the other balancer less than 50 ms earlier used the correction up, and the datagram of the test got none. In service a balancer that is cut off from control keeps its stale view as long as others draw the corrections.

Ruled out: a lost datagram (sockets of the test lose none); a slow machine (the balancer never gets the record, however long the test waits).

Change: the pace is kept for each balancer, at most 1024 of them within 50 ms.

--- a/internal/machine/agent/agent.go
+++ b/internal/machine/agent/agent.go
@@ -35,11 +35,10 @@
 	liveness liveness
 	zones    atomic.Pointer[zoneState]
 	// zonesMu keeps an older zone state from replacing a newer one.
-	zonesMu sync.Mutex
-	// lastCorrection is when a balancer's stale view was last corrected, in Unix nanoseconds.
-	lastCorrection atomic.Int64
-	metrics        *metrics
-	changed        chan struct{}
+	zonesMu     sync.Mutex
+	corrections corrections
+	metrics     *metrics
+	changed     chan struct{}
 
 	// connectionIDs counts the connection IDs that the agent has issued.
 	connectionIDs atomic.Uint32
--- a/internal/machine/agent/zonestate.go
+++ b/internal/machine/agent/zonestate.go
@@ -1,8 +1,10 @@
 package agent
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -10,9 +12,41 @@
 	"sassafrasturn.example/internal/wire"
 )
 
-// correctionInterval is the minimum time between two corrections of balancers' views.
+// correctionInterval is the minimum time between two corrections of a balancer's view.
 const correctionInterval = 50 * time.Millisecond
 
+// maxCorrectedBalancers bounds how many balancers are corrected within correctionInterval.
+const maxCorrectedBalancers = 1024
+
+// corrections paces the corrections of each balancer's view. The zero value is ready to
+// use. It is safe for concurrent use.
+type corrections struct {
+	mu sync.Mutex
+	// last is when each balancer was corrected.
+	last map[netip.AddrPort]time.Time
+}
+
+// take reports whether the balancer may be corrected now, and if so counts the correction.
+func (c *corrections) take(now time.Time, balancer netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isRecent := func(at time.Time) bool { return now.Sub(at) < correctionInterval }
+	if at, ok := c.last[balancer]; ok && isRecent(at) {
+		return false
+	}
+	if len(c.last) >= maxCorrectedBalancers {
+		maps.DeleteFunc(c.last, func(_ netip.AddrPort, at time.Time) bool { return !isRecent(at) })
+		if len(c.last) >= maxCorrectedBalancers {
+			return false
+		}
+	}
+	if c.last == nil {
+		c.last = make(map[netip.AddrPort]time.Time)
+	}
+	c.last[balancer] = now
+	return true
+}
+
 // zoneState is an immutable snapshot of the zones that are out of service.
 type zoneState struct {
 	// isZoneOut is true when the agent's own zone is out of service.
@@ -75,9 +109,7 @@
 // balancer the current zone and endpoint records.
 func (a *Agent) dropAndCorrect(reason dropReason, balancer netip.AddrPort) {
 	a.drop(reason)
-	now := time.Now().UnixNano()
-	last := a.lastCorrection.Load()
-	if now-last < int64(correctionInterval) || !a.lastCorrection.CompareAndSwap(last, now) {
+	if !a.corrections.take(time.Now(), balancer) {
 		return
 	}
 	update := &wire.Exchange{Records: a.instance.Store.List(wire.Record_KIND_ZONE)}
--- a/internal/machine/pathtest/zoneout_test.go
+++ b/internal/machine/pathtest/zoneout_test.go
@@ -1,11 +1,13 @@
 package pathtest
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"sassafrasturn.example/internal/token"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -37,3 +39,22 @@
 		}
 	}
 }
+
+// TestEveryBalancerWithStaleViewIsCorrected guards against an agent that corrects only the
+// first of several balancers that forward to a zone that is out of service.
+func TestEveryBalancerWithStaleViewIsCorrected(t *testing.T) {
+	tc := newTestCluster(t)
+	balancers, agents := tc.startService(2)
+	mergeRecords(agents[:1], tc.setRecord(wire.Record_KIND_ZONE, "a", 30, &wire.Zone{Number: 1, Name: "a", Out: true}))
+	a := tc.newAttacker()
+	datagram := a.datagram(token.Route{Agent: agentAddress(0), Zone: 1, Service: 1})
+	for _, balancer := range balancers {
+		tc.mu.Lock()
+		service := tc.serviceSockets[balancer][netip.MustParseAddrPort(orderDesk)]
+		tc.mu.Unlock()
+		service.deliver(packet{data: datagram, from: a.address})
+	}
+	for _, balancer := range balancers {
+		tc.g.Eventually(balancer.role.Details, waitTimeout).Should(ContainElement(ContainSubstring("2 endpoints take new flows")))
+	}
+}
