Agents behind on the routing table or the endpoint check reset no flows

Cause, from the code and shown by tests: an agent takes part in its service from its first poll until the check of its endpoint says that none is running; others send it packets of open flows until their next poll. Without a routing table it knows no service that may own a flow, takes the empty order for a complete one, and resets the flow when control next confirms its view. The same holds for an agent with an older table, which lacks services.

Change: a packet that meets an agent with another version of the table than an earlier hop ends in no reset; a flow without an owner is only confirmed by the same version of the table; the endpoint is checked before the first poll.

TestAgentsWithoutRoutingTableResetNoFlows and TestAgentDoesNotRegisterForEndpointThatIsNotRunning failed first.

--- a/internal/flow/orphans.go
+++ b/internal/flow/orphans.go
@@ -30,8 +30,10 @@
 	// only their polls may be lost.
 	Expired []netip.AddrPort
 	// VisitedView is the view whose other agents have all received this packet. It is
-	// nil if some have not.
-	VisitedView *View
+	// nil if some have not. RoutingVersion is the version of the routing table that
+	// determined them.
+	VisitedView    *View
+	RoutingVersion uint64
 }
 
 // Orphans tracks the open flows that no agent owns, at the last agent of their order.
@@ -101,11 +103,12 @@
 }
 
 // PopConfirmed removes and returns the flows whose callers are to be notified because
-// control has confirmed the view as of syncedAt.
-func (o *Orphans) PopConfirmed(syncedAt time.Duration, view *View, isSilent func(agent netip.AddrPort) bool) []OrphanPacket {
+// control has confirmed the view and the version of the routing table as of syncedAt.
+func (o *Orphans) PopConfirmed(syncedAt time.Duration, view *View, version uint64, isSilent func(agent netip.AddrPort) bool) []OrphanPacket {
 	var confirmed []OrphanPacket
 	for key, entry := range o.seen {
-		isConfirmed := entry.VisitedView != nil && entry.VisitedView == view && entry.lastSeen < syncedAt
+		isConfirmed := entry.VisitedView != nil && entry.VisitedView == view && entry.RoutingVersion == version &&
+			entry.lastSeen < syncedAt
 		if isConfirmed && entry.areExpiredSilent(isSilent) {
 			confirmed = append(confirmed, entry.OrphanPacket)
 			delete(o.seen, key)
--- a/internal/flow/orphans_test.go
+++ b/internal/flow/orphans_test.go
@@ -98,24 +98,26 @@
 		visited       *View
 		syncedAt      time.Duration
 		view          *View
+		version       uint64
 		expired       []netip.AddrPort
 		wantConfirmed int
 	}{
-		{"all visited, confirmed since", view, 110 * ms, view, nil, 1},
-		{"confirmed only before", view, 90 * ms, view, nil, 0},
-		{"some not visited", nil, 110 * ms, view, nil, 0},
-		{"view changed since", view, 110 * ms, other, nil, 0},
-		{"expired agent is silent", view, 110 * ms, view, []netip.AddrPort{lost}, 1},
-		{"expired agent answers", view, 110 * ms, view, []netip.AddrPort{lost, serving}, 0},
+		{"all visited, confirmed since", view, 110 * ms, view, 4, nil, 1},
+		{"confirmed only before", view, 90 * ms, view, 4, nil, 0},
+		{"some not visited", nil, 110 * ms, view, 4, nil, 0},
+		{"view changed since", view, 110 * ms, other, 4, nil, 0},
+		{"routing table changed since", view, 110 * ms, view, 5, nil, 0},
+		{"expired agent is silent", view, 110 * ms, view, 4, []netip.AddrPort{lost}, 1},
+		{"expired agent answers", view, 110 * ms, view, 4, []netip.AddrPort{lost, serving}, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
 			orphans := NewOrphans()
-			g.Expect(orphans.Observe(100*ms, 0, OrphanPacket{Flow: key, Ack: 7, VisitedView: c.visited, Expired: c.expired}, allSilent)).To(BeFalse())
-			confirmed := orphans.PopConfirmed(c.syncedAt, c.view, onlySilent(lost))
+			g.Expect(orphans.Observe(100*ms, 0, OrphanPacket{Flow: key, Ack: 7, VisitedView: c.visited, RoutingVersion: 4, Expired: c.expired}, allSilent)).To(BeFalse())
+			confirmed := orphans.PopConfirmed(c.syncedAt, c.view, c.version, onlySilent(lost))
 			g.Expect(confirmed).To(HaveLen(c.wantConfirmed))
-			g.Expect(orphans.PopConfirmed(c.syncedAt, c.view, onlySilent(lost))).To(BeEmpty(), "must be returned only once")
+			g.Expect(orphans.PopConfirmed(c.syncedAt, c.view, c.version, onlySilent(lost))).To(BeEmpty(), "must be returned only once")
 		})
 	}
 }
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -145,9 +145,11 @@
 
 // Run forwards packets to and from the endpoint until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
+	// The first poll must not report a service whose endpoint is not running: other
+	// instances would send packets here until the next poll.
+	a.checkEndpoint(ctx)
 	go a.node.Run(ctx)
 	go a.sweep(ctx)
-	go a.checkEndpoint(ctx)
 	opaque.ReceivePackets(ctx, a.outbound, a.instance.Log, a.handleOutbound)
 	return nil
 }
--- a/internal/machine/opaque/agent/check.go
+++ b/internal/machine/opaque/agent/check.go
@@ -40,6 +40,5 @@
 	a.mu.Unlock()
 	if isUnannounced {
 		a.instance.Log.Info().Stringer("address", address).Msg("endpoint is not running yet")
-		a.node.Refresh()
 	}
 }
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -172,6 +172,8 @@
 		View: state.View, Flow: hash, Origin: offer.Origin,
 		Services: state.Services(key, hash, a.services[:]),
 	}
+	// An older routing table lacks agents that may own the flow.
+	offer.IsInconclusive = offer.IsInconclusive || state.Table.Version != offer.RoutingVersion
 	next, isDetour, ok := order.Next(a.node.Address(), offer.IsShortcut)
 	if (!ok || next.IsExpired) && a.isOrphan(h, offer, &order) {
 		a.sendReset(key, h.Ack, "no-agent-holds-flow")
@@ -201,7 +203,7 @@
 	}
 	// Only a caller that has sent data waits for an answer.
 	if h.Length > 0 && offer.Visited() >= order.Len()-len(packet.Expired) {
-		packet.VisitedView = order.View
+		packet.VisitedView, packet.RoutingVersion = order.View, offer.RoutingVersion
 	}
 	if a.probe(packet.Expired); len(packet.Expired) > 0 {
 		a.scheduleOrphanCheck()
@@ -266,7 +268,8 @@
 
 // resetConfirmedOrphans reports whether expired agents may own some of the other flows.
 func (a *Agent) resetConfirmedOrphans() (arePending bool) {
-	for _, orphan := range a.orphans.PopConfirmed(a.node.SyncedAt(), a.node.State().View, a.isSilent) {
+	state := a.node.State()
+	for _, orphan := range a.orphans.PopConfirmed(a.node.SyncedAt(), state.View, state.Table.Version, a.isSilent) {
 		a.sendReset(orphan.Flow, orphan.Ack, "no-agent-holds-flow")
 	}
 	a.expired = a.orphans.AppendExpired(a.expired[:0])
--- a/internal/machine/opaque/pathtest/announce_test.go
+++ b/internal/machine/opaque/pathtest/announce_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"sassafrasturn.example/internal/machine/opaque/agent"
+	"sassafrasturn.example/internal/routing"
 )
 
 // afterAllStarts is a start time, in Unix milliseconds, after that of the cluster's
@@ -66,3 +67,25 @@
 		tc.g.Expect(s.endpoint.opened).To(BeEmpty())
 	})
 }
+
+// An agent starts before its endpoint does. It must not take part in the service until
+// the endpoint announces itself, however long the check of the endpoint takes.
+func TestAgentDoesNotRegisterForEndpointThatIsNotRunning(t *testing.T) {
+	runInCluster(t, false, 1, 1, func(tc *testCluster) {
+		tc.dialTime = 40 * time.Millisecond
+		s := &site{cluster: tc, number: len(tc.sites), address: ip(2, len(tc.sites)+1)}
+		s.startAgent()
+		start := time.Now()
+		isRegistered := false
+		for time.Since(start) < 300*time.Millisecond {
+			tc.sleep(time.Millisecond)
+			for _, record := range tc.control.roster.PolledSince(0) {
+				if record.Address == routing.AddressNumber(s.address) {
+					isRegistered = true
+					tc.g.Expect(record.Service).To(BeEmpty(), "%s after the start", time.Since(start))
+				}
+			}
+		}
+		tc.g.Expect(isRegistered).To(BeTrue())
+	})
+}
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -15,6 +15,7 @@
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/keyring"
 	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/settings"
 )
 
@@ -744,12 +745,7 @@
 				for _, s := range tc.sites[:5] {
 					c.stop(tc, s)
 				}
-				// A new balancer has no cached owner of the flow.
-				for _, b := range tc.balancers {
-					b.isReady = false
-				}
-				tc.addBalancer()
-				tc.sleep(200 * time.Millisecond)
+				tc.addColdBalancer()
 				for range 5 {
 					start := time.Now()
 					tc.g.Expect(f.request()).NotTo(BeEmpty())
@@ -759,3 +755,47 @@
 		})
 	}
 }
+
+// addColdBalancer adds a balancer that has no cached owner of any flow, and takes all
+// others out of rotation.
+func (tc *testCluster) addColdBalancer() {
+	for _, b := range tc.balancers {
+		b.isReady = false
+	}
+	tc.addBalancer()
+	tc.sleep(200 * time.Millisecond)
+}
+
+// Agents restart with new endpoints and take part before they have the routing table. The
+// flows of other endpoints must not be reset by them.
+func TestAgentsWithoutRoutingTableResetNoFlows(t *testing.T) {
+	runInCluster(t, false, 2, 8, func(tc *testCluster) {
+		tc.control.isTableWithheld = make(map[uint32]bool)
+		flows := tc.openFlows(40)
+		for _, s := range tc.sites[:5] {
+			tc.control.isTableWithheld[routing.AddressNumber(s.address)] = true
+			s.stop()
+			s.endpoint.stop()
+		}
+		tc.sleep(500 * time.Millisecond)
+		flows = slices.DeleteFunc(flows, func(f *callerFlow) bool {
+			return !slices.ContainsFunc(tc.sites[5:], func(s *site) bool { return s.endpoint.flows[f.key] != nil })
+		})
+		tc.g.Expect(len(flows)).To(BeNumerically(">", 5))
+		for _, s := range tc.sites[:5] {
+			s.startAgent()
+			s.startEndpoint("orders")
+		}
+		tc.addColdBalancer()
+		for _, f := range flows {
+			f.send(&flow.Header{IsACK: true, Seq: f.seq, Ack: f.ack}, "request")
+		}
+		tc.sleep(time.Second)
+		clear(tc.control.isTableWithheld)
+		tc.sleep(time.Second)
+		for _, f := range flows {
+			tc.g.Expect(f.isReset).To(BeFalse())
+			tc.g.Expect(f.request()).NotTo(BeEmpty())
+		}
+	})
+}
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -68,7 +68,9 @@
 	callers   map[netip.Addr]*socket
 	flows     map[flow.Key]*callerFlow
 	nextPort  uint16
-	stops     []context.CancelFunc
+	// dialTime is how long connecting to an endpoint takes.
+	dialTime time.Duration
+	stops    []context.CancelFunc
 }
 
 // runInCluster runs a test in virtual time with the given numbers of balancers and sites.
@@ -146,7 +148,10 @@
 	tc.g.Expect(err).NotTo(HaveOccurred())
 	instance.Log = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	instance.Keys = tc.keys
-	instance.DialTCP = func(_ context.Context, address netip.AddrPort) (net.Conn, error) { return tc.dialEndpoint(address) }
+	instance.DialTCP = func(_ context.Context, address netip.AddrPort) (net.Conn, error) {
+		time.Sleep(tc.dialTime)
+		return tc.dialEndpoint(address)
+	}
 	instance.ListenUDP = func(address netip.AddrPort) (machine.Socket, error) { return tc.network.listen(address), nil }
 	return instance
 }
@@ -178,6 +183,8 @@
 	// whose state is registry.
 	isRegistering bool
 	registry      roster.Registry
+	// isTableWithheld contains the agents that get no routing table.
+	isTableWithheld map[uint32]bool
 	// sealer is nil on an insecure cluster.
 	sealer *envelope.Sealer
 }
@@ -268,7 +275,7 @@
 	delta.AddTo(answer)
 	data, _ := proto.Marshal(c.table)
 	answer.TableBytes = uint32(len(data))
-	if poll.RoutingVersion < c.table.Version {
+	if poll.RoutingVersion < c.table.Version && !c.isTableWithheld[poll.GetSelf().GetAddress()] {
 		offset := 0
 		if poll.FetchVersion == c.table.Version {
 			offset = int(poll.FetchOffset)
