Agents hold packets until they have the routing table they were sent by

After a loss of everything, balancers release the packets they deferred at 1.36 s (first) to 1.48 s, and agents get the table at 1.28 to 1.48 s: most packets of lost flows met such an agent.

Ruled out: forwarding by the older table (the order lacks agents); a later announcement of restarted agents (flows of a running endpoint would wait).

Change: agents defer such packets as balancers do (flow.Deferred, at most 0.6 s and 400 packets) and forward them when a newer state is published. Deferred keeps the offer with each packet.

TestPacketsWaitForTheRoutingTableOfAgents failed first.

--- a/internal/flow/deferred.go
+++ b/internal/flow/deferred.go
@@ -11,20 +11,22 @@
 	maxDeferred = 400
 )
 
-// Deferred holds the packets that a balancer cannot forward yet, because it has recently
+// Deferred holds the packets that an instance cannot forward yet, because it has recently
 // started and does not know the routes or the agents. It answers the load after a
 // restart of everything: all callers retransmit, at intervals that double up to 1.6 s,
 // and a packet that is dropped in the last moments of the outage costs its caller one
-// such interval. It is not safe for concurrent use.
-type Deferred struct {
-	packets []DeferredPacket
+// such interval. C is what the instance keeps with each packet. It is not safe for
+// concurrent use.
+type Deferred[C any] struct {
+	packets []DeferredPacket[C]
 	held    map[deferredID]bool
 }
 
 // DeferredPacket is a packet with the time at which it arrived.
-type DeferredPacket struct {
+type DeferredPacket[C any] struct {
 	Packet    []byte
 	ArrivedAt time.Duration
+	Context   C
 	id        deferredID
 }
 
@@ -37,25 +39,27 @@
 }
 
 // NewDeferred returns an empty list of deferred packets.
-func NewDeferred() *Deferred {
-	return &Deferred{held: make(map[deferredID]bool)}
+func NewDeferred[C any]() *Deferred[C] {
+	return &Deferred[C]{held: make(map[deferredID]bool)}
 }
 
 // Add stores a copy of a packet. It drops retransmissions of a packet that it holds, and
 // packets beyond its capacity.
-func (d *Deferred) Add(now, arrivedAt time.Duration, h *Header, packet []byte) {
+func (d *Deferred[C]) Add(now, arrivedAt time.Duration, h *Header, packet []byte, context C) {
 	d.dropOld(now)
 	id := deferredID{flow: h.KeyFromCaller(), seq: h.Seq, length: h.Length, isSYN: h.IsSYN}
 	if d.held[id] || len(d.packets) >= maxDeferred {
 		return
 	}
 	d.held[id] = true
-	d.packets = append(d.packets, DeferredPacket{Packet: append([]byte(nil), packet...), ArrivedAt: arrivedAt, id: id})
+	d.packets = append(d.packets, DeferredPacket[C]{
+		Packet: append([]byte(nil), packet...), ArrivedAt: arrivedAt, Context: context, id: id,
+	})
 }
 
 // Take removes and returns the packets that are not older than DeferTTL, in the order in
 // which they were added.
-func (d *Deferred) Take(now time.Duration) []DeferredPacket {
+func (d *Deferred[C]) Take(now time.Duration) []DeferredPacket[C] {
 	d.dropOld(now)
 	taken := d.packets
 	d.packets = nil
@@ -64,9 +68,9 @@
 }
 
 // Len returns the number of packets held.
-func (d *Deferred) Len() int { return len(d.packets) }
+func (d *Deferred[C]) Len() int { return len(d.packets) }
 
-func (d *Deferred) dropOld(now time.Duration) {
+func (d *Deferred[C]) dropOld(now time.Duration) {
 	kept := d.packets[:0]
 	for _, p := range d.packets {
 		if now-p.ArrivedAt > DeferTTL {
--- a/internal/flow/deferred_test.go
+++ b/internal/flow/deferred_test.go
@@ -36,9 +36,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			g := NewWithT(t)
-			d := NewDeferred()
+			d := NewDeferred[int]()
 			for _, a := range c.added {
-				d.Add(a.at, a.at, &a.h, []byte(a.data))
+				d.Add(a.at, a.at, &a.h, []byte(a.data), 0)
 			}
 			var got []string
 			for _, p := range d.Take(DeferTTL - ms) {
@@ -53,10 +53,10 @@
 
 func TestDeferredPacketsAreBounded(t *testing.T) {
 	g := NewWithT(t)
-	d := NewDeferred()
+	d := NewDeferred[int]()
 	for i := range 2 * maxDeferred {
 		h := Header{Source: netip.AddrPortFrom(key.Caller.Addr(), uint16(i)), Destination: key.Dialed, IsSYN: true}
-		d.Add(0, 0, &h, []byte("syn"))
+		d.Add(0, 0, &h, []byte("syn"), 0)
 	}
 	g.Expect(d.Take(0)).To(HaveLen(maxDeferred))
 	g.Expect(d.held).To(BeEmpty())
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -57,7 +57,10 @@
 	// than the agent. Until then, packets of unknown flows are delivered to the
 	// endpoint, and those that it bounces are forwarded to the next agent.
 	adoptUntil time.Duration
-	orphans    *flow.Orphans
+	// deferred holds packets that other agents may own and that wait for the routing
+	// table by which an earlier hop has forwarded them.
+	deferred *flow.Deferred[opaque.Offer]
+	orphans  *flow.Orphans
 	// suspects are the expired agents that do not answer probes.
 	suspects *flow.Suspects
 	// isOrphanCheckScheduled is set while a check of the orphans is scheduled.
@@ -82,6 +85,7 @@
 			ColdFactor:     s.Opaque.ColdFactor, ColdSlack: s.Opaque.ColdSlack,
 		},
 		bounceable: make(bounceableOffers),
+		deferred:   flow.NewDeferred[opaque.Offer](),
 		orphans:    flow.NewOrphans(),
 		suspects:   flow.NewSuspects(),
 		adoptUntil: s.Opaque.MaxFlowLifetime,
@@ -95,7 +99,7 @@
 		Zone: s.Zone, Service: s.Opaque.Service, Incarnation: instance.Incarnation,
 	}
 	node, err := opaque.NewNode(instance, a.describe, opaque.Handlers{
-		Offer: a.handleOffer, ProbeAnswered: a.handleProbeAnswer, Synced: a.resetOrphans,
+		Offer: a.handleOffer, ProbeAnswered: a.handleProbeAnswer, Published: a.releaseDeferred, Synced: a.resetOrphans,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -23,7 +23,7 @@
 		a.handleSYN(&h, offer, buffer)
 		return
 	}
-	a.handleNonSYN(&h, offer, buffer)
+	a.handleNonSYN(&h, offer, buffer, a.node.Now())
 }
 
 // handleSYN delivers a new flow to the endpoint or offers it to the next agent.
@@ -140,7 +140,7 @@
 
 // handleNonSYN handles a packet that does not open a flow. It delivers the packet to
 // the endpoint if the endpoint has the flow, and forwards it otherwise.
-func (a *Agent) handleNonSYN(h *flow.Header, offer *opaque.Offer, buffer []byte) {
+func (a *Agent) handleNonSYN(h *flow.Header, offer *opaque.Offer, buffer []byte, arrivedAt time.Duration) {
 	now := a.node.Now()
 	key := h.KeyFromCaller()
 	if existing := a.table.HandleCallerPacket(now, h); existing != nil {
@@ -159,21 +159,27 @@
 	// An endpoint that has not announced itself may still be starting and would reset
 	// a flow that belongs to another endpoint.
 	offer.IsInconclusive = offer.IsInconclusive || isAdopting
-	a.forwardInOrder(h, offer, buffer)
+	a.forwardInOrder(h, offer, buffer, arrivedAt)
 }
 
 // forwardInOrder sends a packet to the next agent in the order that may own its flow.
-// If no agent owns it, the packet is dropped or the flow is reset.
-func (a *Agent) forwardInOrder(h *flow.Header, offer *opaque.Offer, buffer []byte) {
+// If no agent owns it, the packet is dropped or the flow is reset. A packet from an
+// instance with a newer routing table is deferred, because this agent's order may lack
+// agents that own it.
+func (a *Agent) forwardInOrder(h *flow.Header, offer *opaque.Offer, buffer []byte, arrivedAt time.Duration) {
 	key := h.KeyFromCaller()
 	state := a.node.State()
+	if !state.IsUsable || state.Table.Version < offer.RoutingVersion {
+		a.deferred.Add(a.node.Now(), arrivedAt, h, buffer[opaque.OfferHeadroom:], *offer)
+		return
+	}
 	hash := key.Hash()
 	order := flow.Order{
 		View: state.View, Flow: hash, Origin: offer.Origin,
 		Services: state.Services(key, hash, a.services[:]),
 	}
-	// An older routing table lacks agents that may own the flow.
-	offer.IsInconclusive = offer.IsInconclusive || state.Table.Version != offer.RoutingVersion
+	// An earlier hop with an older table may have left out agents that own the flow.
+	offer.IsInconclusive = offer.IsInconclusive || state.Table.Version > offer.RoutingVersion
 	next, isDetour, ok := order.Next(a.node.Address(), offer.IsShortcut)
 	if (!ok || next.IsExpired) && a.isOrphan(h, offer, &order) {
 		a.sendReset(key, h.Ack, "no-agent-holds-flow")
@@ -191,6 +197,24 @@
 	a.node.SendOffer(offer, buffer, next.Address)
 }
 
+// releaseDeferred forwards the deferred packets. Those that still wait for a newer routing
+// table are deferred again, at most until flow.DeferTTL.
+func (a *Agent) releaseDeferred() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.deferred.Len() == 0 {
+		return
+	}
+	now := a.node.Now()
+	buffer := make([]byte, opaque.OfferHeadroom, opaque.OfferHeadroom+opaque.MaxPacketBytes)
+	for _, p := range a.deferred.Take(now) {
+		packet := append(buffer, p.Packet...)
+		if h, ok := a.codec.Parse(packet[opaque.OfferHeadroom:]); ok {
+			a.handleNonSYN(&h, &p.Context, packet, p.ArrivedAt)
+		}
+	}
+}
+
 // isOrphan reports whether to reset a flow because no agent owns it. It is called when
 // the packet has reached all live agents, this one being the last. Expired agents still
 // get the packet, and are probed: while one of them answers, it may own the flow.
@@ -350,5 +374,5 @@
 		a.forwardToNext(h, key, &offer, buffer, flow.RefusedByEndpoint)
 		return
 	}
-	a.forwardInOrder(h, &offer, buffer)
+	a.forwardInOrder(h, &offer, buffer, a.node.Now())
 }
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -58,7 +58,7 @@
 func New(instance *machine.Instance, codec flow.Codec) (*Balancer, error) {
 	b := &Balancer{
 		instance: instance, codec: codec, owners: newOwnerCache(), suspects: newSuspects(instance.Metrics),
-		deferred: deferredPackets{packets: flow.NewDeferred()},
+		deferred: deferredPackets{packets: flow.NewDeferred[struct{}]()},
 		origin:   flow.TagOf(instance.Settings.Zone),
 		draining: make(chan struct{}),
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/internal/machine/opaque/balancer/deferred.go
+++ b/internal/machine/opaque/balancer/deferred.go
@@ -12,16 +12,16 @@
 // the callers' socket and released on that of the polls.
 type deferredPackets struct {
 	mu      sync.Mutex
-	packets *flow.Deferred
+	packets *flow.Deferred[struct{}]
 }
 
 func (d *deferredPackets) add(now, arrivedAt time.Duration, h *flow.Header, packet []byte) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.packets.Add(now, arrivedAt, h, packet)
+	d.packets.Add(now, arrivedAt, h, packet, struct{}{})
 }
 
-func (d *deferredPackets) take(now time.Duration) []flow.DeferredPacket {
+func (d *deferredPackets) take(now time.Duration) []flow.DeferredPacket[struct{}] {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.packets.Len() == 0 {
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -65,6 +65,8 @@
 	Message func(kind Kind, data []byte, from netip.AddrPort)
 	// ProbeAnswered is called with the link address of an agent that has answered a probe.
 	ProbeAnswered func(agent netip.AddrPort)
+	// Published is called when State has changed. It runs on the polling goroutine.
+	Published func()
 	// Synced is called when SyncedAt has advanced. It runs on the polling goroutine.
 	Synced func()
 }
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -766,27 +766,31 @@
 	tc.sleep(200 * time.Millisecond)
 }
 
-// Agents restart with new endpoints and take part before they have the routing table. The
-// flows of other endpoints must not be reset by them.
+// restartWithoutTable restarts sites with new endpoints, whose agents take part before they
+// have the routing table. It returns those of the flows that other sites own.
+func (tc *testCluster) restartWithoutTable(sites []*site, flows []*callerFlow) []*callerFlow {
+	tc.control.isTableWithheld = make(map[uint32]bool)
+	for _, s := range sites {
+		flows = slices.DeleteFunc(flows, func(f *callerFlow) bool { return s.endpoint.flows[f.key] != nil })
+		tc.control.isTableWithheld[routing.AddressNumber(s.address)] = true
+		s.stop()
+		s.endpoint.stop()
+	}
+	tc.sleep(500 * time.Millisecond)
+	for _, s := range sites {
+		s.startAgent()
+		s.startEndpoint("orders")
+	}
+	tc.addColdBalancer()
+	return flows
+}
+
+// Agents without a routing table must not reset the flows of others, however long they
+// lack it.
 func TestAgentsWithoutRoutingTableResetNoFlows(t *testing.T) {
 	runInCluster(t, false, 2, 8, func(tc *testCluster) {
-		tc.control.isTableWithheld = make(map[uint32]bool)
-		flows := tc.openFlows(40)
-		for _, s := range tc.sites[:5] {
-			tc.control.isTableWithheld[routing.AddressNumber(s.address)] = true
-			s.stop()
-			s.endpoint.stop()
-		}
-		tc.sleep(500 * time.Millisecond)
-		flows = slices.DeleteFunc(flows, func(f *callerFlow) bool {
-			return !slices.ContainsFunc(tc.sites[5:], func(s *site) bool { return s.endpoint.flows[f.key] != nil })
-		})
+		flows := tc.restartWithoutTable(tc.sites[:5], tc.openFlows(40))
 		tc.g.Expect(len(flows)).To(BeNumerically(">", 5))
-		for _, s := range tc.sites[:5] {
-			s.startAgent()
-			s.startEndpoint("orders")
-		}
-		tc.addColdBalancer()
 		for _, f := range flows {
 			f.send(&flow.Header{IsACK: true, Seq: f.seq, Ack: f.ack}, "request")
 		}
@@ -799,3 +803,19 @@
 		}
 	})
 }
+
+// A request that reaches agents shortly before they have the routing table is answered
+// without another transmission.
+func TestPacketsWaitForTheRoutingTableOfAgents(t *testing.T) {
+	runInCluster(t, false, 2, 8, func(tc *testCluster) {
+		flows := tc.restartWithoutTable(tc.sites[:5], tc.openFlows(40))
+		for _, f := range flows {
+			f.send(&flow.Header{IsACK: true, Seq: f.seq, Ack: f.ack}, "request")
+		}
+		tc.sleep(100 * time.Millisecond)
+		clear(tc.control.isTableWithheld)
+		for _, f := range flows {
+			tc.g.Expect(f.awaitAnswer(200 * time.Millisecond)).NotTo(BeEmpty())
+		}
+	})
+}
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -363,6 +363,9 @@
 		p.node.instance.Log.Info().Int("agents", state.View.LiveCount()).Int("before", before.View.LiveCount()).
 			Bool("usable", state.IsUsable).Msg("set of agents changed")
 	}
+	if p.node.handlers.Published != nil {
+		p.node.handlers.Published()
+	}
 }
 
 // view returns the agents of the replica that have a service.
