Tell waiting nodes that control is ready, and which instances are reachable

Two that were up 0.3 s before the others got no poll at all in the trace, because those that had named them came last in each node's order.

Ruled out: a missing registry or gap in the gossip at these two (both were ready at 1.20).

Answers name the instances in contact first, each time in another order, and nodes ask new ones first.

TestNodesPollControlOnceItIsReady and TestWaitingNodesAreNotified fail without it.

--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -60,6 +60,10 @@
 	agentsIndex uint64
 	// isRegistering is set while a change of the registered agents is proposed.
 	isRegistering bool
+	// waiting are nodes without a usable answer. waitingAdded holds a token after one was
+	// added.
+	waiting      waitingNodes
+	waitingAdded chan struct{}
 	// nextResyncAt is the earliest time of the next resync request to each control instance.
 	nextResyncAt map[netip.AddrPort]time.Duration
 }
@@ -68,6 +72,7 @@
 	d := &discovery{
 		control: c, changed: make(chan struct{}, 1),
 		contacts: roster.NewContacts(rand.Uint64()), wasComplete: true,
+		waiting: make(waitingNodes), waitingAdded: make(chan struct{}, 1),
 		nextResyncAt: make(map[netip.AddrPort]time.Duration),
 	}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.handleMessage, ProbeAnswered: d.handleProbeAnswer})
@@ -83,6 +88,7 @@
 	go d.node.Run(ctx)
 	go d.resyncAtStart(ctx)
 	go d.watchAgents(ctx)
+	go d.notifyWaiting(ctx)
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	for {
@@ -182,7 +188,11 @@
 	case opaque.KindPoll:
 		poll := new(wire.Poll)
 		if proto.Unmarshal(data, poll) == nil {
-			d.node.SendMessage(opaque.KindPollAnswer, d.answerPoll(poll), from)
+			answer := d.answerPoll(poll)
+			d.node.SendMessage(opaque.KindPollAnswer, answer, from)
+			if !answer.Fresh {
+				d.addWaiting(from)
+			}
 		}
 	case opaque.KindGossip:
 		if gossip, sender, ok := parseGossip(data); ok {
@@ -253,11 +263,7 @@
 	now := d.node.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	answer := &wire.PollAnswer{
-		Sequence: poll.Sequence,
-		Fresh:    d.control.loop.isCurrent() && d.roster.IsWarm(now) && d.hasAllContacts(now) && !d.control.isDraining.Load(),
-	}
-	d.applyRegistry(now)
+	answer := &wire.PollAnswer{Sequence: poll.Sequence, Fresh: d.isReady(now)}
 	for _, address := range d.addresses(now) {
 		answer.Control = append(answer.Control, address.String())
 	}
@@ -433,6 +439,12 @@
 			addresses = append(addresses, address)
 		}
 	}
+	// Each node gets its own order, so that they spread over the instances.
+	reachable := d.contacts.Reports(now)
+	rand.Shuffle(len(reachable), func(a, b int) { reachable[a], reachable[b] = reachable[b], reachable[a] })
+	for _, report := range reachable {
+		add(report.Address)
+	}
 	for _, address := range d.members() {
 		add(address)
 	}
--- a/internal/machine/control/discovery_test.go
+++ b/internal/machine/control/discovery_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -75,6 +76,13 @@
 	return c, socket
 }
 
+// hasSent reports whether the instance has sent a datagram of a kind.
+func (s *recordingSocket) hasSent(kind opaque.Kind) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.sent, func(datagram []byte) bool { return opaque.Kind(datagram[0]) == kind })
+}
+
 // poll lets a node poll the instance and returns the answer.
 func (s *recordingSocket) poll(tb testing.TB, c *Control, poll *wire.Poll) *wire.PollAnswer {
 	data, _ := proto.Marshal(poll)
@@ -130,6 +138,41 @@
 	})
 }
 
+// A node whose polls had no usable answer is told when the instance has one.
+func TestWaitingNodesAreNotified(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, folder := NewWithT(t), journaltest.New(rand.New(rand.NewPCG(1, 1)))
+		c, socket := newTestControl(t, folder)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go c.discovery.run(ctx)
+		g.Expect(socket.poll(t, c, &wire.Poll{}).Fresh).To(BeFalse())
+		time.Sleep(waitingTTL / 2)
+		go func() { _ = c.loop.run(ctx) }()
+		for range 100 {
+			time.Sleep(waitingTTL / 2)
+			synctest.Wait()
+			if socket.hasSent(opaque.KindReady) {
+				g.Expect(socket.poll(t, c, &wire.Poll{}).Fresh).To(BeTrue())
+				return
+			}
+			g.Expect(socket.poll(t, c, &wire.Poll{}).Fresh).To(BeFalse())
+		}
+		t.Error("the node was not notified")
+	})
+}
+
+func TestWaitingNodesAreForgotten(t *testing.T) {
+	g, waiting := NewWithT(t), make(waitingNodes)
+	for port := range uint16(2 * maxWaiting) {
+		waiting.add(0, netip.AddrPortFrom(nodeAddress.Addr(), port))
+	}
+	g.Expect(waiting).To(HaveLen(maxWaiting))
+	waiting.add(waitingTTL, netip.AddrPortFrom(nodeAddress.Addr(), 0))
+	waiting.sweep(waitingTTL + 1)
+	g.Expect(waiting).To(HaveLen(1))
+}
+
 // A datagram of any content must not end a control instance.
 func FuzzHandleMessage(f *testing.F) {
 	records := []*wire.AgentRecord{
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -28,6 +28,9 @@
 	// the routing table and the zones. KindProbeAnswer carries them.
 	KindProbe
 	KindProbeAnswer
+	// KindReady tells a node whose poll got no usable answer that the control instance
+	// has one now. It has no content.
+	KindReady
 )
 
 // MaxCandidates is the maximum number of agents that one SYN is offered to.
--- a/internal/machine/opaque/dispatch_test.go
+++ b/internal/machine/opaque/dispatch_test.go
@@ -51,7 +51,7 @@
 		Records: []*wire.AgentRecord{{Address: 1, Port: 1 << 20, Zone: "a", Service: "b", Ready: true}, {Gone: true}, {Unseen: true}},
 	})
 	poll, _ := proto.Marshal(&wire.Poll{Sequence: 1, FetchVersion: 9, FetchOffset: 1 << 31, Digests: []uint64{1}})
-	for kind := range KindProbeAnswer + 3 {
+	for kind := range KindReady + 3 {
 		for _, data := range [][]byte{nil, pollAnswer, poll, {0xff, 0xff}} {
 			f.Add(byte(kind), data)
 		}
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -240,6 +240,10 @@
 	case KindPollAnswer:
 		n.updateReachability(func(reach *flow.Reachability) { reach.RecordControlAnswer(n.Now()) })
 		isValid = n.poller == nil || n.poller.handleAnswer(data[1:], from)
+	case KindReady:
+		if isValid = n.poller != nil; isValid {
+			n.poller.notifyReady(from)
+		}
 	default:
 		if isValid = n.handlers.Message != nil; isValid {
 			n.handlers.Message(kind, data[1:], from)
@@ -370,6 +374,11 @@
 	n.send(update.marshal(buffer[:]), balancer)
 }
 
+// SendReady tells a node that this control instance has a usable answer to its poll.
+func (n *Node) SendReady(to netip.AddrPort) {
+	n.send([]byte{byte(KindReady)}, to)
+}
+
 // SendMessage sends a protobuf message to another instance.
 func (n *Node) SendMessage(kind Kind, message proto.Message, to netip.AddrPort) {
 	datagram, err := proto.MarshalOptions{}.MarshalAppend([]byte{byte(kind)}, message)
--- a/internal/machine/opaque/pathtest/peers_test.go
+++ b/internal/machine/opaque/pathtest/peers_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/machine/opaque"
 )
 
 // propagationTime is the target for applying a change at all nodes that any other node
@@ -75,3 +77,27 @@
 		}
 	})
 }
+
+// Control is back after so long that nodes poll it only twice a second. Nodes that are
+// told so have its state at once, and notices of others change nothing.
+func TestNodesPollControlOnceItIsReady(t *testing.T) {
+	runInCluster(t, false, 3, 2, func(tc *testCluster) {
+		tc.control.isBehind = true
+		for i, b := range tc.balancers {
+			b.stop()
+			tc.waitIdle()
+			tc.startBalancer(b, i+1)
+		}
+		tc.sleep(4 * time.Second)
+		notice := []byte{byte(opaque.KindReady)}
+		told, other := tc.balancers[0], tc.balancers[1]
+		tc.network.send(notice, netip.AddrPortFrom(ip(2, 1), linkPort), netip.AddrPortFrom(other.address.Addr(), linkPort))
+		tc.sleep(30 * time.Millisecond)
+		tc.control.isBehind = false
+		tc.network.send(notice, controlAddress, netip.AddrPortFrom(told.address.Addr(), linkPort))
+		tc.sleep(15 * time.Millisecond)
+		tc.g.Expect(told.role.Health()).To(Succeed())
+		tc.sleep(600 * time.Millisecond)
+		tc.g.Expect(other.role.Health()).To(Succeed())
+	})
+}
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -183,6 +183,8 @@
 	// whose state is registry.
 	isRegistering bool
 	registry      roster.Registry
+	// isBehind is set while the answers are not usable.
+	isBehind bool
 	// isTableWithheld contains the agents that get no routing table.
 	isTableWithheld map[uint32]bool
 	// sealer is nil on an insecure cluster.
@@ -264,7 +266,7 @@
 	now := time.Since(c.start)
 	c.roster.Sweep(now)
 	c.roster.DueProbes(now)
-	answer := &wire.PollAnswer{Sequence: poll.Sequence, Fresh: true, ZoneIndex: c.zoneIndex, ZonesOut: c.zonesOut, RoutingVersion: c.table.Version}
+	answer := &wire.PollAnswer{Sequence: poll.Sequence, Fresh: !c.isBehind, ZoneIndex: c.zoneIndex, ZonesOut: c.zonesOut, RoutingVersion: c.table.Version}
 	if poll.Self != nil {
 		answer.Incarnation = c.roster.RecordPoll(now, poll.Self)
 	}
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -30,6 +30,8 @@
 	searchTimeout = 80 * time.Millisecond
 	// refreshGap separates polls that are triggered by changes.
 	refreshGap = 20 * time.Millisecond
+	// readyGap separates the polls that notices of ready control instances trigger.
+	readyGap = 20 * time.Millisecond
 	// retryStep is the pause after the first round in which no control instance gave a
 	// usable answer. Each further such round adds it to the pause, up to pollInterval.
 	retryStep = 50 * time.Millisecond
@@ -45,7 +47,7 @@
 }
 
 // poller polls one control instance at a time for changes. All methods but
-// handleAnswer, handlePeerAnswer and refresh run on one goroutine.
+// handleAnswer, handlePeerAnswer, notifyReady and refresh run on one goroutine.
 type poller struct {
 	node *Node
 	self func() *wire.AgentRecord
@@ -53,7 +55,11 @@
 	// answers are from control instances, peerAnswers from agents.
 	answers, peerAnswers chan answer
 	refreshSignal        chan struct{}
-	sequence             uint64
+	// ready receives a control instance that has a usable answer by now.
+	ready chan netip.AddrPort
+	// readyAt is when such an instance was last polled out of turn.
+	readyAt  time.Duration
+	sequence uint64
 
 	// control are the control instances to poll, the current one first.
 	control []netip.AddrPort
@@ -91,6 +97,7 @@
 		answers:       make(chan answer, maxQueuedAnswers),
 		peerAnswers:   make(chan answer, maxQueuedAnswers),
 		refreshSignal: make(chan struct{}, 1),
+		ready:         make(chan netip.AddrPort, 1),
 		control:       shuffled(slices.Clone(node.instance.Peers())),
 		replica:       roster.NewReplica(),
 	}
@@ -143,12 +150,37 @@
 		case <-timer.C:
 		case a := <-p.peerAnswers:
 			p.applyPeer(a)
+		case from := <-p.ready:
+			if !p.preferReady(from) {
+				pause.For(ctx, refreshGap)
+			}
 		case <-p.refreshSignal:
 			pause.For(ctx, refreshGap)
 		}
 	}
 }
 
+// notifyReady queues a notice that a control instance has a usable answer by now.
+func (p *poller) notifyReady(from netip.AddrPort) {
+	select {
+	case p.ready <- from:
+	default:
+	}
+}
+
+// preferReady makes a control instance the next one to poll, and reports whether it did.
+// It ignores notices while control is reachable, from unknown instances and in too quick
+// succession.
+func (p *poller) preferReady(from netip.AddrPort) bool {
+	now, at := p.node.Now(), slices.Index(p.control, from)
+	if p.isControlReachable || at < 0 || now-p.readyAt < readyGap {
+		return false
+	}
+	p.readyAt = now
+	p.control = slices.Insert(slices.Delete(p.control, at, at+1), 0, from)
+	return true
+}
+
 // round polls the control instances in turn until one gives a usable answer or all
 // have been tried. It reports whether to poll again without a pause.
 func (p *poller) round(ctx context.Context) (isMore bool) {
@@ -204,7 +236,7 @@
 }
 
 // pollOnce polls the current control instance once. It returns nil if no answer
-// arrives in time.
+// arrives in time. If another instance becomes ready meanwhile, it polls that one.
 func (p *poller) pollOnce(ctx context.Context) *wire.PollAnswer {
 	sentAt := time.Now()
 	p.polledAt = p.node.Now()
@@ -225,6 +257,10 @@
 			return nil
 		case a := <-p.peerAnswers:
 			p.applyPeer(a)
+		case from := <-p.ready:
+			if p.preferReady(from) {
+				return p.pollOnce(ctx)
+			}
 		case a := <-p.answers:
 			if a.message.Sequence != p.sequence || a.from != p.control[0] {
 				continue
@@ -386,16 +422,22 @@
 }
 
 // updateControl sets the control instances to poll to the reported and the configured
-// ones. The current instance stays first. New instances are appended in random order.
-// The configured ones are always included, in case all members of the control group
-// have been replaced.
+// ones. The current instance stays first. New instances follow it, in the reported order:
+// an instance without a usable answer names those first that it is in contact with, while
+// the others here may have failed to answer. The configured ones are always included, in
+// case all members of the control group have been replaced.
 func (p *poller) updateControl(addresses []string) {
-	targets := slices.Clone(p.node.instance.Peers())
+	var targets []netip.AddrPort
 	for _, text := range addresses {
 		if address, err := netip.ParseAddrPort(text); err == nil && !slices.Contains(targets, address) {
 			targets = append(targets, address)
 		}
 	}
+	for _, address := range shuffled(slices.Clone(p.node.instance.Peers())) {
+		if !slices.Contains(targets, address) {
+			targets = append(targets, address)
+		}
+	}
 	var kept, added []netip.AddrPort
 	for i, address := range p.control {
 		if i == 0 || slices.Contains(targets, address) {
@@ -407,5 +449,5 @@
 			added = append(added, address)
 		}
 	}
-	p.control = append(kept, shuffled(added)...)
+	p.control = slices.Insert(kept, min(1, len(kept)), added...)
 }
