Log deferred packets at agents and notices to waiting nodes

Each is a decision that an operator must find: a packet that waits for the routing table is logged as defer with both versions, and control logs how many waiting nodes it tells.

--- a/internal/machine/control/waiting.go
+++ b/internal/machine/control/waiting.go
@@ -57,6 +57,9 @@
 		}
 		for pause.For(ctx, readyCheckInterval) {
 			nodes, areWaiting := d.takeWaiting()
+			if len(nodes) > 0 {
+				d.control.instance.Log.Info().Int("nodes", len(nodes)).Msg("ready to answer polls; telling the nodes that wait")
+			}
 			for _, node := range nodes {
 				d.node.SendReady(node)
 			}
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -170,6 +170,9 @@
 	key := h.KeyFromCaller()
 	state := a.node.State()
 	if !state.IsUsable || state.Table.Version < offer.RoutingVersion {
+		a.instance.Decisions.Decision("defer").Str("flow", key.String()).Int("hops", offer.Hops).
+			Uint64("routing_version", state.Table.Version).Uint64("offered_version", offer.RoutingVersion).
+			Bool("usable", state.IsUsable).Msg("")
 		a.deferred.Add(a.node.Now(), arrivedAt, h, buffer[opaque.OfferHeadroom:], *offer)
 		return
 	}
