--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -434,11 +434,7 @@
 func TestPacketsWaitForTheRoutingTable(t *testing.T) {
 	runInCluster(t, false, 3, 4, func(tc *testCluster) {
 		tc.control.isDown = true
-		for i, b := range tc.balancers {
-			b.stop()
-			tc.waitIdle()
-			tc.startBalancer(b, i+1)
-		}
+		tc.restartBalancers()
 		time.AfterFunc(100*time.Millisecond, func() {
 			tc.mu.Lock()
 			defer tc.mu.Unlock()
--- a/internal/machine/opaque/pathtest/peers_test.go
+++ b/internal/machine/opaque/pathtest/peers_test.go
@@ -83,11 +83,7 @@
 func TestNodesPollControlOnceItIsReady(t *testing.T) {
 	runInCluster(t, false, 3, 2, func(tc *testCluster) {
 		tc.control.isBehind = true
-		for i, b := range tc.balancers {
-			b.stop()
-			tc.waitIdle()
-			tc.startBalancer(b, i+1)
-		}
+		tc.restartBalancers()
 		tc.sleep(4 * time.Second)
 		notice := []byte{byte(opaque.KindReady)}
 		told, other := tc.balancers[0], tc.balancers[1]
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -338,6 +338,15 @@
 	go func() { _ = role.Run(ctx) }()
 }
 
+// restartBalancers stops all balancers and starts them again.
+func (tc *testCluster) restartBalancers() {
+	for i, b := range tc.balancers {
+		b.stop()
+		tc.waitIdle()
+		tc.startBalancer(b, i+1)
+	}
+}
+
 // site is an endpoint with its agent.
 type site struct {
 	cluster  *testCluster
