--- a/internal/consensus/restart_test.go
+++ b/internal/consensus/restart_test.go
@@ -42,6 +42,7 @@
 	votedTerms map[uint64]bool
 }
 
+// timedLink is a link that another member opens to the member with the ID to.
 type timedLink struct {
 	at time.Duration
 	to uint64
--- a/internal/flow/deferred.go
+++ b/internal/flow/deferred.go
@@ -15,7 +15,7 @@
 // started and does not know the routes or the agents. It answers the load after a
 // restart of everything: all callers retransmit, at intervals that double up to 1.6 s,
 // and a packet that is dropped in the last moments of the outage costs its caller one
-// such interval. C is what the instance keeps with each packet. It is not safe for
+// such interval. C is the type of what is kept with each packet. It is not safe for
 // concurrent use.
 type Deferred[C any] struct {
 	packets []DeferredPacket[C]
@@ -26,7 +26,7 @@
 type DeferredPacket[C any] struct {
 	Packet    []byte
 	ArrivedAt time.Duration
-	Context   C
+	Extra     C
 	id        deferredID
 }
 
@@ -45,7 +45,7 @@
 
 // Add stores a copy of a packet. It drops retransmissions of a packet that it holds, and
 // packets beyond its capacity.
-func (d *Deferred[C]) Add(now, arrivedAt time.Duration, h *Header, packet []byte, context C) {
+func (d *Deferred[C]) Add(now, arrivedAt time.Duration, h *Header, packet []byte, extra C) {
 	d.dropOld(now)
 	id := deferredID{flow: h.KeyFromCaller(), seq: h.Seq, length: h.Length, isSYN: h.IsSYN}
 	if d.held[id] || len(d.packets) >= maxDeferred {
@@ -53,7 +53,7 @@
 	}
 	d.held[id] = true
 	d.packets = append(d.packets, DeferredPacket[C]{
-		Packet: append([]byte(nil), packet...), ArrivedAt: arrivedAt, Context: context, id: id,
+		Packet: append([]byte(nil), packet...), ArrivedAt: arrivedAt, Extra: extra, id: id,
 	})
 }
 
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -213,7 +213,7 @@
 	for _, p := range a.deferred.Take(now) {
 		packet := append(buffer, p.Packet...)
 		if h, ok := a.codec.Parse(packet[opaque.OfferHeadroom:]); ok {
-			a.handleNonSYN(&h, &p.Context, packet, p.ArrivedAt)
+			a.handleNonSYN(&h, &p.Extra, packet, p.ArrivedAt)
 		}
 	}
 }
