--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -60,6 +60,9 @@
 	agentsIndex uint64
 	// isRegistering is set while a change of the registered agents is proposed.
 	isRegistering bool
+	// compressedTable is the routing table of version compressedVersion.
+	compressedTable   []byte
+	compressedVersion uint64
 	// waiting are nodes without a usable answer. waitingAdded holds a token after one was
 	// added.
 	waiting      waitingNodes
@@ -279,10 +282,21 @@
 	}
 	delta := d.roster.Since(now, roster.PositionOf(poll), answerRecordBytes)
 	delta.AddTo(answer)
-	d.control.replica.committed.Load().AddTo(answer, poll)
+	d.compressedState().AddTo(answer, poll)
 	return answer
 }
 
+// compressedState returns the committed state with the compressed routing table. The caller
+// holds the lock.
+func (d *discovery) compressedState() *opaque.Committed {
+	state := d.control.replica.committed.Load().Committed
+	if state.RoutingVersion != d.compressedVersion {
+		d.compressedTable, d.compressedVersion = routing.Compress(state.Table), state.RoutingVersion
+	}
+	state.Table = d.compressedTable
+	return &state
+}
+
 // hasAllContacts reports whether this instance receives the gossip of all other
 // control instances that a complete roster depends on. It logs each change.
 func (d *discovery) hasAllContacts(now time.Duration) bool {
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -12,7 +12,6 @@
 	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine/opaque"
 	"sassafrasturn.example/internal/roster"
-	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -351,15 +350,11 @@
 		r.outputs.publish(records)
 	}
 	table := r.catalog.Routing()
-	compressed := r.committed.Load().Table
-	if table.GetVersion() != r.committed.Load().RoutingVersion {
-		compressed = routing.Compress(table.GetTable())
-	}
 	agents, agentsIndex := r.catalog.Agents()
 	r.committed.Store(&Committed{
 		Source: table.GetSource(), Agents: agents, AgentsIndex: agentsIndex,
 		Committed: opaque.Committed{
-			RoutingVersion: table.GetVersion(), Table: compressed,
+			RoutingVersion: table.GetVersion(), Table: table.GetTable(),
 			ZoneIndex: r.catalog.ZoneIndex(), ZonesOut: r.catalog.ZonesOut(),
 		},
 	})
--- a/internal/routing/encoding.go
+++ b/internal/routing/encoding.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"google.golang.org/protobuf/proto"
 
@@ -18,13 +19,22 @@
 	maxTableBytes = 16 << 20
 )
 
+// writers are reused, since each takes more than a megabyte.
+var writers = sync.Pool{New: func() any {
+	// The level is valid, so there is no error.
+	writer, _ := flate.NewWriter(nil, flate.BestCompression)
+	return writer
+}}
+
 // Compress returns the compressed form of an encoded wire.RoutingTable, in which instances
 // send it to each other. Names and addresses repeat a lot in large tables.
 func Compress(table []byte) []byte {
 	var compressed bytes.Buffer
 	compressed.WriteByte(compressedMark)
-	// Neither call returns an error: the level is valid, and a buffer accepts all writes.
-	writer, _ := flate.NewWriter(&compressed, flate.BestCompression)
+	writer := writers.Get().(*flate.Writer)
+	defer writers.Put(writer)
+	writer.Reset(&compressed)
+	// Neither call returns an error, because a buffer accepts all writes.
 	_, _ = writer.Write(table)
 	_ = writer.Close()
 	return compressed.Bytes()
--- a/internal/routing/encoding_test.go
+++ b/internal/routing/encoding_test.go
@@ -61,3 +61,11 @@
 	f.Add(Compress(data))
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Decode(data) })
 }
+
+func BenchmarkCompress(b *testing.B) {
+	data, _ := proto.Marshal(largeTable(850))
+	b.ReportAllocs()
+	for b.Loop() {
+		Compress(data)
+	}
+}
