--- a/internal/machine/control/discovery_test.go
+++ b/internal/machine/control/discovery_test.go
@@ -20,6 +20,7 @@
 	"sassafrasturn.example/internal/journal/journaltest"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
 )
@@ -162,6 +163,34 @@
 	})
 }
 
+func TestAnswersNameInstancesInContactFirst(t *testing.T) {
+	g, folder := NewWithT(t), journaltest.New(rand.New(rand.NewPCG(1, 1)))
+	c, socket := newTestControl(t, folder)
+	contact := netip.MustParseAddrPort("10.0.0.3:7000")
+	c.discovery.recordContact(contact, 1)
+	g.Expect(socket.poll(t, c, &wire.Poll{}).Control).To(Equal([]string{contact.String(), controlAddress.String()}))
+}
+
+// Nodes get the routing table compressed. It is compressed once per version, since each
+// time takes memory and processor time.
+func TestRoutingTableIsCompressedOncePerVersion(t *testing.T) {
+	g, folder := NewWithT(t), journaltest.New(rand.New(rand.NewPCG(1, 1)))
+	c, _ := newTestControl(t, folder)
+	table := &wire.RoutingTable{Version: 3}
+	for i := range uint32(200) {
+		table.Routes = append(table.Routes, &wire.Route{Address: i, Port: 443, Services: []*wire.WeightedService{{Service: "orders", Weight: 1}}})
+	}
+	data, err := proto.Marshal(table)
+	g.Expect(err).NotTo(HaveOccurred())
+	c.replica.committed.Store(&Committed{Committed: opaque.Committed{RoutingVersion: 3, Table: data}})
+	first := c.discovery.compressedState()
+	g.Expect(len(first.Table)).To(BeNumerically("<", len(data)/2))
+	decoded, err := routing.Decode(first.Table)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(proto.Equal(decoded, table)).To(BeTrue())
+	g.Expect(&c.discovery.compressedState().Table[0]).To(BeIdenticalTo(&first.Table[0]))
+}
+
 func TestWaitingNodesAreForgotten(t *testing.T) {
 	g, waiting := NewWithT(t), make(waitingNodes)
 	for port := range uint16(2 * maxWaiting) {
--- a/internal/machine/opaque/committed.go
+++ b/internal/machine/opaque/committed.go
@@ -13,8 +13,8 @@
 type Committed struct {
 	// RoutingVersion is 0 until the first routing table is received.
 	RoutingVersion uint64
-	// Table is the encoded routing table. Instances send it to each other as
-	// routing.Compress returns it; those of the same version have identical bytes.
+	// Table is the routing table as routing.Compress returns it. Only the state that the
+	// log of a control instance holds is not compressed.
 	Table []byte
 	// ZoneIndex is the log index of the newest zone change.
 	ZoneIndex uint64
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -63,8 +63,9 @@
 	// IsShortcut is set if the packet goes to the owner that the balancer has cached
 	// instead of along the order.
 	IsShortcut bool
-	// IsInconclusive is set if an agent that could not determine whether its endpoint
-	// has the flow has forwarded the packet.
+	// IsInconclusive is set if the packet may have missed the flow's agent: an agent that
+	// could not determine whether its endpoint has the flow has forwarded it, or an
+	// earlier hop had an older routing table.
 	IsInconclusive bool
 	// IsDetour is set if a shortcut led to an agent that does not own the flow, so
 	// that one of the hops was not part of the order.
--- a/internal/machine/opaque/dispatch_test.go
+++ b/internal/machine/opaque/dispatch_test.go
@@ -100,3 +100,17 @@
 	}
 	g.Expect(handled).To(Equal(2 * len(datagrams)))
 }
+
+// Instances that an answer names are polled after the current one, before those that may
+// have failed to answer.
+func TestReportedControlInstancesArePolledNext(t *testing.T) {
+	p := newDiscardingNode(t, Handlers{}).poller
+	p.updateControl([]string{"10.0.0.4:7000", "10.0.0.3:7000", "10.0.0.1:7000", "nowhere"})
+	NewWithT(t).Expect(p.control).To(Equal([]netip.AddrPort{
+		netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.4:7000"), netip.MustParseAddrPort("10.0.0.3:7000"),
+	}))
+	p.updateControl([]string{"10.0.0.5:7000", "10.0.0.3:7000"})
+	NewWithT(t).Expect(p.control).To(Equal([]netip.AddrPort{
+		netip.MustParseAddrPort("10.0.0.1:7000"), netip.MustParseAddrPort("10.0.0.5:7000"), netip.MustParseAddrPort("10.0.0.3:7000"),
+	}))
+}
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -15,7 +15,6 @@
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/keyring"
 	"sassafrasturn.example/internal/machine/opaque"
-	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/settings"
 )
 
@@ -765,10 +764,9 @@
 // restartWithoutTable restarts sites with new endpoints, whose agents take part before they
 // have the routing table. It returns those of the flows that other sites own.
 func (tc *testCluster) restartWithoutTable(sites []*site, flows []*callerFlow) []*callerFlow {
-	tc.control.isTableWithheld = make(map[uint32]bool)
 	for _, s := range sites {
 		flows = slices.DeleteFunc(flows, func(f *callerFlow) bool { return s.endpoint.flows[f.key] != nil })
-		tc.control.isTableWithheld[routing.AddressNumber(s.address)] = true
+		tc.control.isTableWithheld[s.address] = true
 		s.stop()
 		s.endpoint.stop()
 	}
@@ -800,6 +798,28 @@
 	})
 }
 
+// A route moves to a service, and a flow of that service arrives through a balancer that
+// does not know of it. The agents of the former service do, but do not ask those of the new
+// one: they must not reset the flow, however often the caller sends its request.
+func TestBalancerWithOlderRoutingTableCausesNoReset(t *testing.T) {
+	runInCluster(t, false, 2, 4, func(tc *testCluster) {
+		tc.addSite("drawings")
+		tc.sleep(time.Second)
+		current, behind := tc.balancers[0], tc.balancers[1]
+		tc.control.isTableWithheld[behind.address.Addr()] = true
+		behind.isReady = false
+		tc.control.setRoute(2, orders, "drawings")
+		tc.sleep(time.Second)
+		f := tc.openFlows(1)[0]
+		current.isReady, behind.isReady = false, true
+		tc.g.Expect(f.request()).To(BeEmpty(), "the request must not reach the flow's agent")
+		tc.g.Expect(f.isReset).To(BeFalse())
+		clear(tc.control.isTableWithheld)
+		tc.sleep(time.Second)
+		tc.g.Expect(f.request()).NotTo(BeEmpty())
+	})
+}
+
 // A request that reaches agents shortly before they have the routing table is answered
 // without another transmission.
 func TestPacketsWaitForTheRoutingTableOfAgents(t *testing.T) {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -185,14 +185,14 @@
 	registry      roster.Registry
 	// isBehind is set while the answers are not usable.
 	isBehind bool
-	// isTableWithheld contains the agents that get no routing table.
-	isTableWithheld map[uint32]bool
+	// isTableWithheld contains the nodes that get no newer routing table.
+	isTableWithheld map[netip.Addr]bool
 	// sealer is nil on an insecure cluster.
 	sealer *envelope.Sealer
 }
 
 func newFakeControl(tc *testCluster) *fakeControl {
-	c := &fakeControl{cluster: tc, roster: roster.New(1, 0), start: time.Now(), table: &wire.RoutingTable{}}
+	c := &fakeControl{cluster: tc, roster: roster.New(1, 0), start: time.Now(), table: &wire.RoutingTable{}, isTableWithheld: make(map[netip.Addr]bool)}
 	if tc.keys != nil {
 		var err error
 		c.sealer, err = envelope.NewSealer(tc.keys)
@@ -232,7 +232,7 @@
 			continue
 		}
 		c.cluster.mu.Lock()
-		data, _ := proto.Marshal(c.answer(poll))
+		data, _ := proto.Marshal(c.answer(poll, from.Addr()))
 		c.cluster.mu.Unlock()
 		_, _ = s.WriteToUDPAddrPort(c.seal(append([]byte{byte(opaque.KindPollAnswer)}, data...)), from)
 	}
@@ -262,7 +262,7 @@
 	return c.isDown
 }
 
-func (c *fakeControl) answer(poll *wire.Poll) *wire.PollAnswer {
+func (c *fakeControl) answer(poll *wire.Poll, from netip.Addr) *wire.PollAnswer {
 	now := time.Since(c.start)
 	c.roster.Sweep(now)
 	c.roster.DueProbes(now)
@@ -277,7 +277,7 @@
 	delta.AddTo(answer)
 	data, _ := proto.Marshal(c.table)
 	answer.TableBytes = uint32(len(data))
-	if poll.RoutingVersion < c.table.Version && !c.isTableWithheld[poll.GetSelf().GetAddress()] {
+	if poll.RoutingVersion < c.table.Version && !c.isTableWithheld[from] {
 		offset := 0
 		if poll.FetchVersion == c.table.Version {
 			offset = int(poll.FetchOffset)
