Review case 3: cold servers of a zone that is taken back get too many requests

What callers see: the servers of an evacuated zone turn cold, and the operator ends the evacuation. Until their next heartbeat the cold servers get new flows at the rate of warm ones.

At fault: the agent knows that a server is cold only by its last heartbeat (announce.go, gate.go), and takes no precaution when its zone comes back.

--- a/review/standin/agentkill.go
+++ b/review/standin/agentkill.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	for zone := range d.zones {
-		go d.load(ctx, zone, 200, d.routeAddress(1))
+		go d.load(ctx, zone, 340, d.routeAddress(1))
 	}
 	go d.logRates(ctx)
 	pause(ctx, 3*time.Second)
@@ -45,7 +45,7 @@
 					record.logf("server at %s did not start: %v", v.node.name, err)
 					return
 				}
-				pause(ctx, time.Duration(300+rand.IntN(700))*time.Millisecond)
+				pause(ctx, time.Duration(300+rand.IntN(400))*time.Millisecond)
 				if hasTrouble {
 					if err := v.node.restart(syscall.SIGKILL, 100*time.Millisecond); err != nil {
 						record.logf("%s did not start: %v", v.node.name, err)
