Review case 3: one odd heartbeat resets all open flows of a server

What callers see: another writer sends a heartbeat with a service that nobody knows to the node beside a server. All open flows of that server are reset, while it lives and holds them.

At fault: heartbeatBody.check in platform/announcement.go accepts any service, and Lifecycle.Announce believes a single announcement of another ID with a later start.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
 	echo "build target/sassafrasturnd and run review/build.sh first" >&2
 	exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec target/review-standin evacuation "$PWD" review/3/record.txt
+TROUBLE="${TROUBLE:-1}" exec target/review-standin odd-heartbeat "$PWD" review/3/record.txt
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -27,9 +27,10 @@
 type runCase func(ctx context.Context, record *recorder, root string, hasTrouble bool) error
 
 var cases = map[string]runCase{
-	"evacuation": runEvacuation,
-	"agent-kill": runAgentKill,
-	"weights":    runWeights,
+	"evacuation":    runEvacuation,
+	"agent-kill":    runAgentKill,
+	"weights":       runWeights,
+	"odd-heartbeat": runOddHeartbeat,
 }
 
 func main() { os.Exit(run()) }
