--- a/review/standin/oddheartbeat.go
+++ b/review/standin/oddheartbeat.go
@@ -47,8 +47,8 @@
 	return nil
 }
 
-// sendOddHeartbeat sends a heartbeat of another writer, about a service that is not known, to
-// the node beside a server.
+// sendOddHeartbeat sends a heartbeat of another writer on the same machine, about a service that
+// is not known, to the node beside a server.
 func (d *deployment) sendOddHeartbeat(ctx context.Context, n *node) {
 	body, _ := json.Marshal(map[string]any{
 		"service": "ledger-export", "addr": d.address(n.ip, portApp), "zone": n.zone, "version": "v1", "slots": slotCount,
@@ -60,7 +60,7 @@
 		return
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	response, err := localClient(n.ip).Do(request)
 	if err != nil {
 		d.record.logf("odd heartbeat to %s: %v", n.name, err)
 		return
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -115,8 +115,14 @@
 	v.site.record.logf("server %s at %s is cold for %s", v.id, v.node.name, cold)
 }
 
+// localClient returns an HTTP client that calls from the address of a machine.
+func localClient(ip string) *http.Client {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	return &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}
+}
+
 func (v *server) sendHeartbeats(ctx context.Context) {
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := localClient(v.node.ip)
 	for {
 		v.sendHeartbeat(ctx, client)
 		jitter := time.Duration(rand.IntN(20)) * time.Millisecond
