Check an endpoint that has started after its agent once it is silent

Callers of an endpoint that crashed without a word waited until their time limits, since their flows were not reset, if the agent had started before the endpoint, as agents mostly do.

Cause: watchEndpoint arms its timer by Lifecycle.CheckDue, which says that no check is due while no endpoint runs, and looks again only when it is told to. Nothing told it when an endpoint announced itself then. So no endpoint that started after its agent was ever checked for silence.

Evidence: TestFlowsOfACrashedEndpointAreReset failed before (the flow was not reset 3 s after the crash) and passes now.

Why this works: the announcement that ends IsDown schedules the check again.

--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -25,8 +25,13 @@
 // for all new flows.
 func (a *Agent) Announce(announcement Announcement) {
 	a.mu.Lock()
+	wasDown := a.lifecycle.IsDown()
 	isChanged := a.applyAnnouncement(announcement)
 	a.mu.Unlock()
+	if wasDown {
+		// No check was due while no endpoint ran.
+		a.scheduleCheck()
+	}
 	if isChanged {
 		a.node.Refresh()
 	}
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -291,6 +291,17 @@
 	})
 }
 
+// The agent has started before its endpoint, which crashes without a word.
+func TestFlowsOfACrashedEndpointAreReset(t *testing.T) {
+	runInCluster(t, false, 3, 1, func(tc *testCluster) {
+		f := tc.dial(orders, anyZone)
+		tc.g.Expect(f.request()).NotTo(BeEmpty())
+		tc.sites[0].endpoint.stop()
+		tc.sleep(3 * time.Second)
+		tc.g.Expect(f.isReset).To(BeTrue())
+	})
+}
+
 // An endpoint replaces one that has crashed, and accepts flows before its first
 // announcement. The announcement must not reset those flows, but only the flows of the
 // previous endpoint.
