--- a/internal/flow/lifecycle.go
+++ b/internal/flow/lifecycle.go
@@ -27,6 +27,8 @@
 	ChangeNone Change = iota
 	// ChangeUpdated means that the current endpoint has announced its state.
 	ChangeUpdated
+	// ChangeClaimed means that another start than the current one has announced itself.
+	ChangeClaimed
 	// ChangeStarted means that another endpoint than before is current.
 	ChangeStarted
 	// ChangeEnded means that the endpoint has ended, or that none is running.
@@ -43,30 +45,26 @@
 	maxLeaveTime = 5 * time.Second
 	// maxFormerEndpoints is how many earlier endpoints are remembered.
 	maxFormerEndpoints = 8
-	// maxClockStep is how much the wall clock may have been set forward between the starts of
-	// two endpoints for the second one to be believed at once.
-	maxClockStep = time.Minute
 )
 
 // Lifecycle decides which start of the endpoint beside an agent is current, and whether it
 // has ended. Silence is no evidence of an end: announcements may be late or lost while the
-// endpoint serves its open flows. A single announcement is no evidence either, since it may be
-// a delayed one of an earlier start that the agent does not know, whose clock may have been
-// ahead. An endpoint has ended when it refuses connections, or when a later one announces
-// itself: again, if the agent does not know all starts.
+// endpoint serves its open flows. An announcement of another start is none either: it may be a
+// delayed one of an earlier start, or of another program. That start claims the address, and
+// replaces the current one only once it has repeated its announcement while the current one
+// was silent, or once the endpoint has lost a flow that it held. An endpoint has also ended
+// when it refuses connections.
 // A Lifecycle is not safe for concurrent use.
 type Lifecycle struct {
 	silenceTimeout time.Duration
 	current        *Endpoint
 	// currentSince is when the current endpoint first announced itself. isConfirmed is set
-	// once it has done so again later.
+	// once it has done so again later, or has replaced another one.
 	currentSince time.Duration
 	isConfirmed  bool
-	// knowsStarts is set once no endpoint ran, or only the current one: all later starts have
-	// announced themselves to this agent.
-	knowsStarts bool
-	// previous is the endpoint that was current before, until the current one is confirmed.
-	previous *Endpoint
+	// claim is the latest claim of another start, nil if there was none since the current one
+	// became current.
+	claim *claim
 	// isDown is set once a check has shown that no endpoint runs, and isRunning once one has
 	// not. An announcement clears both.
 	isDown, isRunning bool
@@ -80,18 +78,31 @@
 	// staleSequence is the sequence number of the last stale announcement of the current
 	// endpoint, 0 if there was none.
 	staleSequence uint64
-	// rival is an earlier or former start that announces itself, since rivalSince.
-	rival      start
-	rivalSince time.Duration
+}
+
+// claim is the claim of another start than the current one to be the endpoint.
+type claim struct {
+	// endpoint is the state that it has announced last.
+	endpoint *Endpoint
+	// since is when it first announced itself, or when the current one did so later.
+	since time.Duration
+	// isDisputed is set once the current endpoint has shown that it runs.
+	isDisputed bool
+	// hasFlows is set once the endpoint has sent a packet of a flow of the current one.
+	hasFlows bool
 }
 
 // start identifies one start of an endpoint.
 type start struct {
 	id        string
 	startedAt int64
+	// service is part of the identity, because no endpoint changes its service.
+	service string
 }
 
-func startOf(e *Endpoint) start { return start{id: e.ID, startedAt: e.StartedAt} }
+func startOf(e *Endpoint) start {
+	return start{id: e.ID, startedAt: e.StartedAt, service: e.Service}
+}
 
 // NewLifecycle returns the lifecycle of the endpoint beside an agent that has just started.
 // silenceTimeout is the time after which a live endpoint would have announced itself.
@@ -109,64 +120,140 @@
 // have flows, or may still be starting. One whose queue of connections is full gives no answer.
 func (l *Lifecycle) IsUnannounced() bool { return l.current == nil && l.isRunning }
 
+// IsConfirmed reports whether the current endpoint has announced itself more than once.
+func (l *Lifecycle) IsConfirmed() bool { return l.current != nil && l.isConfirmed }
+
 // Announce applies the announced state of an endpoint. It returns the endpoint that has
 // certainly ended before, if any.
 func (l *Lifecycle) Announce(now time.Duration, announced Endpoint) (change Change, ended *Endpoint) {
 	switch {
 	case l.current != nil && startOf(l.current) == startOf(&announced):
-		return l.update(now, &announced)
-	case l.isPrevious(startOf(&announced)) && announced.Sequence <= l.previous.Sequence,
-		l.isOutdated(&announced) && !l.isRivalConfirmed(now, &announced):
+		return l.update(now, &announced), nil
+	case l.current == nil && !l.isOutdated(&announced):
+		l.setCurrent(now, &announced)
+		return ChangeStarted, nil
+	case !l.recordClaim(now, &announced):
 		return ChangeNone, nil
+	case !l.isClaimConfirmed(now):
+		if l.isOutdated(&announced) {
+			return ChangeNone, nil
+		}
+		return ChangeClaimed, nil
 	}
-	switch {
-	case l.isPrevious(startOf(&announced)):
-		// The announcement of the current one was a delayed one.
-		l.addFormer(l.current)
-		l.previous = nil
-	case l.knowsStarts && l.isPlausible(now, &announced):
-		l.addFormer(l.current)
+	if l.isConfirmed && !l.claim.hasFlows {
 		ended = l.current
-	case l.isConfirmed:
-		l.previous = l.current
-	default:
-		l.addFormer(l.current)
 	}
-	l.setCurrent(now, &announced)
+	l.replace(now)
 	return ChangeStarted, ended
 }
 
-// isPlausible reports whether an endpoint may have started since the current one first
-// announced itself. Otherwise the announcement is not of an endpoint that runs, or the wall
-// clock was set forward by a large step.
-func (l *Lifecycle) isPlausible(now time.Duration, announced *Endpoint) bool {
-	if l.current == nil || l.current.StartedAt == 0 {
-		return true
-	}
-	return announced.StartedAt-l.current.StartedAt <= (now - l.currentSince + maxClockStep).Milliseconds()
-}
-
 // update applies an announcement of the current endpoint.
-func (l *Lifecycle) update(now time.Duration, announced *Endpoint) (change Change, ended *Endpoint) {
+func (l *Lifecycle) update(now time.Duration, announced *Endpoint) Change {
 	if l.isStale(now, announced) || l.current.IsLeaving && now-l.leftAt < maxLeaveTime {
-		return ChangeNone, nil
+		return ChangeNone
 	}
 	// What seemed stale may be an announcement from before the endpoint began to drain.
 	announced.IsDraining = announced.IsDraining || announced.Sequence < l.current.Sequence && l.current.IsDraining
 	l.current, l.staleSequence = announced, 0
-	if l.isPrevious(l.rival) {
-		// Both announce themselves. The one that goes on is current.
-		l.currentSince, l.rival = now, start{}
+	l.isConfirmed = l.isConfirmed || now-l.currentSince >= l.silenceTimeout/2
+	if l.claim != nil {
+		l.claim.since, l.claim.isDisputed = now, true
+	}
+	return ChangeUpdated
+}
+
+// recordClaim records an announcement of another start than the current one. It returns false
+// if a later one has been received.
+func (l *Lifecycle) recordClaim(now time.Duration, announced *Endpoint) bool {
+	isNew := l.claim == nil || startOf(l.claim.endpoint) != startOf(announced) || !l.isClaimRecent(now)
+	switch {
+	case isNew && l.hasLaterClaim(now) && l.isOutdated(announced):
+		return false
+	case isNew:
+		l.claim = &claim{endpoint: announced, since: now}
+	case announced.Sequence <= l.claim.endpoint.Sequence:
+		return false
+	default:
+		announced.IsLeaving = l.claim.endpoint.IsLeaving
+		l.claim.endpoint = announced
 	}
-	if l.isConfirmed || now-l.currentSince < l.silenceTimeout/2 {
-		return ChangeUpdated, nil
+	return true
+}
+
+// hasLaterClaim reports whether a start claims the address that may have replaced the current
+// one.
+func (l *Lifecycle) hasLaterClaim(now time.Duration) bool {
+	return l.current != nil && l.claim != nil && l.isClaimRecent(now) && !l.isOutdated(l.claim.endpoint)
+}
+
+// isClaimRecent reports whether the start that claims the address has not been silent.
+func (l *Lifecycle) isClaimRecent(now time.Duration) bool {
+	return now-l.claim.endpoint.LastSeen <= l.silenceTimeout
+}
+
+// isClaimConfirmed reports whether the start that claims the address is current: it goes on
+// announcing itself while the current one, if any, is silent. One that seems outdated, for
+// example because the wall clock was set back before it started, must do so for longer.
+func (l *Lifecycle) isClaimConfirmed(now time.Duration) bool {
+	claimed := now - l.claim.since
+	if l.current == nil {
+		return claimed > l.silenceTimeout/2
 	}
+	isSilent := now-l.current.LastSeen > l.silenceTimeout
+	isOutdated := l.isOutdated(l.claim.endpoint)
+	return isSilent && (claimed > l.silenceTimeout || !isOutdated && claimed > l.silenceTimeout/2)
+}
+
+// replace makes the start that claims the address the current endpoint.
+func (l *Lifecycle) replace(now time.Duration) {
+	l.addFormer(l.current)
+	l.setCurrent(now, l.claim.endpoint)
 	l.isConfirmed = true
-	if ended, l.previous = l.previous, nil; ended != nil {
-		l.addFormer(ended)
-		l.knowsStarts = true
+}
+
+// Admission returns the state of the endpoint that new flows are decided by, nil if none has
+// announced itself. While a later start claims the address, either may run there, and the
+// stricter state of both applies.
+func (l *Lifecycle) Admission(now time.Duration) *Endpoint {
+	if !l.hasLaterClaim(now) {
+		return l.current
+	}
+	claimant, strict := l.claim.endpoint, *l.current
+	strict.LastSeen = max(strict.LastSeen, claimant.LastSeen)
+	strict.ColdUntil = max(strict.ColdUntil, claimant.ColdUntil)
+	strict.Slots = min(strict.Slots, claimant.Slots)
+	if !l.claim.isDisputed {
+		// The flows of one service may not go to another one.
+		strict.IsDraining = strict.IsDraining || claimant.IsDraining || claimant.Service != strict.Service
+		strict.IsLeaving = strict.IsLeaving || claimant.IsLeaving
+	}
+	return &strict
+}
+
+// RecordEndpointPacket records that the endpoint has sent a packet of an open flow that it
+// accepted at openedAt. An endpoint that has started since would not have the flow.
+func (l *Lifecycle) RecordEndpointPacket(openedAt time.Duration) {
+	if l.claim != nil && l.isOfCurrent(openedAt) {
+		l.claim.isDisputed, l.claim.hasFlows = true, true
+	}
+}
+
+// isOfCurrent reports whether a flow that was accepted at openedAt is certainly of the current
+// endpoint. One that has replaced it may have accepted flows before its first announcement.
+func (l *Lifecycle) isOfCurrent(openedAt time.Duration) bool {
+	return l.current != nil && openedAt < l.current.LastSeen
+}
+
+// RecordLostFlow records that the endpoint no longer has a flow that it accepted at openedAt
+// and that it would have if it had not started again. It returns the endpoint that has ended,
+// nil if that is not certain.
+func (l *Lifecycle) RecordLostFlow(now, openedAt time.Duration) (ended *Endpoint) {
+	if !l.hasLaterClaim(now) || l.claim.isDisputed || !l.isOfCurrent(openedAt) {
+		return nil
 	}
-	return ChangeUpdated, ended
+	ended = l.current
+	l.replace(now)
+	return ended
 }
 
 // isStale reports whether a later announcement of the current endpoint has been received. If
@@ -185,28 +272,13 @@
 // isOutdated reports whether an announcement seems to be a delayed one of an endpoint that has
 // ended.
 func (l *Lifecycle) isOutdated(announced *Endpoint) bool {
-	return slices.Contains(l.former, startOf(announced)) || l.isPrevious(startOf(announced)) ||
-		l.current != nil && announced.StartedAt < l.current.StartedAt
-}
-
-func (l *Lifecycle) isPrevious(s start) bool { return l.previous != nil && startOf(l.previous) == s }
-
-// isRivalConfirmed reports whether an endpoint whose announcement seems outdated is current all
-// the same, for example because the wall clock was set back before it started: it goes on
-// announcing itself while the current one, if any, is silent.
-func (l *Lifecycle) isRivalConfirmed(now time.Duration, announced *Endpoint) bool {
-	isInterrupted := l.current != nil && l.rivalSince <= l.current.LastSeen
-	if l.rival != startOf(announced) || isInterrupted {
-		l.rival, l.rivalSince = startOf(announced), now
-	}
-	isSilent := l.current == nil || now-l.current.LastSeen > l.silenceTimeout
-	return isSilent && now-l.rivalSince > l.silenceTimeout/2
+	return slices.Contains(l.former, startOf(announced)) || l.current != nil && announced.StartedAt < l.current.StartedAt
 }
 
 func (l *Lifecycle) setCurrent(now time.Duration, e *Endpoint) {
 	l.current, l.currentSince, l.isConfirmed = e, now, false
 	l.isDown, l.isRunning = false, false
-	l.rival, l.staleSequence = start{}, 0
+	l.claim, l.staleSequence = nil, 0
 }
 
 // Leave records that an endpoint has announced its end. It may serve its open flows until it
@@ -217,6 +289,9 @@
 		l.nextCheck = now
 		return false
 	}
+	if l.claim != nil && l.claim.endpoint.ID == id && startedAt == l.claim.endpoint.StartedAt {
+		l.claim.endpoint.IsLeaving = true
+	}
 	isCurrent := l.current.ID == id && (startedAt == 0 || startedAt == l.current.StartedAt)
 	if !isCurrent || l.current.IsLeaving {
 		return isCurrent
@@ -243,14 +318,16 @@
 // RecordCheck records what a check of the endpoint has shown that started at the given time.
 // It changes nothing if the endpoint has announced itself since.
 func (l *Lifecycle) RecordCheck(startedAt time.Duration, presence Presence) Change {
-	if l.isDown || l.current != nil && l.current.LastSeen >= startedAt {
+	isAnnounced := l.current != nil && l.current.LastSeen >= startedAt || l.claim != nil && l.claim.endpoint.LastSeen >= startedAt
+	if l.isDown || isAnnounced {
 		return ChangeNone
 	}
 	if presence == PresenceDown {
 		l.addFormer(l.current)
-		l.addFormer(l.previous)
-		l.current, l.previous, l.isDown, l.isRunning = nil, nil, true, false
-		l.knowsStarts = true
+		if l.claim != nil {
+			l.addFormer(l.claim.endpoint)
+		}
+		l.current, l.claim, l.isDown, l.isRunning = nil, nil, true, false
 		return ChangeEnded
 	}
 	l.isRunning = true
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -56,6 +56,23 @@
 	lastSeen time.Duration
 	// synAckAt is when the endpoint's SYN was seen, 0 for an adopted flow.
 	synAckAt time.Duration
+	// endpointSeen is when the endpoint sent the latest packet of the flow.
+	endpointSeen time.Duration
+}
+
+// OpenedAt returns when the endpoint accepted a flow that is open. It returns false if the flow
+// is not open, or is older than the table.
+func (f *Flow) OpenedAt() (at time.Duration, ok bool) {
+	return f.synAckAt, f.isOpen && !f.isAdopted && f.hasFirstSeq
+}
+
+// IsKept reports whether an endpoint that still runs would have the flow: neither end has
+// closed it, and it is neither so old nor has it been quiet for so long that the endpoint may
+// have discarded it. A time of 0 is not limited.
+func (f *Flow) IsKept(now, idleTimeout, maxLifetime time.Duration) bool {
+	isQuiet := idleTimeout > 0 && now-f.endpointSeen > idleTimeout/2
+	isOld := maxLifetime > 0 && now-f.synAckAt > maxLifetime
+	return f.isOpen && !f.callerFinished && !f.endpointFinished && !isQuiet && !isOld
 }
 
 // Table holds the flows of an agent's only endpoint. It is not safe for concurrent
@@ -295,7 +312,7 @@
 		f = &Flow{Key: key, isAdopted: !h.IsSYN, isOpen: !h.IsSYN}
 		t.flows[key] = f
 	}
-	f.lastSeen = now
+	f.lastSeen, f.endpointSeen = now, now
 	end := h.Seq + uint32(h.Length)
 	if h.IsSYN || h.IsFIN {
 		end++
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -52,6 +52,8 @@
 	table     *flow.Table
 	gate      flow.Gate
 	lifecycle *flow.Lifecycle
+	// witnesses show whether the endpoint has started again.
+	witnesses flow.Witnesses
 	// saturation says whether refusals of the endpoint are due to a rush.
 	saturation flow.Saturation
 	// bounceable holds the offers of delivered packets that the endpoint may bounce.
@@ -140,9 +142,13 @@
 // sequence number if the record changes.
 func (a *Agent) refreshRecord() {
 	service, isReady := a.record.Service, false
-	if endpoint := a.lifecycle.Endpoint(); endpoint != nil {
-		service = endpoint.Service
-		isReady = !endpoint.IsDraining && !endpoint.IsLeaving && !a.isLeaving && a.node.Now()-endpoint.LastSeen <= a.gate.SilenceTimeout
+	now := a.node.Now()
+	if endpoint := a.lifecycle.Admission(now); endpoint != nil {
+		// Other agents reset the flows of a service that no agent reports any more.
+		if service == "" || a.lifecycle.IsConfirmed() {
+			service = endpoint.Service
+		}
+		isReady = service == endpoint.Service && !endpoint.IsDraining && !endpoint.IsLeaving && !a.isLeaving && now-endpoint.LastSeen <= a.gate.SilenceTimeout
 	}
 	if a.lifecycle.IsDown() {
 		service = ""
@@ -260,6 +266,7 @@
 	dropped         *prometheus.CounterVec
 	resets          *prometheus.CounterVec
 	returned        prometheus.Counter
+	announcements   *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry) metrics {
@@ -282,7 +289,10 @@
 		returned: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "sassafrasturn_packets_returned_total", Help: "Packets sent to an agent that another one with an older view had left out.",
 		}),
+		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_announcements_total", Help: "Announcements of endpoints, by effect: updated, started, claimed by another one, ignored.",
+		}, []string{"effect"}),
 	}
-	registry.MustRegister(m.flows, m.inFlight, m.offers, m.hops, m.dropped, m.resets, m.returned)
+	registry.MustRegister(m.flows, m.inFlight, m.offers, m.hops, m.dropped, m.resets, m.returned, m.announcements)
 	return m
 }
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -47,16 +47,19 @@
 		Sequence: announcement.Sequence, IsDraining: announcement.IsDraining,
 		ColdUntil: now + announcement.ColdLeft, LastSeen: now,
 	})
-	if change == flow.ChangeNone {
-		a.logStale(previous, &announcement)
-		return false
+	a.metrics.announcements.WithLabelValues(nameOf(change)).Inc()
+	switch change {
+	case flow.ChangeNone:
+		a.logOther(previous, &announcement, "ignoring delayed announcement of another endpoint")
+	case flow.ChangeClaimed:
+		a.logOther(previous, &announcement, "another endpoint claims the address of the current one")
+		a.askEndpoint()
+	case flow.ChangeUpdated:
+		a.witnesses.RecordAnnouncement(a.isKept)
 	}
-	if ended != nil {
-		// The new endpoint may have accepted flows before its first announcement.
-		a.resetFlows("endpoint-restarted", ended, a.table.ClearBefore(ended.LastSeen-reuseMargin))
-		a.adoptUntil = 0
-	}
-	if change == flow.ChangeStarted || previous.IsDraining != announcement.IsDraining {
+	a.clearEnded(ended)
+	isShown := change == flow.ChangeUpdated && previous.IsDraining != announcement.IsDraining
+	if change == flow.ChangeStarted || isShown {
 		a.instance.Log.Info().Str("endpoint", announcement.ID).Str("service", announcement.Service).
 			Uint64("sequence", announcement.Sequence).Int64("born", announcement.StartedAt).Dur("uptime_ms", now).
 			Bool("draining", announcement.IsDraining).Dur("cold_left_ms", announcement.ColdLeft).Msg("endpoint announced")
@@ -66,12 +69,76 @@
 	return a.record.Sequence != before
 }
 
-// logStale logs an ignored announcement, except for a late one of the current endpoint.
-func (a *Agent) logStale(current *flow.Endpoint, announcement *Announcement) {
-	if current == nil || current.ID != announcement.ID || current.StartedAt != announcement.StartedAt {
-		a.instance.Log.Info().Str("endpoint", announcement.ID).Int64("born", announcement.StartedAt).
-			Uint64("sequence", announcement.Sequence).Msg("ignoring delayed announcement of another endpoint")
+// nameOf returns the label of the effect of an announcement.
+func nameOf(change flow.Change) string {
+	switch change {
+	case flow.ChangeUpdated:
+		return "updated"
+	case flow.ChangeClaimed:
+		return "claimed"
+	case flow.ChangeStarted:
+		return "started"
+	}
+	return "ignored"
+}
+
+// logOther logs an announcement that is not of the current endpoint.
+func (a *Agent) logOther(current *flow.Endpoint, announcement *Announcement, message string) {
+	if current != nil && current.ID == announcement.ID && current.StartedAt == announcement.StartedAt && current.Service == announcement.Service {
+		return
+	}
+	entry := a.instance.Log.Info().Str("endpoint", announcement.ID).Str("service", announcement.Service).
+		Int64("born", announcement.StartedAt).Uint64("sequence", announcement.Sequence)
+	if current != nil {
+		entry = entry.Str("current", current.ID).Dur("heard_ago_ms", a.node.Now()-current.LastSeen)
+	}
+	entry.Msg(message)
+}
+
+// clearEnded resets the flows of an endpoint that another one has replaced, if any. The caller
+// holds the lock.
+func (a *Agent) clearEnded(ended *flow.Endpoint) {
+	if ended == nil {
+		return
+	}
+	// The new endpoint may have accepted flows before its first announcement.
+	a.resetFlows("endpoint-restarted", ended, a.table.ClearBefore(ended.LastSeen-reuseMargin))
+	a.witnesses.Clear()
+	a.adoptUntil = 0
+}
+
+// askEndpoint sends the endpoint copies of packets of a few flows, which it bounces if it has
+// started again. The caller holds the lock.
+func (a *Agent) askEndpoint() {
+	for _, packet := range a.witnesses.AppendPackets(nil, a.isKept) {
+		a.deliver(packet)
+	}
+}
+
+// isKept reports whether the current endpoint, if it still runs, has a flow.
+func (a *Agent) isKept(key flow.Key) bool {
+	f := a.table.Get(key)
+	return f != nil && f.IsKept(a.node.Now(), a.node.State().Table.IdleTimeout, a.instance.Settings.Opaque.MaxFlowLifetime)
+}
+
+// recordLostFlow handles that the endpoint has bounced a packet of a flow that it had. If
+// another endpoint claims its address, that one has replaced it. The caller holds the lock.
+func (a *Agent) recordLostFlow(f *flow.Flow) {
+	now := a.node.Now()
+	openedAt, ok := f.OpenedAt()
+	if !ok || !f.IsKept(now, a.node.State().Table.IdleTimeout, a.instance.Settings.Opaque.MaxFlowLifetime) {
+		return
+	}
+	ended := a.lifecycle.RecordLostFlow(now, openedAt)
+	if ended == nil {
+		return
 	}
+	current := a.lifecycle.Endpoint()
+	a.instance.Log.Info().Str("endpoint", current.ID).Str("service", current.Service).Int64("born", current.StartedAt).
+		Str("replaces", ended.ID).Str("lost_flow", f.Key.String()).Msg("endpoint has been replaced")
+	a.clearEnded(ended)
+	a.refreshRecord()
+	a.node.Refresh()
 }
 
 // AnnounceLeave applies the announcement that an endpoint is about to exit. If it is the
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -65,7 +65,7 @@
 func (a *Agent) logOffer(key flow.Key, h *flow.Header, offer *opaque.Offer, reason flow.Reason) {
 	now, state := a.node.Now(), a.node.State()
 	entry := a.instance.Decisions.Decision("take")
-	if e := a.lifecycle.Endpoint(); e != nil {
+	if e := a.lifecycle.Admission(now); e != nil {
 		entry = entry.Str("endpoint", e.ID).Dur("heard_ago_ms", now-e.LastSeen)
 	}
 	entry.Str("flow", key.String()).Int("attempt", h.Attempt).Int("hops", offer.Hops).Str("outcome", outcomeOf(reason)).
@@ -92,7 +92,7 @@
 		request.Objective = route.LatencyObjective
 	}
 	var coldPerSecond float64
-	endpoint := a.lifecycle.Endpoint()
+	endpoint := a.lifecycle.Admission(now)
 	if endpoint != nil {
 		service, isKnown := state.Table.Service(endpoint.Service)
 		coldPerSecond = service.ColdPerSecond
@@ -148,6 +148,9 @@
 	if owned := a.table.HandleCallerPacket(now, h); owned != nil {
 		a.metrics.hops.Observe(float64(offer.Hops))
 		a.deliver(buffer[opaque.OfferHeadroom:])
+		if h.Length == 0 && !h.IsFIN && !h.IsRST {
+			a.witnesses.Record(key, buffer[opaque.OfferHeadroom:])
+		}
 		if offer.Hops > 0 {
 			a.node.SendOwnerUpdate(key, a.node.Address(), offer.Balancer)
 		}
@@ -456,9 +459,15 @@
 		a.handleBounced(&h, buffer)
 		return
 	}
-	if a.table.HandleEndpointPacket(a.node.Now(), &h) == nil && a.handleUnknownReset(&h) {
+	f := a.table.HandleEndpointPacket(a.node.Now(), &h)
+	if f == nil && a.handleUnknownReset(&h) {
 		return
 	}
+	if f != nil && !h.IsSYN && !h.IsRST {
+		if openedAt, ok := f.OpenedAt(); ok {
+			a.lifecycle.RecordEndpointPacket(openedAt)
+		}
+	}
 	a.observeSaturation()
 	a.node.SendPacket(packet, h.Destination.Addr())
 }
@@ -490,6 +499,7 @@
 		// The endpoint has lost a flow that it had. The reset makes the caller reconnect.
 		a.table.Remove(key)
 		a.sendReset(key, h.Ack, resetCause{reason: "endpoint-lost-flow"})
+		a.recordLostFlow(existing)
 		return
 	}
 	isNew := h.IsSYN && !h.IsACK
--- a/internal/machine/opaque/pathtest/announce_test.go
+++ b/internal/machine/opaque/pathtest/announce_test.go
@@ -1,6 +1,7 @@
 package pathtest
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,8 +49,11 @@
 		t.Run(c.name, func(t *testing.T) {
 			runInCluster(t, false, 1, 1, func(tc *testCluster) {
 				s := tc.sites[0]
-				s.endpoint.isSilent = true
+				s.endpoint.stop()
+				tc.sleep(3 * time.Second)
+				s.startSilentEndpoint("orders")
 				s.agent.Announce(announcement("e", 5000, 7, false))
+				tc.sleep(500 * time.Millisecond)
 				tc.g.Expect(tc.isServed(orders)).To(BeTrue())
 				tc.sleep(c.silence)
 				s.agent.Announce(c.second)
@@ -68,6 +72,91 @@
 	}
 }
 
+// anotherWriter are forms of heartbeats that another writer sends about an endpoint.
+var anotherWriter = []struct {
+	name   string
+	change func(a *agent.Announcement)
+}{
+	{"another ID and an unknown service", func(a *agent.Announcement) { a.ID, a.Service = "another", "ledger-export" }},
+	{"another ID", func(a *agent.Announcement) { a.ID = "another" }},
+	{"another ID, draining", func(a *agent.Announcement) { a.ID, a.IsDraining = "another", true }},
+	{"another ID and a start long ago", func(a *agent.Announcement) { a.ID, a.StartedAt = "another", 1 }},
+	{"another ID and a start in the future", func(a *agent.Announcement) { a.ID, a.StartedAt = "another", a.StartedAt+time.Hour.Milliseconds() }},
+	{"another ID, another service and a start in the future", func(a *agent.Announcement) {
+		a.ID, a.Service, a.StartedAt = "another", "drawings", a.StartedAt+time.Hour.Milliseconds()
+	}},
+	{"another ID without a start", func(a *agent.Announcement) { a.ID, a.StartedAt = "another", 0 }},
+	{"its ID", func(*agent.Announcement) {}},
+	{"its ID and another service", func(a *agent.Announcement) { a.Service = "drawings" }},
+	{"its ID and an unknown service", func(a *agent.Announcement) { a.Service = "ledger-export" }},
+}
+
+// A heartbeat of another writer must not take the place of the endpoint, which lives, holds its
+// flows and goes on announcing itself.
+func TestFlowsSurviveHeartbeatsOfAnotherWriter(t *testing.T) {
+	for _, form := range anotherWriter {
+		for _, isSameStart := range []bool{false, true} {
+			for _, interval := range []time.Duration{0, 10 * time.Millisecond, heartbeat / 2, heartbeat} {
+				t.Run(fmt.Sprintf("%s, same start %t, every %s", form.name, isSameStart, interval), func(t *testing.T) {
+					runInCluster(t, false, 2, 3, func(tc *testCluster) {
+						s, flows := tc.openAtBusiest(30)
+						tc.sleep(2 * heartbeat)
+						tc.expectServed(flows)
+						for sequence := range 4 {
+							odd := s.endpoint.lastAnnouncement()
+							odd.Sequence = uint64(sequence + 1)
+							if isSameStart {
+								odd.Sequence += s.endpoint.sequence
+							} else {
+								odd.StartedAt = time.Now().UnixMilli()
+							}
+							form.change(&odd)
+							s.agent.Announce(odd)
+							if interval == 0 {
+								break
+							}
+							tc.sleep(interval)
+						}
+						for range 4 {
+							tc.expectServed(flows)
+							tc.sleep(heartbeat)
+						}
+						opened := len(s.endpoint.opened)
+						tc.openFlows(20)
+						tc.g.Expect(len(s.endpoint.opened)).To(BeNumerically(">", opened))
+					})
+				})
+			}
+		}
+	}
+}
+
+// An agent that has restarted hears of another writer before its endpoint announces itself.
+func TestFlowsSurviveAFirstHeartbeatOfAnotherWriter(t *testing.T) {
+	for _, form := range anotherWriter {
+		t.Run(form.name, func(t *testing.T) {
+			runInCluster(t, false, 2, 3, func(tc *testCluster) {
+				s, flows := tc.openAtBusiest(30)
+				s.endpoint.isSilent = true
+				s.restartAgent(100 * time.Millisecond)
+				odd := s.endpoint.lastAnnouncement()
+				odd.StartedAt, odd.Sequence = time.Now().UnixMilli(), 1
+				form.change(&odd)
+				s.agent.Announce(odd)
+				tc.sleep(heartbeat / 2)
+				s.endpoint.isSilent = false
+				for range 6 {
+					tc.expectServed(flows)
+					tc.sleep(heartbeat)
+				}
+				opened := len(s.endpoint.opened)
+				tc.openFlows(20)
+				tc.g.Expect(len(s.endpoint.opened)).To(BeNumerically(">", opened))
+			})
+		})
+	}
+}
+
 func TestLeavingEndpointGetsNoFlows(t *testing.T) {
 	runInCluster(t, false, 1, 2, func(tc *testCluster) {
 		s := tc.sites[0]
