--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -252,7 +252,11 @@
 	if proto.Unmarshal(before.GetTable(), current) != nil || proto.Unmarshal(next.Table, table) != nil {
 		return next
 	}
-	routing.CarryOver(current, table)
+	if next.SettledVersion == nil {
+		routing.CarryOverByCount(current, table)
+	} else {
+		routing.CarryOver(current, table, next.GetSettledVersion())
+	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(table)
 	if err != nil {
 		return next
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -270,6 +270,31 @@
 	g.Expect(table.Routes[0].Former).To(Equal([]string{"a"}), "open flows stay with the former service")
 }
 
+// A command states which versions have settled, and one of an earlier release does not.
+func TestFormerServicesAreRetainedAsTheCommandStates(t *testing.T) {
+	former := func(settled *uint64) []string {
+		g := NewWithT(t)
+		c := catalog.New()
+		for version := range uint64(8) {
+			command := replaceRouting(version+1, string(rune('a'+version)))
+			command.GetReplaceRouting().SettledVersion = settled
+			_, err := c.Apply(version+1, command)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		data, err := c.Snapshot()
+		g.Expect(err).NotTo(HaveOccurred())
+		restored, err := catalog.Restore(data)
+		g.Expect(err).NotTo(HaveOccurred())
+		table := new(wire.RoutingTable)
+		g.Expect(proto.Unmarshal(restored.Routing().Table, table)).To(Succeed())
+		return table.Routes[0].Former
+	}
+	g := NewWithT(t)
+	g.Expect(former(nil)).To(Equal([]string{"g", "f", "e", "d"}))
+	g.Expect(former(proto.Uint64(0))).To(Equal([]string{"g", "f", "e", "d", "c", "b", "a"}))
+	g.Expect(former(proto.Uint64(3))).To(Equal([]string{"g", "f", "e", "d", "c"}))
+}
+
 func TestUnknownZoneIsRegisteredOnRequest(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New()
--- a/internal/machine/control/bench_test.go
+++ b/internal/machine/control/bench_test.go
@@ -53,7 +53,7 @@
 		send:    func(m *wire.ConsensusMessage) { g.messages = append(g.messages, m) },
 		publish: func([]*wire.Record) {},
 	}
-	r, err := openReplica(g.folders[i], uint64(i+1), rand.New(rand.NewPCG(uint64(i), 1)), g.now, out)
+	r, err := openReplica(g.folders[i], uint64(i+1), rand.New(rand.NewPCG(uint64(i), 1)), g.now, time.Minute, out)
 	g.check(err)
 	g.replicas[i] = r
 }
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -54,7 +54,7 @@
 	out := outputs{send: c.send, publish: func(records []*wire.Record) { instance.Store.Merge(records) }}
 	c.replica, err = openWhenWritable(ctx, c.logDiskState, func() (*replica, error) {
 		started = time.Now()
-		return openReplica(folder, uint64(instance.Settings.Control.ID), random, 0, out)
+		return openReplica(folder, uint64(instance.Settings.Control.ID), random, 0, instance.Settings.Opaque.MaxFlowLifetime, out)
 	})
 	if err != nil {
 		return nil, err
--- a/internal/machine/control/discovery_test.go
+++ b/internal/machine/control/discovery_test.go
@@ -65,7 +65,7 @@
 	instance.ListenUDP = func(netip.AddrPort) (machine.Socket, error) { return socket, nil }
 	c := &Control{instance: instance, changed: make(chan struct{}, 1)}
 	out := outputs{send: func(*wire.ConsensusMessage) {}, publish: func([]*wire.Record) {}}
-	c.replica, err = openReplica(folder, 1, rand.New(rand.NewPCG(2, 2)), 0, out)
+	c.replica, err = openReplica(folder, 1, rand.New(rand.NewPCG(2, 2)), 0, time.Minute, out)
 	g.Expect(err).NotTo(HaveOccurred())
 	if c.replica.core.Status(0).Group.GetNumber() == 0 {
 		members := []*wire.ControlMember{{Id: 1, Disk: c.replica.identity.Disk, Voter: true, Address: controlAddress.String()}}
--- a/internal/machine/control/disk_test.go
+++ b/internal/machine/control/disk_test.go
@@ -29,7 +29,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := &singleMember{t: t, g: NewWithT(t), folder: journaltest.New(rand.New(rand.NewPCG(1, 1))), ended: make(chan error, 1)}
 		out := outputs{send: func(*wire.ConsensusMessage) {}, publish: func([]*wire.Record) {}}
-		r, err := openReplica(l.folder, 1, rand.New(rand.NewPCG(2, 2)), 0, out)
+		r, err := openReplica(l.folder, 1, rand.New(rand.NewPCG(2, 2)), 0, time.Minute, out)
 		l.g.Expect(err).NotTo(HaveOccurred())
 		l.g.Expect(r.form(0, []*wire.ControlMember{{Id: 1, Disk: r.identity.Disk, Voter: true}})).To(Succeed())
 		l.loop = newLoop(r, time.Now(), func(uint64, string) {})
@@ -119,7 +119,7 @@
 					report := func(failure error) { states = append(states, failure) }
 					return openWhenWritable(t.Context(), report, func() (*replica, error) {
 						out := outputs{send: func(*wire.ConsensusMessage) {}, publish: func([]*wire.Record) {}}
-						return openReplica(folder, 0, rand.New(rand.NewPCG(seed, 2)), 0, out)
+						return openReplica(folder, 0, rand.New(rand.NewPCG(seed, 2)), 0, time.Minute, out)
 					})
 				}
 				fill := func(length time.Duration) {
--- a/internal/machine/control/loopgroup_test.go
+++ b/internal/machine/control/loopgroup_test.go
@@ -55,7 +55,7 @@
 				}
 			}
 		}
-		r, err := openReplica(folder, 0, rand.New(rand.NewPCG(seed, uint64(10+i))), 0, outputs{send: send, publish: func([]*wire.Record) {}})
+		r, err := openReplica(folder, 0, rand.New(rand.NewPCG(seed, uint64(10+i))), 0, time.Minute, outputs{send: send, publish: func([]*wire.Record) {}})
 		w.g.Expect(err).NotTo(HaveOccurred())
 		r.targetVoters, r.compactAfter = selfVoters, modelCompactAfter
 		w.folders, replicas = append(w.folders, folder), append(replicas, r)
--- a/internal/machine/control/model_test.go
+++ b/internal/machine/control/model_test.go
@@ -173,7 +173,7 @@
 		send:    func(m *wire.ConsensusMessage) { w.send(n, m) },
 		publish: func(records []*wire.Record) { w.checkPublished(n, records) },
 	}
-	r, err := openReplica(n.folder, n.id, w.random, w.now(), out)
+	r, err := openReplica(n.folder, n.id, w.random, w.now(), time.Minute, out)
 	if err != nil {
 		w.handleFailure(n, err)
 		return
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -12,6 +12,7 @@
 	"sassafrasturn.example/internal/journal"
 	"sassafrasturn.example/internal/machine/opaque"
 	"sassafrasturn.example/internal/roster"
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -76,6 +77,8 @@
 
 	// committed is the applied state of the opaque mode.
 	committed atomic.Pointer[Committed]
+	// tables are the versions of the routing table that have been in force.
+	tables routing.History
 	// joiners are the instances that have requested to join, by address.
 	// targetVoters is the number of voters that the leader brings the group to, 0 if
 	// operators change the membership.
@@ -97,12 +100,12 @@
 
 // openReplica restores a replica from its data folder. The replica publishes its
 // state only after it has applied everything that was committed before the restart,
-// so that the published state never goes back.
-func openReplica(folder journal.Folder, id uint64, random *rand.Rand, now time.Duration, out outputs) (*replica, error) {
+// so that the published state never goes back. maxFlowLifetime is the maximum age of a flow.
+func openReplica(folder journal.Folder, id uint64, random *rand.Rand, now, maxFlowLifetime time.Duration, out outputs) (*replica, error) {
 	r := &replica{
 		folder: folder, configuredID: id, rand: random, outputs: out,
 		pending: make(map[uint64]pendingProposal), leaseAt: now, compactAfter: snapshotEntries,
-		joiners: make(map[string]joiner), isSelfNumbered: id == 0,
+		joiners: make(map[string]joiner), isSelfNumbered: id == 0, tables: routing.NewHistory(maxFlowLifetime),
 	}
 	r.committed.Store(new(Committed))
 	_, err := r.load(now)
@@ -225,6 +228,9 @@
 		done(nil, errTooManyPending)
 		return
 	}
+	if replace := command.GetReplaceRouting(); replace != nil {
+		replace.SettledVersion = proto.Uint64(r.tables.Settled(now))
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		done(nil, Error.Wrap(err))
@@ -269,7 +275,7 @@
 	if status.Role != consensus.Leader {
 		r.failPending()
 	}
-	r.publish(status.Applied)
+	r.publish(now, status.Applied)
 	return r.compact(status)
 }
 
@@ -346,7 +352,7 @@
 }
 
 // publish publishes the records that have changed since the last call.
-func (r *replica) publish(applied uint64) {
+func (r *replica) publish(now time.Duration, applied uint64) {
 	if applied <= r.published {
 		return
 	}
@@ -354,6 +360,7 @@
 		r.outputs.publish(records)
 	}
 	table := r.catalog.Routing()
+	r.tables.Record(now, table.GetVersion())
 	agents, agentsIndex := r.catalog.Agents()
 	r.committed.Store(&Committed{
 		Source: table.GetSource(), Agents: agents, AgentsIndex: agentsIndex,
--- a/internal/machine/control/selfgroup_test.go
+++ b/internal/machine/control/selfgroup_test.go
@@ -131,7 +131,7 @@
 	if w.variant.grantsLeases {
 		id = n.id
 	}
-	r, err := openReplica(n.folder, id, w.random, w.now(), out)
+	r, err := openReplica(n.folder, id, w.random, w.now(), time.Minute, out)
 	if err != nil {
 		w.fail(n, err)
 		return
--- a/internal/machine/opaque/pathtest/flows_test.go
+++ b/internal/machine/opaque/pathtest/flows_test.go
@@ -277,6 +277,47 @@
 	})
 }
 
+// Tables lead a route away from many services. The flows at all of them stay open, and nodes
+// that have just started find them.
+func TestFlowsSurviveTablesThatLeadAwayFromManyServices(t *testing.T) {
+	services := []string{"desk-1", "desk-2", "desk-3", "desk-4", "desk-5", "desk-6", "desk-7"}
+	cases := []struct {
+		name string
+		// tables are the services of the route by each table.
+		tables [][]string
+	}{
+		{"at once", [][]string{services, services[6:]}},
+		{"at once, to another service", [][]string{services, {"orders"}}},
+		{"in halves", [][]string{services, services[3:], services[6:]}},
+		{"one by one", [][]string{services[:1], services[1:2], services[2:3], services[3:4], services[4:5], services[5:6], services[6:]}},
+		{"one by one, and back", [][]string{services, services[1:], services[2:], services[3:], services[4:], services[5:], services[6:], services[:1]}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			runInCluster(t, false, 2, 1, func(tc *testCluster) {
+				for _, service := range services {
+					tc.addSite(service)
+				}
+				tc.sleep(time.Second)
+				var flows []*callerFlow
+				for i, to := range c.tables {
+					tc.control.setRoute(uint64(2+i), drawings, to...)
+					tc.sleep(1200 * time.Millisecond)
+					for range 2 * len(services) {
+						f := tc.dial(drawings, anyZone)
+						tc.g.Expect(f.isOpen).To(BeTrue())
+						flows = append(flows, f)
+					}
+				}
+				tc.expectServed(flows)
+				tc.addColdBalancer()
+				tc.expectNoResets(flows, 3*time.Second)
+				tc.expectServed(flows)
+			})
+		})
+	}
+}
+
 // A restarted endpoint has lost its flows. They are reset immediately, so that callers
 // do not wait for their deadline.
 func TestFlowsOfARestartedEndpointAreReset(t *testing.T) {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -336,6 +336,11 @@
 // none, in a new version of the routing table.
 func (c *fakeControl) setRoute(version uint64, dialed netip.AddrPort, services ...string) {
 	next := &wire.RoutingTable{Version: version, IdleTimeoutMs: 15000, Services: []*wire.ServiceBounds{{Service: "orders"}, {Service: "drawings"}}}
+	for _, service := range services {
+		if service != "orders" && service != "drawings" {
+			next.Services = append(next.Services, &wire.ServiceBounds{Service: service})
+		}
+	}
 	for _, existing := range c.table.Routes {
 		if existing.Address != routing.AddressNumber(dialed.Addr()) && len(existing.Services) > 0 {
 			next.Routes = append(next.Routes, existing)
@@ -348,7 +353,7 @@
 		}
 		next.Routes = append(next.Routes, route)
 	}
-	routing.CarryOver(c.table, next)
+	routing.CarryOver(c.table, next, 0)
 	c.table = next
 }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -66,37 +66,21 @@
 	g := NewWithT(t)
 	first := table(1, route(weighted("old", 1)))
 	second := table(2, route(weighted("new", 1)))
-	CarryOver(first, second)
+	CarryOver(first, second, 0)
 	g.Expect(New(second).Lookup(dialed).Allows("old")).To(BeFalse())
 	g.Expect(New(second).LookupEstablished(dialed).OwnerServices).To(Equal([]string{"new", "old"}))
 
 	third := table(3)
-	CarryOver(second, third)
+	CarryOver(second, third, 0)
 	g.Expect(New(third).Lookup(dialed)).To(BeNil())
 	g.Expect(New(third).Routes()).To(BeZero())
 	g.Expect(New(third).LookupEstablished(dialed).OwnerServices).To(Equal([]string{"new", "old"}))
 
 	fourth := table(4, route(weighted("old", 1)))
-	CarryOver(third, fourth)
+	CarryOver(third, fourth, 0)
 	g.Expect(New(fourth).LookupEstablished(dialed).OwnerServices).To(Equal([]string{"old", "new"}))
 }
 
-// The data retained from earlier tables is bounded, however often the routes change.
-func TestCarryOverIsBounded(t *testing.T) {
-	g := NewWithT(t)
-	current := table(0)
-	for i := range uint32(2000) {
-		next := table(uint64(i), &wire.Route{Address: i, Port: 1, Services: []*wire.WeightedService{weighted(string(rune('a'+i%20)), 1)}},
-			&wire.Route{Address: 1 << 31, Port: 1, Services: []*wire.WeightedService{weighted(string(rune('a'+i%20)), 1)}})
-		CarryOver(current, next)
-		current = next
-	}
-	g.Expect(len(current.Routes)).To(Equal(maxDroppedRoutes + 2))
-	for _, route := range current.Routes {
-		g.Expect(len(route.Former)).To(BeNumerically("<=", maxFormerServices))
-	}
-}
-
 func TestPickFollowsWeights(t *testing.T) {
 	g := NewWithT(t)
 	random := rand.New(rand.NewPCG(1, 1))
