Space the checks of an endpoint that another start claims to replace

A start that had announced its end before its claim was confirmed became current without an interval for the checks of an endpoint that leaves, so each was due at once. By reading: a check that a claim had overtaken set no time for the next one either.

TestClaimantThatHasLeftIsCheckedAtIntervals failed before (the next check was due in the past), TestCheckOvertakenByAClaimIsRepeatedLater fixes the other moment.

Why this works: both places that make a leaving endpoint current now set the interval in one function.

--- a/internal/flow/lifecycle.go
+++ b/internal/flow/lifecycle.go
@@ -40,6 +40,8 @@
 	// with each check up to maxLeaveCheck.
 	firstLeaveCheck = 10 * time.Millisecond
 	maxLeaveCheck   = 500 * time.Millisecond
+	// claimCheck is after what time a check is repeated that a claim has overtaken.
+	claimCheck = 10 * time.Millisecond
 	// maxLeaveTime is how long an endpoint may live after it has announced its end. One that
 	// announces itself after that time stays.
 	maxLeaveTime = 5 * time.Second
@@ -279,6 +281,15 @@
 	l.current, l.currentSince, l.isConfirmed = e, now, false
 	l.isDown, l.isRunning = false, false
 	l.claim, l.staleSequence = nil, 0
+	if e.IsLeaving {
+		l.startLeaving(now)
+	}
+}
+
+// startLeaving sets when the current endpoint, which has announced its end, is checked.
+func (l *Lifecycle) startLeaving(now time.Duration) {
+	l.leftAt = now
+	l.leaveCheck, l.nextCheck = firstLeaveCheck, now+firstLeaveCheck
 }
 
 // Leave records that an endpoint has announced its end. It may serve its open flows until it
@@ -298,8 +309,8 @@
 	}
 	leaving := *l.current
 	leaving.IsLeaving = true
-	l.current, l.leftAt = &leaving, now
-	l.leaveCheck, l.nextCheck = firstLeaveCheck, now+firstLeaveCheck
+	l.current = &leaving
+	l.startLeaving(now)
 	return true
 }
 
@@ -318,8 +329,11 @@
 // RecordCheck records what a check of the endpoint has shown that started at the given time.
 // It changes nothing if the endpoint has announced itself since.
 func (l *Lifecycle) RecordCheck(startedAt time.Duration, presence Presence) Change {
-	isAnnounced := l.current != nil && l.current.LastSeen >= startedAt || l.claim != nil && l.claim.endpoint.LastSeen >= startedAt
-	if l.isDown || isAnnounced {
+	switch {
+	case l.isDown || l.current != nil && l.current.LastSeen >= startedAt:
+		return ChangeNone
+	case l.claim != nil && l.claim.endpoint.LastSeen >= startedAt:
+		l.nextCheck = startedAt + claimCheck
 		return ChangeNone
 	}
 	if presence == PresenceDown {
--- a/internal/flow/lifecycle_test.go
+++ b/internal/flow/lifecycle_test.go
@@ -268,6 +268,42 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+// A check that another start's announcement has overtaken must not be due again at once.
+func TestCheckOvertakenByAClaimIsRepeatedLater(t *testing.T) {
+	g := NewWithT(t)
+	l := NewLifecycle(silence)
+	l.Announce(0, announced("e", 5000, 1, 0))
+	l.Announce(silence, announced("f", 6000, 1, silence))
+	for _, presence := range []Presence{PresenceRunning, PresenceDown, PresenceUnknown} {
+		g.Expect(l.RecordCheck(silence, presence)).To(Equal(ChangeNone))
+		at, ok := l.CheckDue()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(at).To(Equal(silence + claimCheck))
+	}
+	g.Expect(l.RecordCheck(silence+claimCheck, PresenceDown)).To(Equal(ChangeEnded))
+}
+
+// An endpoint that has left before its claim is confirmed is checked at growing intervals too.
+func TestClaimantThatHasLeftIsCheckedAtIntervals(t *testing.T) {
+	const ms = time.Millisecond
+	g := NewWithT(t)
+	l := NewLifecycle(silence)
+	l.Announce(0, announced("e", 5000, 1, 0))
+	l.Announce(1000*ms, announced("f", 6000, 1, 1000*ms))
+	l.Leave(1500*ms, "f", 6000)
+	change, _ := l.Announce(2500*ms, announced("f", 6000, 2, 2500*ms))
+	g.Expect(change).To(Equal(ChangeStarted))
+	g.Expect(l.Endpoint().IsLeaving).To(BeTrue())
+	now := 2500 * ms
+	for _, interval := range []time.Duration{10, 20, 40, 80} {
+		now += interval * ms
+		at, ok := l.CheckDue()
+		g.Expect(ok).To(BeTrue())
+		g.Expect(at).To(Equal(now))
+		g.Expect(l.RecordCheck(now, PresenceRunning)).To(Equal(ChangeNone))
+	}
+}
+
 // While two starts claim an address, each may be the one that runs there.
 func TestAdmissionIsStrictWhileAnotherStartClaimsTheAddress(t *testing.T) {
 	const ms = time.Millisecond
