--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -118,6 +118,9 @@
 // Get returns a flow, or nil.
 func (t *Table) Get(key Key) *Flow { return t.flows[key] }
 
+// IsAnswered reports whether the endpoint has answered the SYN of a flow.
+func (t *Table) IsAnswered(key Key) bool { return t.flows[key] != nil && t.flows[key].hasFirstSeq }
+
 // Offer records that the endpoint is given the SYN of a flow. It returns nil if the
 // table is full.
 func (t *Table) Offer(now time.Duration, key Key) *Flow {
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/machine/opaque"
 	"sassafrasturn.example/internal/pause"
 	"sassafrasturn.example/internal/roster"
@@ -67,6 +68,8 @@
 	// added.
 	waiting      waitingNodes
 	waitingAdded chan struct{}
+	// handovers are the flows of agents that stop.
+	handovers *flow.Handovers
 	// nextResyncAt is the earliest time of the next resync request to each control instance.
 	nextResyncAt map[netip.AddrPort]time.Duration
 }
@@ -76,7 +79,7 @@
 		control: c, changed: make(chan struct{}, 1),
 		contacts: roster.NewContacts(rand.Uint64()), wasComplete: true,
 		waiting: make(waitingNodes), waitingAdded: make(chan struct{}, 1),
-		nextResyncAt: make(map[netip.AddrPort]time.Duration),
+		nextResyncAt: make(map[netip.AddrPort]time.Duration), handovers: flow.NewHandovers(),
 	}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.handleMessage, ProbeAnswered: d.handleProbeAnswer})
 	if err != nil {
@@ -197,6 +200,11 @@
 				d.addWaiting(from)
 			}
 		}
+	case opaque.KindHandover, opaque.KindTakeover:
+		handover := new(wire.Handover)
+		if proto.Unmarshal(data, handover) == nil {
+			d.handleHandover(kind, handover, from)
+		}
 	case opaque.KindGossip:
 		if gossip, sender, ok := parseGossip(data); ok {
 			d.handleGossip(gossip, sender)
@@ -209,6 +217,18 @@
 	}
 }
 
+// handleHandover keeps flows of an agent that stops, or sends its next start those that are kept.
+func (d *discovery) handleHandover(kind opaque.Kind, handover *wire.Handover, from netip.AddrPort) {
+	now := d.node.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if kind == opaque.KindHandover {
+		d.node.SendMessage(opaque.KindHandoverAnswer, d.handovers.Record(now, handover), from)
+		return
+	}
+	d.node.SendMessage(opaque.KindTakeoverAnswer, d.handovers.Take(now, handover), from)
+}
+
 // parseGossip decodes a gossip message and the link address of its sender. That
 // address differs from the datagram's source if ports are forwarded.
 func parseGossip(data []byte) (gossip *wire.Gossip, sender netip.AddrPort, ok bool) {
@@ -272,6 +292,7 @@
 	}
 	if poll.Self != nil {
 		before := d.roster.Revision()
+		d.handovers.RecordStart(uint64(poll.Self.Address)<<16|uint64(poll.Self.Port), poll.Self.Incarnation)
 		answer.Incarnation = d.roster.RecordPoll(now, poll.Self)
 		if d.roster.Revision() != before {
 			d.signalChange()
@@ -368,6 +389,7 @@
 	now := d.node.Now()
 	d.mu.Lock()
 	var expired, silent []*wire.AgentRecord
+	d.handovers.Sweep(now)
 	if d.hasAllContacts(now) {
 		expired, silent = d.roster.Sweep(now), d.roster.DueProbes(now)
 	}
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -75,8 +75,12 @@
 	record wire.AgentRecord
 	// self is the agent with the last service that it has reported.
 	self flow.Member
-	// isLeaving is set by Drain.
-	isLeaving bool
+	// isLeaving is set by Drain, and isHandedOver once it has handed over the flows.
+	isLeaving, isHandedOver bool
+	// awaitsFlows is set until the flows of the agent's previous start are known, or known to be
+	// lost.
+	awaitsFlows     bool
+	handoverAnswers chan handoverAnswer
 	// reset, expired and services are buffers that are reused for each packet.
 	reset    []byte
 	expired  []netip.AddrPort
@@ -98,6 +102,7 @@
 		suspects:   flow.NewSuspects(),
 		forwards:   flow.NewForwards(),
 		adoptUntil: s.Opaque.MaxFlowLifetime, checkChanged: make(chan struct{}, 1),
+		awaitsFlows: true, handoverAnswers: make(chan handoverAnswer, maxHandoverAnswers),
 		metrics: newMetrics(instance.Metrics),
 	}
 	a.gate.SilenceTimeout = max(a.gate.SilenceTimeout, s.Opaque.HeartbeatInterval+heartbeatSlack)
@@ -111,6 +116,7 @@
 	a.self = flow.NewMember(s.Link.Address(), s.Zone, s.Opaque.Service)
 	node, err := opaque.NewNode(instance, a.describe, opaque.Handlers{
 		Offer: a.handleOffer, ProbeAnswered: a.handleProbeAnswer, Published: a.releaseDeferred, Synced: a.resetOrphans,
+		Message: a.handleMessage,
 	})
 	if err != nil {
 		return nil, err
@@ -172,6 +178,7 @@
 		go a.watchEndpoint(ctx)
 	}
 	go a.node.Run(ctx)
+	go a.takeOver(ctx)
 	go a.sweep(ctx)
 	opaque.ReceivePackets(ctx, a.outbound, a.instance.Log, a.handleOutbound)
 	return nil
@@ -206,7 +213,7 @@
 }
 
 // Drain forwards new flows to other agents until the balancers have learned that the
-// agent stops. An agent whose endpoint has ended withdraws its record, and waits only until
+// agent stops, and then hands over the endpoint's flows to the agent's next start. An agent whose endpoint has ended withdraws its record, and waits only until
 // the others know.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
@@ -222,6 +229,9 @@
 		wait = withdrawTime
 	}
 	pause.For(ctx, min(wait, a.instance.Settings.Opaque.StopGracePeriod/2))
+	if !a.isDown() {
+		a.handOver(ctx)
+	}
 }
 
 func (a *Agent) isDown() bool {
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -148,7 +148,7 @@
 	if owned := a.table.HandleCallerPacket(now, h); owned != nil {
 		a.metrics.hops.Observe(float64(offer.Hops))
 		a.deliver(buffer[opaque.OfferHeadroom:])
-		if h.Length == 0 && !h.IsFIN && !h.IsRST {
+		if _, isSeen := owned.OpenedAt(); isSeen && h.Length == 0 && !h.IsFIN && !h.IsRST {
 			a.witnesses.Record(key, buffer[opaque.OfferHeadroom:])
 		}
 		if offer.Hops > 0 {
@@ -156,6 +156,10 @@
 		}
 		return
 	}
+	if a.awaitsFlows {
+		a.deferred.Add(now, arrivedAt, h, buffer[opaque.OfferHeadroom:], *offer)
+		return
+	}
 	isAdopting := now < a.adoptUntil
 	existing := a.table.Get(key)
 	isUnknown := existing == nil || existing.IsUnanswered(now)
@@ -459,6 +463,11 @@
 		a.handleBounced(&h, buffer)
 		return
 	}
+	if a.isHandedOver && h.IsSYN && !a.table.IsAnswered(h.KeyFromEndpoint()) {
+		// The next start would not know the flow.
+		a.metrics.dropped.WithLabelValues("after-handover").Inc()
+		return
+	}
 	f := a.table.HandleEndpointPacket(a.node.Now(), &h)
 	if f == nil && a.handleUnknownReset(&h) {
 		return
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -31,6 +31,14 @@
 	// KindReady tells a node whose poll got no usable answer that the control instance
 	// has one now. It has no content.
 	KindReady
+	// KindHandover carries flows of an agent that stops to a control instance, and
+	// KindHandoverAnswer confirms them.
+	KindHandover
+	KindHandoverAnswer
+	// KindTakeover requests the flows that the previous start of an agent has handed over, and
+	// KindTakeoverAnswer carries them.
+	KindTakeover
+	KindTakeoverAnswer
 )
 
 // MaxCandidates is the maximum number of agents that one SYN is offered to.
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -406,6 +406,10 @@
 	}
 }
 
+// Control returns the link addresses of the known control instances, the one that is polled
+// first.
+func (n *Node) Control() []netip.AddrPort { return *n.poller.knownControl.Load() }
+
 // Refresh triggers a poll now instead of at the end of the interval.
 func (n *Node) Refresh() {
 	if n.poller != nil {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -200,13 +200,14 @@
 	isProbing bool
 	socket    *socket
 	// rosters counts the rosters so far.
-	rosters uint64
+	rosters   uint64
+	handovers *flow.Handovers
 	// sealer is nil on an insecure cluster.
 	sealer *envelope.Sealer
 }
 
 func newFakeControl(tc *testCluster) *fakeControl {
-	c := &fakeControl{cluster: tc, roster: roster.New(1, 0), rosters: 1, start: time.Now(), table: &wire.RoutingTable{}, isTableWithheld: make(map[netip.Addr]bool)}
+	c := &fakeControl{cluster: tc, roster: roster.New(1, 0), rosters: 1, start: time.Now(), table: &wire.RoutingTable{}, isTableWithheld: make(map[netip.Addr]bool), handovers: flow.NewHandovers()}
 	if tc.keys != nil {
 		var err error
 		c.sealer, err = envelope.NewSealer(tc.keys)
@@ -223,6 +224,7 @@
 func (c *fakeControl) restart() {
 	now := time.Since(c.start)
 	c.rosters++
+	c.handovers = flow.NewHandovers()
 	c.roster = roster.New(c.rosters, now)
 	c.roster.SetRegistry(now, c.registry)
 }
@@ -248,6 +250,9 @@
 			c.handleProbeAnswer(content[1:])
 			continue
 		}
+		if len(content) > 0 && c.handleHandover(opaque.Kind(content[0]), content[1:], from) {
+			continue
+		}
 		if len(content) == 0 || opaque.Kind(content[0]) != opaque.KindPoll || proto.Unmarshal(content[1:], poll) != nil || c.isSilent() {
 			continue
 		}
@@ -258,6 +263,29 @@
 	}
 }
 
+// handleHandover keeps flows of agents as a control instance does, and reports whether the
+// datagram was about them.
+func (c *fakeControl) handleHandover(kind opaque.Kind, data []byte, from netip.AddrPort) bool {
+	if kind != opaque.KindHandover && kind != opaque.KindTakeover {
+		return false
+	}
+	c.cluster.mu.Lock()
+	defer c.cluster.mu.Unlock()
+	message := new(wire.Handover)
+	if c.isDown || proto.Unmarshal(data, message) != nil {
+		return true
+	}
+	answerKind, answer := opaque.KindHandoverAnswer, message
+	if kind == opaque.KindHandover {
+		answer = c.handovers.Record(time.Since(c.start), message)
+	} else {
+		answerKind, answer = opaque.KindTakeoverAnswer, c.handovers.Take(time.Since(c.start), message)
+	}
+	encoded, _ := proto.Marshal(answer)
+	_, _ = c.socket.WriteToUDPAddrPort(c.seal(append([]byte{byte(answerKind)}, encoded...)), from)
+	return true
+}
+
 // open returns the content of a datagram, or nil if the datagram is not properly sealed.
 func (c *fakeControl) open(data []byte) []byte {
 	if c.sealer == nil {
@@ -312,6 +340,7 @@
 	c.probeSilentAgents(now)
 	answer := &wire.PollAnswer{Sequence: poll.Sequence, Fresh: !c.isBehind, ZoneIndex: c.zoneIndex, ZonesOut: c.zonesOut, RoutingVersion: c.table.Version}
 	if poll.Self != nil {
+		c.handovers.RecordStart(uint64(poll.Self.Address)<<16|uint64(poll.Self.Port), poll.Self.Incarnation)
 		answer.Incarnation = c.roster.RecordPoll(now, poll.Self)
 	}
 	if c.isRegistering {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -61,8 +62,10 @@
 	readyAt  time.Duration
 	sequence uint64
 
-	// control are the control instances to poll, the current one first.
-	control []netip.AddrPort
+	// control are the control instances to poll, the current one first. knownControl is a copy
+	// for other goroutines.
+	control      []netip.AddrPort
+	knownControl atomic.Pointer[[]netip.AddrPort]
 	// isControlReachable is set if the last round got a usable answer.
 	isControlReachable bool
 	// polledAt is the time at which the newest poll was sent.
@@ -92,7 +95,7 @@
 }
 
 func newPoller(node *Node, self func() *wire.AgentRecord) *poller {
-	return &poller{
+	p := &poller{
 		node: node, self: self,
 		answers:       make(chan answer, maxQueuedAnswers),
 		peerAnswers:   make(chan answer, maxQueuedAnswers),
@@ -101,6 +104,14 @@
 		control:       shuffled(slices.Clone(node.instance.Peers())),
 		replica:       roster.NewReplica(),
 	}
+	p.shareControl()
+	return p
+}
+
+// shareControl makes the current control instances known to other goroutines.
+func (p *poller) shareControl() {
+	known := slices.Clone(p.control)
+	p.knownControl.Store(&known)
 }
 
 // refresh triggers a poll. Requests during a poll are combined into one.
@@ -178,6 +189,7 @@
 	}
 	p.readyAt = now
 	p.control = slices.Insert(slices.Delete(p.control, at, at+1), 0, from)
+	p.shareControl()
 	return true
 }
 
@@ -206,6 +218,7 @@
 			isProbed = true
 		}
 		p.control = append(slices.Clone(p.control[1:]), p.control[0])
+		p.shareControl()
 	}
 	if p.isControlReachable || p.interval == 0 {
 		p.interval = retryStep
@@ -458,4 +471,5 @@
 		}
 	}
 	p.control = slices.Insert(kept, min(1, len(kept)), added...)
+	p.shareControl()
 }
