--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -56,6 +56,8 @@
 	IsZoneOut bool
 	// IsLeaving is true if the agent is stopping.
 	IsLeaving bool
+	// MayBeCold is true if the endpoint may have become cold since its last announcement.
+	MayBeCold bool
 	// CandidatesLeft is how many more agents the flow can be offered to after this
 	// one.
 	CandidatesLeft int
@@ -171,7 +173,7 @@
 	if request.CandidatesLeft > 0 && request.isSlow(endpoint.Slots) {
 		return RefusedSlow
 	}
-	isCold := now < endpoint.ColdUntil && coldPerSecond > 0
+	isCold := (now < endpoint.ColdUntil || request.MayBeCold) && coldPerSecond > 0
 	if isCold && (float64(request.RecentRequests) >= coldPerSecond || !g.admitCold(now, coldPerSecond)) {
 		return RefusedCold
 	}
--- a/internal/flow/gate_test.go
+++ b/internal/flow/gate_test.go
@@ -86,6 +86,32 @@
 	g.Expect(len(accepted)).To(BeNumerically(">", 50), "the limit is reached")
 }
 
+// What is not known of a cold endpoint must not exceed its limit.
+func TestGateAssumesTheWorstOfColdEndpoints(t *testing.T) {
+	cases := []struct {
+		name    string
+		request AdmissionRequest
+		isCold  bool
+		rate    float64
+		want    Reason
+	}{
+		{name: "may be cold, at the rate", request: AdmissionRequest{MayBeCold: true, RecentRequests: 20}, rate: 20, want: RefusedCold},
+		{name: "may be cold, below the rate", request: AdmissionRequest{MayBeCold: true, RecentRequests: 19}, rate: 20, want: Accepted},
+		{name: "may be cold, without a stated rate", request: AdmissionRequest{MayBeCold: true, RecentRequests: 1000}, want: Accepted},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			gate := Gate{SilenceTimeout: time.Second, ColdFactor: 1.5, ColdSlack: 5}
+			endpoint := warmEndpoint()
+			if c.isCold {
+				endpoint.ColdUntil = time.Minute
+			}
+			c.request.IsRouteAllowed = true
+			NewWithT(t).Expect(gate.Decide(0, endpoint, c.rate, c.request)).To(Equal(c.want))
+		})
+	}
+}
+
 // After a power failure all endpoints are cold at once. If a service states no rate,
 // its endpoints must not be limited to the slack of a few requests per second.
 func TestGateDoesNotLimitColdEndpointsWithoutStatedRate(t *testing.T) {
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -62,6 +62,10 @@
 	// than the agent. Until then, packets of unknown flows are delivered to the
 	// endpoint, and those that it bounces are forwarded to the next agent.
 	adoptUntil time.Duration
+	// isZoneOut is set while the agent's zone is out of service, and zoneReturnedAt is when it was
+	// last taken back.
+	isZoneOut      bool
+	zoneReturnedAt time.Duration
 	// deferred holds packets that other agents may own and that wait for the routing
 	// table by which an earlier hop has forwarded them.
 	deferred *flow.Deferred[opaque.Offer]
@@ -115,7 +119,7 @@
 	}
 	a.self = flow.NewMember(s.Link.Address(), s.Zone, s.Opaque.Service)
 	node, err := opaque.NewNode(instance, a.describe, opaque.Handlers{
-		Offer: a.handleOffer, ProbeAnswered: a.handleProbeAnswer, Published: a.releaseDeferred, Synced: a.resetOrphans,
+		Offer: a.handleOffer, ProbeAnswered: a.handleProbeAnswer, Published: a.handlePublished, Synced: a.resetOrphans,
 		Message: a.handleMessage,
 	})
 	if err != nil {
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -101,6 +101,8 @@
 			// before it.
 			coldPerSecond = a.gate.DefaultColdRate()
 		}
+		// Endpoints of a zone that was out of service may have been restarted meanwhile.
+		request.MayBeCold = endpoint.LastSeen < a.zoneReturnedAt
 		request.IsFull = service.MaxFlows > 0 && a.table.Active() >= service.MaxFlows
 		request.IsRouteAllowed = offer.Service == opaque.TagOfService(endpoint.Service)
 		if offer.RoutingVersion <= state.Table.Version {
@@ -295,6 +297,18 @@
 	return leftOut, true
 }
 
+// handlePublished handles a new state of the node.
+func (a *Agent) handlePublished() {
+	a.mu.Lock()
+	wasOut := a.isZoneOut
+	a.isZoneOut = a.node.State().IsOut(a.instance.Settings.Zone)
+	if wasOut && !a.isZoneOut {
+		a.zoneReturnedAt = a.node.Now()
+	}
+	a.mu.Unlock()
+	a.releaseDeferred()
+}
+
 // releaseDeferred forwards the deferred packets. Those that still wait for a newer routing
 // table are deferred again, at most until flow.DeferTTL.
 func (a *Agent) releaseDeferred() {
--- a/internal/machine/opaque/pathtest/endpoint_test.go
+++ b/internal/machine/opaque/pathtest/endpoint_test.go
@@ -241,14 +241,7 @@
 
 // dial tries to open a flow, with up to two retransmissions of the SYN.
 func (tc *testCluster) dial(dialed netip.AddrPort, zone int) *callerFlow {
-	tc.nextPort++
-	address := netip.AddrFrom4([4]byte{100, 64, 0, byte(tc.nextPort % 5)})
-	f := &callerFlow{
-		cluster: tc, key: flow.Key{Caller: netip.AddrPortFrom(address, tc.nextPort), Dialed: dialed}, zone: zone,
-		seq: 77, opened: make(chan struct{}), reset: make(chan struct{}), answers: make(chan string, 64),
-	}
-	tc.callerSocket(address)
-	tc.flows[f.key] = f
+	f := tc.prepare(dialed, zone)
 	f.sendSYN(0)
 	for attempt, at := range []time.Duration{firstRetransmit, secondRetransmit - firstRetransmit, dialTimeout - secondRetransmit} {
 		if f.await(at) || f.isReset {
@@ -262,6 +255,19 @@
 	return f
 }
 
+// prepare returns a flow of a new port that has sent nothing yet.
+func (tc *testCluster) prepare(dialed netip.AddrPort, zone int) *callerFlow {
+	tc.nextPort++
+	address := netip.AddrFrom4([4]byte{100, 64, 0, byte(tc.nextPort % 5)})
+	f := &callerFlow{
+		cluster: tc, key: flow.Key{Caller: netip.AddrPortFrom(address, tc.nextPort), Dialed: dialed}, zone: zone,
+		seq: 77, opened: make(chan struct{}), reset: make(chan struct{}), answers: make(chan string, 64),
+	}
+	tc.callerSocket(address)
+	tc.flows[f.key] = f
+	return f
+}
+
 // isServed opens a flow, sends a request and reports whether it was answered.
 func (tc *testCluster) isServed(dialed netip.AddrPort) bool {
 	f := tc.dial(dialed, anyZone)
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -196,6 +196,8 @@
 	isBehind bool
 	// isTableWithheld contains the nodes that get no newer routing table.
 	isTableWithheld map[netip.Addr]bool
+	// coldPerSecond is the rate that cold endpoints of orders are stated to handle.
+	coldPerSecond float64
 	// isProbing is set if silent agents are probed before they expire.
 	isProbing bool
 	socket    *socket
@@ -364,7 +366,7 @@
 // setRoute routes an address to the given services, or removes its route if there are
 // none, in a new version of the routing table.
 func (c *fakeControl) setRoute(version uint64, dialed netip.AddrPort, services ...string) {
-	next := &wire.RoutingTable{Version: version, IdleTimeoutMs: 15000, Services: []*wire.ServiceBounds{{Service: "orders"}, {Service: "drawings"}}}
+	next := &wire.RoutingTable{Version: version, IdleTimeoutMs: 15000, Services: []*wire.ServiceBounds{{Service: "orders", ColdPerSecond: c.coldPerSecond}, {Service: "drawings"}}}
 	for _, service := range services {
 		if service != "orders" && service != "drawings" {
 			next.Services = append(next.Services, &wire.ServiceBounds{Service: service})
