--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -58,6 +58,9 @@
 	IsLeaving bool
 	// MayBeCold is true if the endpoint may have become cold since its last announcement.
 	MayBeCold bool
+	// IsHistoryUnknown is true if the endpoint may have received requests within ColdWindow
+	// that are not among RecentRequests.
+	IsHistoryUnknown bool
 	// CandidatesLeft is how many more agents the flow can be offered to after this
 	// one.
 	CandidatesLeft int
@@ -123,6 +126,8 @@
 	coldWindow = time.Second
 	// coldWindowSlack covers the delay between agent and endpoint.
 	coldWindowSlack = 20 * time.Millisecond
+	// ColdWindow is for how long what an endpoint has received counts if it is cold.
+	ColdWindow = coldWindow + coldWindowSlack
 	// maxQueuePerSlot is how many requests may queue for each slot at the last
 	// candidate for a flow, which is as many as the known endpoints queue themselves.
 	// A caller behind four other requests still gets its answer well within its
@@ -174,7 +179,7 @@
 		return RefusedSlow
 	}
 	isCold := (now < endpoint.ColdUntil || request.MayBeCold) && coldPerSecond > 0
-	if isCold && (float64(request.RecentRequests) >= coldPerSecond || !g.admitCold(now, coldPerSecond)) {
+	if isCold && (request.IsHistoryUnknown || float64(request.RecentRequests) >= coldPerSecond || !g.admitCold(now, coldPerSecond)) {
 		return RefusedCold
 	}
 	return Accepted
@@ -192,7 +197,7 @@
 	limit := math.Floor(perSecond*g.ColdFactor) + float64(g.ColdSlack-coldMargin)
 	kept := g.coldAdmissions[:0]
 	for _, at := range g.coldAdmissions {
-		if now-at < coldWindow+coldWindowSlack {
+		if now-at < ColdWindow {
 			kept = append(kept, at)
 		}
 	}
--- a/internal/flow/gate_test.go
+++ b/internal/flow/gate_test.go
@@ -95,6 +95,9 @@
 		rate    float64
 		want    Reason
 	}{
+		{name: "cold, of which earlier requests are unknown", request: AdmissionRequest{IsHistoryUnknown: true}, isCold: true, rate: 20, want: RefusedCold},
+		{name: "cold, without a stated rate", request: AdmissionRequest{IsHistoryUnknown: true}, isCold: true, want: Accepted},
+		{name: "warm, of which earlier requests are unknown", request: AdmissionRequest{IsHistoryUnknown: true}, rate: 20, want: Accepted},
 		{name: "may be cold, at the rate", request: AdmissionRequest{MayBeCold: true, RecentRequests: 20}, rate: 20, want: RefusedCold},
 		{name: "may be cold, below the rate", request: AdmissionRequest{MayBeCold: true, RecentRequests: 19}, rate: 20, want: Accepted},
 		{name: "may be cold, without a stated rate", request: AdmissionRequest{MayBeCold: true, RecentRequests: 1000}, want: Accepted},
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -141,7 +141,7 @@
 const (
 	// requestWindow is the second to which the rate of a cold endpoint applies, plus
 	// the delay between agent and endpoint.
-	requestWindow = coldWindow + coldWindowSlack
+	requestWindow = ColdWindow
 	// maxRequestTimes bounds the recorded requests. It exceeds what any endpoint of
 	// the known deployments handles in a second.
 	maxRequestTimes = 4096
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -62,6 +62,8 @@
 	// than the agent. Until then, packets of unknown flows are delivered to the
 	// endpoint, and those that it bounces are forwarded to the next agent.
 	adoptUntil time.Duration
+	// knownFrom is the time from which the agent knows all requests that the endpoint receives.
+	knownFrom time.Duration
 	// isZoneOut is set while the agent's zone is out of service, and zoneReturnedAt is when it was
 	// last taken back.
 	isZoneOut      bool
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -101,6 +101,7 @@
 			// before it.
 			coldPerSecond = a.gate.DefaultColdRate()
 		}
+		request.IsHistoryUnknown = isKnown && now-a.knownFrom < flow.ColdWindow
 		// Endpoints of a zone that was out of service may have been restarted meanwhile.
 		request.MayBeCold = endpoint.LastSeen < a.zoneReturnedAt
 		request.IsFull = service.MaxFlows > 0 && a.table.Active() >= service.MaxFlows
--- a/internal/machine/opaque/pathtest/cold_test.go
+++ b/internal/machine/opaque/pathtest/cold_test.go
@@ -59,3 +59,23 @@
 		tc.g.Expect(tc.openColdFlows(4 * time.Second)).To(BeNumerically(">", 2*coldPerSecond))
 	})
 }
+
+// The agent of a cold endpoint is killed, and does not know what the endpoint has just got.
+func TestColdEndpointOfARestartedAgentGetsNoMoreThanItMay(t *testing.T) {
+	runInCluster(t, false, 2, 1, func(tc *testCluster) {
+		tc.control.coldPerSecond = coldPerSecond
+		tc.control.setRoute(2, orders, "orders")
+		s := tc.sites[0]
+		s.endpoint.slots, s.endpoint.coldLeft = 1000, 9*time.Second
+		s.endpoint.announce()
+		tc.sleep(2 * heartbeat)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			tc.mu.Lock()
+			s.restartAgent(10 * time.Millisecond)
+			s.endpoint.announce()
+			tc.mu.Unlock()
+		}()
+		tc.g.Expect(tc.openColdFlows(4 * time.Second)).To(BeNumerically(">", 2*coldPerSecond))
+	})
+}
