--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -219,8 +219,8 @@
 }
 
 // Drain forwards new flows to other agents until the balancers have learned that the
-// agent stops, and then hands over the endpoint's flows to the agent's next start. An agent whose endpoint has ended withdraws its record, and waits only until
-// the others know.
+// agent stops, and then hands over the endpoint's flows to the agent's next start. An agent
+// whose endpoint has ended withdraws its record, and waits only until the others know.
 func (a *Agent) Drain(ctx context.Context) {
 	a.mu.Lock()
 	a.isLeaving = true
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -53,7 +53,7 @@
 		a.logOther(previous, &announcement, "ignoring delayed announcement of another endpoint")
 	case flow.ChangeClaimed:
 		a.logOther(previous, &announcement, "another endpoint claims the address of the current one")
-		a.askEndpoint()
+		a.probeEndpoint()
 	case flow.ChangeUpdated:
 		a.witnesses.RecordAnnouncement(a.isKept)
 	}
@@ -107,9 +107,9 @@
 	a.adoptUntil = 0
 }
 
-// askEndpoint sends the endpoint copies of packets of a few flows, which it bounces if it has
+// probeEndpoint sends the endpoint copies of packets of a few flows, which it bounces if it has
 // started again. The caller holds the lock.
-func (a *Agent) askEndpoint() {
+func (a *Agent) probeEndpoint() {
 	for _, packet := range a.witnesses.AppendPackets(nil, a.isKept) {
 		a.deliver(packet)
 	}
@@ -118,18 +118,22 @@
 // isKept reports whether the current endpoint, if it still runs, has a flow.
 func (a *Agent) isKept(key flow.Key) bool {
 	f := a.table.Get(key)
-	return f != nil && f.IsKept(a.node.Now(), a.node.State().Table.IdleTimeout, a.instance.Settings.Opaque.MaxFlowLifetime)
+	return f != nil && a.shouldHave(f)
+}
+
+// shouldHave reports whether an endpoint that still runs has a flow of the table.
+func (a *Agent) shouldHave(f *flow.Flow) bool {
+	return f.IsKept(a.node.Now(), a.node.State().Table.IdleTimeout, a.instance.Settings.Opaque.MaxFlowLifetime)
 }
 
 // recordLostFlow handles that the endpoint has bounced a packet of a flow that it had. If
 // another endpoint claims its address, that one has replaced it. The caller holds the lock.
 func (a *Agent) recordLostFlow(f *flow.Flow) {
-	now := a.node.Now()
 	openedAt, ok := f.OpenedAt()
-	if !ok || !f.IsKept(now, a.node.State().Table.IdleTimeout, a.instance.Settings.Opaque.MaxFlowLifetime) {
+	if !ok || !a.shouldHave(f) {
 		return
 	}
-	ended := a.lifecycle.RecordLostFlow(now, openedAt)
+	ended := a.lifecycle.RecordLostFlow(a.node.Now(), openedAt)
 	if ended == nil {
 		return
 	}
