Confirm no start of an endpoint while another one announces itself too

What callers saw: nothing yet; found by the model. An agent had restarted. Another writer announced itself before the endpoint did, and again 1.9 s later. When the endpoint took over, the agent reset the endpoint's open flows.

Cause: the other writer counted as confirmed, though the endpoint announced itself in between. So its replacement counted as the end of an endpoint. The packets that the endpoint sent on those flows meanwhile did not count against it, because the agent had adopted the flows.

The new case of TestLifecycleEndsEndpointsOnEvidenceOnly fails before.

Why this works: a start that is one of two is not known to have run, and a packet of a flow that the endpoint had before a claim shows that it has not started since.

--- a/internal/flow/lifecycle.go
+++ b/internal/flow/lifecycle.go
@@ -61,7 +61,7 @@
 	silenceTimeout time.Duration
 	current        *Endpoint
 	// currentSince is when the current endpoint first announced itself. isConfirmed is set
-	// once it has done so again later, or has replaced another one.
+	// once it has done so again later while no other did, or has replaced another one.
 	currentSince time.Duration
 	isConfirmed  bool
 	// claim is the latest claim of another start, nil if there was none since the current one
@@ -122,7 +122,8 @@
 // have flows, or may still be starting. One whose queue of connections is full gives no answer.
 func (l *Lifecycle) IsUnannounced() bool { return l.current == nil && l.isRunning }
 
-// IsConfirmed reports whether the current endpoint has announced itself more than once.
+// IsConfirmed reports whether the current endpoint has announced itself more than once, and is
+// not merely one of two that do.
 func (l *Lifecycle) IsConfirmed() bool { return l.current != nil && l.isConfirmed }
 
 // Announce applies the announced state of an endpoint. It returns the endpoint that has
@@ -157,7 +158,8 @@
 	// What seemed stale may be an announcement from before the endpoint began to drain.
 	announced.IsDraining = announced.IsDraining || announced.Sequence < l.current.Sequence && l.current.IsDraining
 	l.current, l.staleSequence = announced, 0
-	l.isConfirmed = l.isConfirmed || now-l.currentSince >= l.silenceTimeout/2
+	isAlone := l.claim == nil || !l.isClaimRecent(now)
+	l.isConfirmed = l.isConfirmed || isAlone && now-l.currentSince >= l.silenceTimeout/2
 	if l.claim != nil {
 		l.claim.since, l.claim.isDisputed = now, true
 	}
@@ -232,10 +234,10 @@
 	return &strict
 }
 
-// RecordEndpointPacket records that the endpoint has sent a packet of an open flow that it
-// accepted at openedAt. An endpoint that has started since would not have the flow.
-func (l *Lifecycle) RecordEndpointPacket(openedAt time.Duration) {
-	if l.claim != nil && l.isOfCurrent(openedAt) {
+// RecordEndpointPacket records that the endpoint has sent a packet of an open flow that it has
+// had since heldSince or before. An endpoint that has started later would not have the flow.
+func (l *Lifecycle) RecordEndpointPacket(heldSince time.Duration) {
+	if l.claim != nil && l.isOfCurrent(heldSince) {
 		l.claim.isDisputed, l.claim.hasFlows = true, true
 	}
 }
--- a/internal/flow/lifecycle_test.go
+++ b/internal/flow/lifecycle_test.go
@@ -164,6 +164,11 @@
 			announceAt(0, "e", 5000, 1, ChangeStarted), announceAt(1000*ms, "f", 6000, 1, ChangeClaimed), announceAt(1010*ms, "f", 6000, 2, ChangeClaimed),
 			announceAt(1020*ms, "g", 7000, 1, ChangeClaimed), announceAt(1800*ms, "g", 7000, 2, ChangeClaimed), announceAt(1850*ms, "e", 5000, 2, ChangeUpdated),
 		}, "e", false},
+		{"returns after another start that announced itself again beside it", []step{
+			announceAt(0, "f", 6000, 1, ChangeStarted), announceAt(400*ms, "e", 5000, 1, ChangeNone), announceAt(1400*ms, "e", 5000, 2, ChangeNone),
+			announceAt(1900*ms, "f", 6000, 2, ChangeUpdated), announceAt(2400*ms, "e", 5000, 3, ChangeNone), announceAt(3400*ms, "e", 5000, 4, ChangeNone),
+			announceAt(4400*ms, "e", 5000, 5, ChangeStarted),
+		}, "e", false},
 		{"announcement of its start with another service", []step{
 			announceAt(0, "e", 5000, 1, ChangeStarted), announceAt(500*ms, "e", 5000, 2, ChangeClaimed).ofService("other"), announceAt(1000*ms, "e", 5000, 2, ChangeUpdated),
 		}, "e", false},
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -56,10 +56,15 @@
 	lastSeen time.Duration
 	// synAckAt is when the endpoint's SYN was seen, 0 for an adopted flow.
 	synAckAt time.Duration
-	// endpointSeen is when the endpoint sent the latest packet of the flow.
-	endpointSeen time.Duration
+	// heldSince is when the endpoint was first seen to have the flow, and endpointSeen when it
+	// sent the latest packet of it.
+	heldSince, endpointSeen time.Duration
 }
 
+// HeldSince returns a time since which the endpoint has had a flow that is open. It returns false
+// if the flow is not open.
+func (f *Flow) HeldSince() (at time.Duration, ok bool) { return f.heldSince, f.isOpen && f.hasFirstSeq }
+
 // OpenedAt returns when the endpoint accepted a flow that is open. It returns false if the flow
 // is not open, or is older than the table.
 func (f *Flow) OpenedAt() (at time.Duration, ok bool) {
@@ -321,7 +326,7 @@
 		end++
 	}
 	if !f.hasFirstSeq || h.IsSYN && !f.isOpen {
-		f.firstSeq, f.highestSeq, f.hasFirstSeq = h.Seq, end, true
+		f.firstSeq, f.highestSeq, f.hasFirstSeq, f.heldSince = h.Seq, end, true, now
 		f.isAdopted = !h.IsSYN
 		if h.IsSYN {
 			f.synAckAt = now
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -488,8 +488,8 @@
 		return
 	}
 	if f != nil && !h.IsSYN && !h.IsRST {
-		if openedAt, ok := f.OpenedAt(); ok {
-			a.lifecycle.RecordEndpointPacket(openedAt)
+		if heldSince, ok := f.HeldSince(); ok {
+			a.lifecycle.RecordEndpointPacket(heldSince)
 		}
 	}
 	a.observeSaturation()
