Share the setting of control instances, and say more plainly what carries over and who was asked

Nothing changes in what the code does: poller.setControl replaces four assignments that each had to be followed by a copy; CarryOver has no second form that differed only in a bound; fetchFlows is split. TestFlowAnsweredAfterAHandoverDoesNotOpen is new: no test would have missed that the agent drops such answers.

--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -139,41 +139,46 @@
 	var holder netip.AddrPort
 	without := make(map[netip.AddrPort]bool)
 	for deadline := time.Now().Add(takeoverTimeout); time.Now().Before(deadline) && ctx.Err() == nil; {
-		targets := a.node.Control()
-		if holder.IsValid() {
-			targets = []netip.AddrPort{holder}
-		}
-		for _, target := range targets {
-			a.node.SendMessage(opaque.KindTakeover, &wire.Handover{Agent: a.key(), Incarnation: a.instance.Incarnation, Offset: uint32(len(flows))}, target)
-		}
+		a.requestFlows(holder, len(flows))
 		for {
 			answer, ok := a.awaitHandoverAnswer(ctx, handoverRetry)
 			if !ok {
 				break
 			}
-			message := answer.message
-			if message.Incarnation != a.instance.Incarnation || int(message.Offset) != len(flows) {
+			part := answer.message
+			if part.Incarnation != a.instance.Incarnation || int(part.Offset) != len(flows) {
 				continue
 			}
-			if !message.Found {
-				if without[answer.from] = true; a.isKnownToAll(without) {
-					return nil, 0, false
+			if part.Found {
+				holder = answer.from
+				flows = append(flows, part.Flows...)
+				if len(flows) >= int(part.Total) {
+					return flows, time.Duration(part.AdoptMs) * time.Millisecond, true
 				}
-				continue
+				break
 			}
-			holder = answer.from
-			flows = append(flows, message.Flows...)
-			if len(flows) >= int(message.Total) {
-				return flows, time.Duration(message.AdoptMs) * time.Millisecond, true
+			if without[answer.from] = true; a.isAllOfControl(without) {
+				return nil, 0, false
 			}
-			break
 		}
 	}
 	return nil, 0, false
 }
 
-// isKnownToAll reports whether all control instances are among the given ones. An instance learns
-// of all of them with the answer to its first poll.
-func (a *Agent) isKnownToAll(instances map[netip.AddrPort]bool) bool {
+// requestFlows requests the flows after the first ones from the control instance that keeps them,
+// or from all while it is not known.
+func (a *Agent) requestFlows(holder netip.AddrPort, offset int) {
+	targets := a.node.Control()
+	if holder.IsValid() {
+		targets = []netip.AddrPort{holder}
+	}
+	for _, target := range targets {
+		a.node.SendMessage(opaque.KindTakeover, &wire.Handover{Agent: a.key(), Incarnation: a.instance.Incarnation, Offset: uint32(offset)}, target)
+	}
+}
+
+// isAllOfControl reports whether there are no other control instances than the given ones. An
+// instance learns of all of them with the answer to its first poll.
+func (a *Agent) isAllOfControl(instances map[netip.AddrPort]bool) bool {
 	return a.node.SyncedAt() > 0 && !slices.ContainsFunc(a.node.Control(), func(control netip.AddrPort) bool { return !instances[control] })
 }
--- a/internal/machine/opaque/pathtest/handover_test.go
+++ b/internal/machine/opaque/pathtest/handover_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/flow"
 )
 
 // rollAgent stops the agent gracefully and starts another one after a pause.
@@ -66,6 +68,24 @@
 	})
 }
 
+// An agent has handed over its flows when its endpoint answers one more SYN. Its next start would
+// not know the flow.
+func TestFlowAnsweredAfterAHandoverDoesNotOpen(t *testing.T) {
+	runInCluster(t, false, 2, 1, func(tc *testCluster) {
+		s := tc.sites[0]
+		known := tc.dial(orders, anyZone)
+		tc.g.Expect(known.request()).NotTo(BeEmpty())
+		late := tc.prepare(orders, anyZone)
+		tc.mu.Unlock()
+		s.agent.Drain(context.Background())
+		tc.mu.Lock()
+		s.endpoint.reply(late.key, &flow.Header{IsSYN: true, IsACK: true, Seq: 5, Ack: late.seq + 1}, nil)
+		tc.sleep(50 * time.Millisecond)
+		tc.g.Expect(late.isOpen).To(BeFalse())
+		tc.g.Expect(known.request()).NotTo(BeEmpty())
+	})
+}
+
 // No control instance answers while an agent restarts, so that it adopts the flows.
 func TestFlowsSurviveAPlannedRestartWithoutControl(t *testing.T) {
 	runInCluster(t, false, 2, 3, func(tc *testCluster) {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -101,16 +101,16 @@
 		peerAnswers:   make(chan answer, maxQueuedAnswers),
 		refreshSignal: make(chan struct{}, 1),
 		ready:         make(chan netip.AddrPort, 1),
-		control:       shuffled(slices.Clone(node.instance.Peers())),
 		replica:       roster.NewReplica(),
 	}
-	p.shareControl()
+	p.setControl(shuffled(slices.Clone(node.instance.Peers())))
 	return p
 }
 
-// shareControl makes the current control instances known to other goroutines.
-func (p *poller) shareControl() {
-	known := slices.Clone(p.control)
+// setControl sets the control instances to poll.
+func (p *poller) setControl(instances []netip.AddrPort) {
+	p.control = instances
+	known := slices.Clone(instances)
 	p.knownControl.Store(&known)
 }
 
@@ -188,8 +188,7 @@
 		return false
 	}
 	p.readyAt = now
-	p.control = slices.Insert(slices.Delete(p.control, at, at+1), 0, from)
-	p.shareControl()
+	p.setControl(slices.Insert(slices.Delete(p.control, at, at+1), 0, from))
 	return true
 }
 
@@ -217,8 +216,7 @@
 			p.node.probeAgents()
 			isProbed = true
 		}
-		p.control = append(slices.Clone(p.control[1:]), p.control[0])
-		p.shareControl()
+		p.setControl(append(slices.Clone(p.control[1:]), p.control[0]))
 	}
 	if p.isControlReachable || p.interval == 0 {
 		p.interval = retryStep
@@ -470,6 +468,5 @@
 			added = append(added, address)
 		}
 	}
-	p.control = slices.Insert(kept, min(1, len(kept)), added...)
-	p.shareControl()
+	p.setControl(slices.Insert(kept, min(1, len(kept)), added...))
 }
--- a/internal/routing/carryover.go
+++ b/internal/routing/carryover.go
@@ -30,19 +30,6 @@
 // that all flows have ended that it or an earlier one led to other services. CarryOver depends
 // only on its arguments, so that all control instances compute the same result.
 func CarryOver(before, next *wire.RoutingTable, settled uint64) {
-	carryOver(before, next, settled, maxRetained)
-}
-
-// CarryOverByCount is CarryOver for commands of earlier releases, which do not state what has
-// settled: it keeps four services of a route and 256 dropped routes.
-func CarryOverByCount(before, next *wire.RoutingTable) {
-	carryOver(before, next, next.Version, maxRetained)
-	for _, route := range next.Routes {
-		route.FormerVersions = nil
-	}
-}
-
-func carryOver(before, next *wire.RoutingTable, settled uint64, maxRetained int) {
 	kept := make(map[netip.AddrPort]*wire.Route, len(next.Routes))
 	for _, route := range next.Routes {
 		kept[dialedAddress(route)] = route
@@ -63,7 +50,16 @@
 		setFormer(route, services)
 		next.Routes = append(next.Routes, route)
 	}
-	limitRetained(next, maxRetained)
+	limitRetained(next)
+}
+
+// CarryOverByCount is CarryOver for commands of earlier releases, which do not state what has
+// settled: it keeps keptServices of a route and keptRoutes, whether their flows have ended or not.
+func CarryOverByCount(before, next *wire.RoutingTable) {
+	CarryOver(before, next, next.Version)
+	for _, route := range next.Routes {
+		route.FormerVersions = nil
+	}
 }
 
 // formerServices returns the services that a route had before and that next does not have, the
@@ -110,17 +106,17 @@
 }
 
 // limitRetained removes the oldest former services, and then dropped routes without one, if
-// there are more than limit.
-func limitRetained(table *wire.RoutingTable, limit int) {
+// there are more than maxRetained.
+func limitRetained(table *wire.RoutingTable) {
 	var versions []uint64
 	for _, route := range table.Routes {
 		versions = append(versions, route.FormerVersions...)
 	}
-	if len(versions) <= limit {
+	if len(versions) <= maxRetained {
 		return
 	}
 	slices.Sort(versions)
-	oldest := versions[len(versions)-limit]
+	oldest := versions[len(versions)-maxRetained]
 	for _, route := range table.Routes {
 		services := formerOf(route, 0)
 		setFormer(route, slices.DeleteFunc(services, func(f former) bool { return f.version <= oldest }))
