Test that packets wait while an agent takes over its flows

No test would have missed that they do: without it, TestPacketsReachNoOtherEndpointWhileAnAgentTakesOver fails, since packets of other flows reach the endpoint.

--- a/internal/machine/opaque/pathtest/handover_test.go
+++ b/internal/machine/opaque/pathtest/handover_test.go
@@ -51,6 +51,31 @@
 	})
 }
 
+// Packets of others arrive before an agent has got the flows of its previous start.
+func TestPacketsReachNoOtherEndpointWhileAnAgentTakesOver(t *testing.T) {
+	runInCluster(t, false, 2, 6, func(tc *testCluster) {
+		flows := tc.openFlows(60)
+		tc.sleep(2 * heartbeat)
+		for _, s := range tc.sites {
+			tc.mu.Unlock()
+			s.agent.Drain(context.Background())
+			tc.mu.Lock()
+			s.stop()
+			tc.waitIdle()
+			tc.addColdBalancer()
+			s.startAgent()
+			for range 40 {
+				for _, f := range flows {
+					f.sendRequest()
+				}
+				tc.sleep(time.Millisecond)
+			}
+			tc.sleep(heartbeat)
+		}
+		tc.expectNoForeignPackets()
+	})
+}
+
 // Flows that were opened after a planned restart survive a kill of the agent shortly after it.
 func TestFlowsSurviveAKillAfterAPlannedRestart(t *testing.T) {
 	runInCluster(t, false, 2, 3, func(tc *testCluster) {
