--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -30,6 +30,10 @@
 	OwnerServices []string
 	// LatencyObjective is the latency that callers require, 0 if none is stated.
 	LatencyObjective time.Duration
+	// Timeout is the time after which callers give up a request, 0 if none is stated.
+	Timeout time.Duration
+	// Priority is the urgency of the route's flows, 0 being the most urgent.
+	Priority int
 
 	totalWeight uint64
 }
@@ -149,7 +153,11 @@
 }
 
 func newRoute(from *wire.Route) *Route {
-	route := &Route{LatencyObjective: time.Duration(from.LatencyObjectiveMs) * time.Millisecond}
+	route := &Route{
+		LatencyObjective: time.Duration(from.LatencyObjectiveMs) * time.Millisecond,
+		Timeout:          time.Duration(from.TimeoutMs) * time.Millisecond,
+		Priority:         int(from.Priority),
+	}
 	for _, service := range from.Services {
 		if service.Weight > 0 {
 			route.Services = append(route.Services, WeightedService{Name: service.Service, Weight: service.Weight})
