Hand flows over to two control instances, and to any that answer

Cause: an agent that stopped sent its flows to the first two control instances that it knew, for 250 ms each. When these had just stopped as well, no one had the flows. Each instance kept the only copy, so that one restart lost it, and the next start fetched one part per round trip within 0.3 s, which 2,000 flows exceed. Parts that overtook each other cost a retry each.

Change: flow.HandoverSender sends to two instances at a time and to one more for each that is silent for a round trip or refuses, until two have confirmed. The time grows with the flows and ends with the stop time. flow.Takeover asks all instances and fetches eight parts at once from the first complete copy, and from another one if that fails. flow.Handovers reserves room for all flows of an agent with the first part and refuses what does not fit, accepts parts in any order, frees the room of copies that do not become complete, and gives no copy to a start that is older than one that it knows, also by gossip (roster.Incarnation). An answer says that the flows are another start's, so that the second copy is not taken either. Agents use the incarnation of their polls in both messages: with the one of the process, their own polls passed for another start after the clock went back.

Test changed: TestHandoverIsForTheNextStartOnly expected a copy for start 500 after start 600 had asked for it. It now takes it for 500 first, and expects none for 500 once 600 has asked.

--- a/internal/flow/handover_test.go
+++ b/internal/flow/handover_test.go
@@ -111,10 +111,12 @@
 
 	record(h, 0, 1, 400, flowStates(3))
 	h.RecordStart(1, 500)
+	_, isFound = take(h, time.Second, 1, 500)
+	g.Expect(isFound).To(BeTrue())
 	_, isFound = take(h, time.Second, 1, 600)
 	g.Expect(isFound).To(BeFalse())
 	_, isFound = take(h, time.Second, 1, 500)
-	g.Expect(isFound).To(BeTrue())
+	g.Expect(isFound).To(BeFalse(), "a newer start is known")
 }
 
 func TestIncompleteAndOldHandoversAreNotFound(t *testing.T) {
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/flow"
@@ -70,6 +71,8 @@
 	waitingAdded chan struct{}
 	// handovers are the flows of agents that stop.
 	handovers *flow.Handovers
+	// refusedHandovers counts the parts that were refused.
+	refusedHandovers prometheus.Counter
 	// nextResyncAt is the earliest time of the next resync request to each control instance.
 	nextResyncAt map[netip.AddrPort]time.Duration
 }
@@ -86,6 +89,7 @@
 		return nil, err
 	}
 	d.node = node
+	d.registerHandoverMetrics(c.instance.Metrics)
 	d.roster = roster.New(rand.Uint64()|1, node.Now())
 	return d, nil
 }
@@ -218,14 +222,24 @@
 }
 
 // handleHandover keeps flows of an agent that stops, or sends its next start those that are kept.
+// Starts of the agent that the roster knows by polls and gossip count as seen.
 func (d *discovery) handleHandover(kind opaque.Kind, handover *wire.Handover, from netip.AddrPort) {
 	now := d.node.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	newest := d.roster.Incarnation(roster.Key(handover.Agent))
 	if kind == opaque.KindHandover {
-		d.node.SendMessage(opaque.KindHandoverAnswer, d.handovers.Record(now, handover), from)
+		answer := d.handovers.Record(now, handover)
+		d.handovers.RecordStart(handover.Agent, newest)
+		if answer.Refused {
+			d.refusedHandovers.Inc()
+			d.control.instance.Decisions.Decision("refuse-handover").Stringer("agent", from).Uint32("flows", handover.Total).
+				Int("reserved", d.handovers.Len()).Uint64("newest", newest).Msg("")
+		}
+		d.node.SendMessage(opaque.KindHandoverAnswer, answer, from)
 		return
 	}
+	d.handovers.RecordStart(handover.Agent, newest)
 	d.node.SendMessage(opaque.KindTakeoverAnswer, d.handovers.Take(now, handover), from)
 }
 
--- a/internal/machine/control/metrics.go
+++ b/internal/machine/control/metrics.go
@@ -28,3 +28,18 @@
 		return float64(len(s.Group.GetMembers()))
 	})
 }
+
+// registerHandoverMetrics registers the metrics about the flows of agents that stop.
+func (d *discovery) registerHandoverMetrics(registry *prometheus.Registry) {
+	d.refusedHandovers = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "sassafrasturn_handover_parts_refused_total", Help: "Parts of flows of agents that stop that were refused: no room, or from an earlier start.",
+	})
+	reserved := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "sassafrasturn_handover_flows", Help: "Flows of agents that have stopped for which there is room, one more for each agent.",
+	}, func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return float64(d.handovers.Len())
+	})
+	registry.MustRegister(d.refusedHandovers, reserved)
+}
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -85,8 +85,8 @@
 	isLeaving, isHandedOver bool
 	// awaitsFlows is set until the flows of the agent's previous start are known, or known to be
 	// lost.
-	awaitsFlows     bool
-	handoverAnswers chan handoverAnswer
+	awaitsFlows bool
+	handovers   handovers
 	// reset, expired and services are buffers that are reused for each packet.
 	reset    []byte
 	expired  []netip.AddrPort
@@ -108,7 +108,7 @@
 		suspects:   flow.NewSuspects(),
 		forwards:   flow.NewForwards(),
 		adoptUntil: s.Opaque.MaxFlowLifetime, checkChanged: make(chan struct{}, 1),
-		awaitsFlows: true, handoverAnswers: make(chan handoverAnswer, maxHandoverAnswers),
+		awaitsFlows: true, handovers: newHandovers(instance.Metrics),
 		metrics: newMetrics(instance.Metrics),
 	}
 	a.gate.SilenceTimeout = max(a.gate.SilenceTimeout, s.Opaque.HeartbeatInterval+heartbeatSlack)
@@ -222,6 +222,7 @@
 // agent stops, and then hands over the endpoint's flows to the agent's next start. An agent
 // whose endpoint has ended withdraws its record, and waits only until the others know.
 func (a *Agent) Drain(ctx context.Context) {
+	stopAt := a.node.Now() + a.instance.Settings.Opaque.StopGracePeriod
 	a.mu.Lock()
 	a.isLeaving = true
 	a.refreshRecord()
@@ -236,7 +237,7 @@
 	}
 	pause.For(ctx, min(wait, a.instance.Settings.Opaque.StopGracePeriod/2))
 	if !a.isDown() {
-		a.handOver(ctx)
+		a.handOver(ctx, stopAt)
 	}
 }
 
--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/flow"
@@ -15,19 +15,11 @@
 )
 
 const (
-	// handoverTimeout bounds the handover to one control instance, and maxHandoverTargets is how
-	// many are tried.
-	handoverTimeout    = 250 * time.Millisecond
-	maxHandoverTargets = 2
-	// takeoverTimeout bounds the search for the flows of the previous start. Packets of unknown
-	// flows wait meanwhile.
-	takeoverTimeout = 300 * time.Millisecond
-	// handoverRetry is a round trip between regions plus a margin for delay.
-	handoverRetry = 60 * time.Millisecond
-	// handoverWindow is how many parts are sent at once.
-	handoverWindow = 8
 	// maxHandoverAnswers bounds the answers that wait to be processed.
 	maxHandoverAnswers = 64
+	// stopMargin is the time that a process takes to end after its roles have drained, with a
+	// margin.
+	stopMargin = 300 * time.Millisecond
 )
 
 // handoverAnswer is a control instance's answer to a part of a handover, or to a request for one.
@@ -36,25 +28,51 @@
 	from    netip.AddrPort
 }
 
+// handovers receives the answers of control instances about handovers.
+type handovers struct {
+	// sent are the answers to the flows that this start hands over, and taken those to its
+	// requests for the flows of the previous one.
+	sent, taken chan handoverAnswer
+	outcomes    *prometheus.CounterVec
+}
+
+func newHandovers(registry *prometheus.Registry) handovers {
+	h := handovers{
+		sent: make(chan handoverAnswer, maxHandoverAnswers), taken: make(chan handoverAnswer, maxHandoverAnswers),
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_takeovers_total", Help: "Searches at the start for the flows of the previous start, by outcome: found, none, refused, unanswered.",
+		}, []string{"outcome"}),
+	}
+	registry.MustRegister(h.outcomes)
+	return h
+}
+
 // handleMessage queues an answer about a handover. It is dropped if the queue is full.
 func (a *Agent) handleMessage(kind opaque.Kind, data []byte, from netip.AddrPort) {
+	queue := a.handovers.sent
+	switch kind {
+	case opaque.KindHandoverAnswer:
+	case opaque.KindTakeoverAnswer:
+		queue = a.handovers.taken
+	default:
+		return
+	}
 	message := new(wire.Handover)
-	isAnswer := kind == opaque.KindHandoverAnswer || kind == opaque.KindTakeoverAnswer
-	if !isAnswer || proto.Unmarshal(data, message) != nil {
+	if proto.Unmarshal(data, message) != nil || message.Agent != a.key() {
 		return
 	}
 	select {
-	case a.handoverAnswers <- handoverAnswer{message: message, from: from}:
+	case queue <- handoverAnswer{message: message, from: from}:
 	default:
 	}
 }
 
-// awaitHandoverAnswer returns the next answer, false if there is none in time.
-func (a *Agent) awaitHandoverAnswer(ctx context.Context, timeout time.Duration) (handoverAnswer, bool) {
+// awaitAnswer returns the next answer of a queue, false if there is none in time.
+func awaitAnswer(ctx context.Context, queue <-chan handoverAnswer, timeout time.Duration) (handoverAnswer, bool) {
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case answer := <-a.handoverAnswers:
+	case answer := <-queue:
 		return answer, true
 	case <-timer.C:
 	case <-ctx.Done():
@@ -65,9 +83,10 @@
 // key returns the agent's address as messages contain it.
 func (a *Agent) key() uint64 { return uint64(roster.KeyOfAddress(a.node.Address())) }
 
-// handOver gives the flows of the endpoint to a control instance, which keeps them for the next
-// start of this agent. From then on the endpoint gets no new flow.
-func (a *Agent) handOver(ctx context.Context) {
+// handOver gives the flows of the endpoint to control instances, which keep them for the next
+// start of this agent. From then on the endpoint gets no new flow. The handover ends before the
+// process must have stopped; stopAt is that time on the clock of the node.
+func (a *Agent) handOver(ctx context.Context, stopAt time.Duration) {
 	a.mu.Lock()
 	now := a.node.Now()
 	a.isHandedOver = true
@@ -77,50 +96,51 @@
 	}
 	flows := a.table.Export(now)
 	a.mu.Unlock()
-	control := a.node.Control()
-	for _, target := range control[:min(len(control), maxHandoverTargets)] {
-		if a.sendFlows(ctx, target, flows, adopt) {
-			a.instance.Log.Info().Int("flows", len(flows)).Dur("adopt_ms", adopt).Stringer("control", target).Msg("flows handed over")
-			return
-		}
+	sender := a.sendFlows(ctx, flows, adopt, stopAt-stopMargin-now)
+	copies := sender.Complete()
+	if len(copies) == 0 {
+		a.instance.Log.Warn().Int("flows", len(flows)).Int("control", len(a.node.Control())).Int("refused", sender.Refused()).
+			Dur("took_ms", a.node.Now()-now).Msg("flows not handed over: no control instance has confirmed them")
+		return
 	}
-	a.instance.Log.Warn().Int("flows", len(flows)).Msg("flows not handed over: no control instance has confirmed them")
+	a.instance.Log.Info().Int("flows", len(flows)).Dur("adopt_ms", adopt).Strs("control", texts(copies)).Int("refused", sender.Refused()).
+		Dur("took_ms", a.node.Now()-now).Msg("flows handed over")
 }
 
-// sendFlows reports whether a control instance has confirmed all flows.
-func (a *Agent) sendFlows(ctx context.Context, target netip.AddrPort, flows []*wire.FlowState, adopt time.Duration) bool {
-	confirmed := 0
-	for deadline := time.Now().Add(handoverTimeout); time.Now().Before(deadline) && ctx.Err() == nil; {
-		end := confirmed
-		for part := 0; part < handoverWindow && (part == 0 || end < len(flows)); part++ {
-			next := min(end+flow.HandoverFlows, len(flows))
+func texts(addresses []netip.AddrPort) []string {
+	var list []string
+	for _, address := range addresses {
+		list = append(list, address.String())
+	}
+	return list
+}
+
+// sendFlows sends flows to control instances until enough have confirmed all of them, or the time
+// is over.
+func (a *Agent) sendFlows(ctx context.Context, flows []*wire.FlowState, adopt, limit time.Duration) *flow.HandoverSender {
+	incarnation := a.node.Incarnation()
+	sender := flow.NewHandoverSender(a.node.Now(), len(flows), limit)
+	for !sender.IsDone(a.node.Now()) && ctx.Err() == nil {
+		parts, wait := sender.Next(a.node.Now(), a.node.Control())
+		for _, part := range parts {
 			a.node.SendMessage(opaque.KindHandover, &wire.Handover{
-				Agent: a.key(), Incarnation: a.instance.Incarnation, Offset: uint32(end), Total: uint32(len(flows)),
-				Flows: flows[end:next], AdoptMs: uint32(adopt.Milliseconds()),
-			}, target)
-			end = next
+				Agent: a.key(), Incarnation: incarnation, Offset: uint32(part.Start), Total: uint32(len(flows)),
+				Flows: flows[part.Start:part.End], AdoptMs: uint32(adopt.Milliseconds()),
+			}, part.To)
 		}
-		for isConfirmed := false; !isConfirmed; {
-			answer, ok := a.awaitHandoverAnswer(ctx, handoverRetry)
-			if !ok {
-				break
-			}
-			if answer.from == target && answer.message.Incarnation == a.instance.Incarnation {
-				confirmed = max(confirmed, min(int(answer.message.Offset), len(flows)))
-				isConfirmed = confirmed == end
-			}
-			if isConfirmed && confirmed == len(flows) {
-				return true
-			}
+		answer, ok := awaitAnswer(ctx, a.handovers.sent, wait)
+		if ok && answer.message.Incarnation == incarnation {
+			sender.HandleAnswer(a.node.Now(), answer.from, answer.message)
 		}
 	}
-	return false
+	return sender
 }
 
 // takeOver fetches the flows that the previous start of this agent has handed over. Without them,
 // the agent adopts the flows of its endpoint.
 func (a *Agent) takeOver(ctx context.Context) {
-	flows, adopt, isFound := a.fetchFlows(ctx)
+	takeover := a.fetchFlows(ctx)
+	flows, adopt, holder, isFound := takeover.Flows()
 	a.mu.Lock()
 	now := a.node.Now()
 	if isFound && !a.lifecycle.IsDown() {
@@ -128,57 +148,60 @@
 		a.adoptUntil = now + adopt
 	}
 	a.awaitsFlows = false
+	waiting := a.deferred.Len()
 	a.mu.Unlock()
-	a.instance.Log.Info().Int("flows", len(flows)).Bool("found", isFound).Dur("adopt_ms", adopt).Dur("uptime_ms", now).Msg("flows taken over")
+	unanswered := takeover.Unanswered()
+	outcome := "none"
+	switch {
+	case isFound:
+		outcome = "found"
+	case takeover.IsRefused():
+		outcome = "refused"
+	case len(unanswered) > 0:
+		outcome = "unanswered"
+	}
+	a.handovers.outcomes.WithLabelValues(outcome).Inc()
+	entry := a.instance.Log.Info().Int("flows", len(flows)).Bool("found", isFound).Str("outcome", outcome).Dur("adopt_ms", adopt).
+		Strs("unanswered", texts(unanswered)).Int("packets_waiting", waiting).Dur("uptime_ms", now)
+	if isFound {
+		entry = entry.Stringer("control", holder)
+	}
+	entry.Msg("flows taken over")
 	a.releaseDeferred()
 }
 
-// fetchFlows returns the flows that a control instance keeps for this start, and for how long the
-// endpoint may have others. It returns false if none keeps any.
-func (a *Agent) fetchFlows(ctx context.Context) (flows []*wire.FlowState, adopt time.Duration, isFound bool) {
-	var holder netip.AddrPort
-	without := make(map[netip.AddrPort]bool)
-	for deadline := time.Now().Add(takeoverTimeout); time.Now().Before(deadline) && ctx.Err() == nil; {
-		a.requestFlows(holder, len(flows))
-		for {
-			answer, ok := a.awaitHandoverAnswer(ctx, handoverRetry)
-			if !ok {
-				break
-			}
-			part := answer.message
-			if part.Incarnation != a.instance.Incarnation || int(part.Offset) != len(flows) {
-				continue
-			}
-			if part.Found {
-				holder = answer.from
-				flows = append(flows, part.Flows...)
-				if len(flows) >= int(part.Total) {
-					return flows, time.Duration(part.AdoptMs) * time.Millisecond, true
-				}
-				break
-			}
-			if without[answer.from] = true; a.isAllOfControl(without) {
-				return nil, 0, false
-			}
+// fetchFlows searches the control instances for the flows that one of them keeps for this start,
+// and fetches them.
+func (a *Agent) fetchFlows(ctx context.Context) *flow.Takeover {
+	startedAt, incarnation := a.node.Now(), a.node.Incarnation()
+	takeover := flow.NewTakeover(startedAt)
+	for ctx.Err() == nil {
+		// With the answer to the first poll, all control instances become known. Before that, the
+		// incarnation rises if it has to, and answers to the one before count for nothing.
+		isControlKnown := a.node.SyncedAt() > 0
+		if current := a.node.Incarnation(); current != incarnation {
+			takeover, incarnation = flow.NewTakeover(startedAt), current
+		}
+		requests, wait := takeover.Next(a.node.Now(), a.node.Control())
+		for _, request := range requests {
+			a.requestFlows(incarnation, request)
+		}
+		answer, ok := awaitAnswer(ctx, a.handovers.taken, wait)
+		if ok && answer.message.Incarnation == incarnation {
+			takeover.HandleAnswer(a.node.Now(), answer.from, answer.message)
+		}
+		if takeover.IsDone(a.node.Now(), isControlKnown) {
+			break
 		}
 	}
-	return nil, 0, false
-}
-
-// requestFlows requests the flows after the first ones from the control instance that keeps them,
-// or from all while it is not known.
-func (a *Agent) requestFlows(holder netip.AddrPort, offset int) {
-	targets := a.node.Control()
-	if holder.IsValid() {
-		targets = []netip.AddrPort{holder}
-	}
-	for _, target := range targets {
-		a.node.SendMessage(opaque.KindTakeover, &wire.Handover{Agent: a.key(), Incarnation: a.instance.Incarnation, Offset: uint32(offset)}, target)
+	// Instances that have not answered may have a copy. They must know which start runs, so that
+	// they give it to no later one.
+	for _, address := range takeover.Unanswered() {
+		a.requestFlows(a.node.Incarnation(), flow.TakeoverRequest{To: address})
 	}
+	return takeover
 }
 
-// isAllOfControl reports whether there are no other control instances than the given ones. An
-// instance learns of all of them with the answer to its first poll.
-func (a *Agent) isAllOfControl(instances map[netip.AddrPort]bool) bool {
-	return a.node.SyncedAt() > 0 && !slices.ContainsFunc(a.node.Control(), func(control netip.AddrPort) bool { return !instances[control] })
+func (a *Agent) requestFlows(incarnation uint64, request flow.TakeoverRequest) {
+	a.node.SendMessage(opaque.KindTakeover, &wire.Handover{Agent: a.key(), Incarnation: incarnation, Offset: uint32(request.Offset)}, request.To)
 }
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -410,6 +410,12 @@
 // first.
 func (n *Node) Control() []netip.AddrPort { return *n.poller.knownControl.Load() }
 
+// Incarnation returns the incarnation that an agent reports in its polls. It is higher than that
+// of the instance if the wall clock went back between two starts.
+func (n *Node) Incarnation() uint64 {
+	return max(n.instance.Incarnation, n.poller.minIncarnation.Load())
+}
+
 // Refresh triggers a poll now instead of at the end of the interval.
 func (n *Node) Refresh() {
 	if n.poller != nil {
--- a/internal/machine/opaque/pathtest/model_test.go
+++ b/internal/machine/opaque/pathtest/model_test.go
@@ -550,7 +550,7 @@
 		m.tc = tc
 		tc.mu.Lock()
 		tc.network.policy = m.policy
-		tc.control = newFakeControl(tc)
+		tc.control = newFakeControl(tc, controlAddress)
 		tc.control.isRegistering, tc.control.isProbing = true, true
 		tc.control.setRoute(1, orders, "orders")
 		ctx, _ := tc.context()
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -59,6 +59,8 @@
 	t       *testing.T
 	network *network
 	control *fakeControl
+	// moreControl are further control instances, which share all but the handovers with control.
+	moreControl []*fakeControl
 	// isNaive replaces the balancers and agents with naive ones that keep no state.
 	isNaive bool
 	// keys seal the datagrams between instances. They are nil on an insecure cluster.
@@ -88,7 +90,7 @@
 			callers: make(map[netip.Addr]*socket), flows: make(map[flow.Key]*callerFlow), nextPort: 1000,
 		}
 		tc.mu.Lock()
-		tc.control = newFakeControl(tc)
+		tc.control = newFakeControl(tc, controlAddress)
 		tc.control.setRoute(1, orders, "orders")
 		for range sites {
 			tc.addSite("orders")
@@ -136,7 +138,7 @@
 func (tc *testCluster) instance(role settings.Role, address netip.Addr, zone string) *machine.Instance {
 	s := &settings.Settings{
 		Mode: settings.ModeOpaque, Role: role, Instance: address.String(), Zone: zone,
-		Cluster: settings.Cluster{IsInsecure: true, Peers: []netip.AddrPort{controlAddress}},
+		Cluster: settings.Cluster{IsInsecure: true, Peers: tc.controlAddresses()},
 		Link:    settings.Link{Listen: netip.AddrPortFrom(address, linkPort)},
 		Opaque: settings.Opaque{
 			Packets: netip.AddrPortFrom(address, packetPort), CallerPort: packetPort,
@@ -180,7 +182,10 @@
 
 // fakeControl answers polls as a control instance does.
 type fakeControl struct {
-	cluster   *testCluster
+	cluster *testCluster
+	address netip.AddrPort
+	// leader is the instance whose state the answers to polls are made from.
+	leader    *fakeControl
 	roster    *roster.Roster
 	start     time.Time
 	table     *wire.RoutingTable
@@ -208,20 +213,47 @@
 	sealer *envelope.Sealer
 }
 
-func newFakeControl(tc *testCluster) *fakeControl {
-	c := &fakeControl{cluster: tc, roster: roster.New(1, 0), rosters: 1, start: time.Now(), table: &wire.RoutingTable{}, isTableWithheld: make(map[netip.Addr]bool), handovers: flow.NewHandovers()}
+func newFakeControl(tc *testCluster, address netip.AddrPort) *fakeControl {
+	c := &fakeControl{cluster: tc, address: address, roster: roster.New(1, 0), rosters: 1, start: time.Now(), table: &wire.RoutingTable{}, isTableWithheld: make(map[netip.Addr]bool), handovers: flow.NewHandovers()}
+	c.leader = c
 	if tc.keys != nil {
 		var err error
 		c.sealer, err = envelope.NewSealer(tc.keys)
 		tc.g.Expect(err).NotTo(HaveOccurred())
 	}
-	s := tc.network.listen(controlAddress)
+	s := tc.network.listen(address)
 	tc.stops = append(tc.stops, func() { s.Close() })
 	c.socket = s
 	go c.serve(s)
 	return c
 }
 
+// addControl adds control instances and waits until all nodes know them.
+func (tc *testCluster) addControl(count int) {
+	for range count {
+		c := newFakeControl(tc, netip.AddrPortFrom(ip(9, 2+len(tc.moreControl)), linkPort))
+		c.leader = tc.control
+		tc.moreControl = append(tc.moreControl, c)
+	}
+	tc.sleep(2 * time.Second)
+}
+
+// allControl returns all control instances.
+func (tc *testCluster) allControl() []*fakeControl {
+	return append([]*fakeControl{tc.control}, tc.moreControl...)
+}
+
+func (tc *testCluster) controlAddresses() []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, c := range tc.allControl() {
+		addresses = append(addresses, c.address)
+	}
+	return addresses
+}
+
+// loseHandovers restarts an instance, which loses the flows that it keeps, and nothing else.
+func (c *fakeControl) loseHandovers() { c.handovers = flow.NewHandovers() }
+
 // restart replaces the roster with that of a recently started instance.
 func (c *fakeControl) restart() {
 	now := time.Since(c.start)
@@ -259,7 +291,10 @@
 			continue
 		}
 		c.cluster.mu.Lock()
-		data, _ := proto.Marshal(c.answer(poll, from.Addr()))
+		if poll.Self != nil {
+			c.handovers.RecordStart(uint64(roster.KeyOf(poll.Self)), poll.Self.Incarnation)
+		}
+		data, _ := proto.Marshal(c.leader.answer(poll, from.Addr()))
 		c.cluster.mu.Unlock()
 		_, _ = s.WriteToUDPAddrPort(c.seal(append([]byte{byte(opaque.KindPollAnswer)}, data...)), from)
 	}
@@ -277,11 +312,14 @@
 	if c.isDown || proto.Unmarshal(data, message) != nil {
 		return true
 	}
+	now, newest := time.Since(c.start), c.leader.roster.Incarnation(roster.Key(message.Agent))
 	answerKind, answer := opaque.KindHandoverAnswer, message
 	if kind == opaque.KindHandover {
-		answer = c.handovers.Record(time.Since(c.start), message)
+		answer = c.handovers.Record(now, message)
+		c.handovers.RecordStart(message.Agent, newest)
 	} else {
-		answerKind, answer = opaque.KindTakeoverAnswer, c.handovers.Take(time.Since(c.start), message)
+		c.handovers.RecordStart(message.Agent, newest)
+		answerKind, answer = opaque.KindTakeoverAnswer, c.handovers.Take(now, message)
 	}
 	encoded, _ := proto.Marshal(answer)
 	_, _ = c.socket.WriteToUDPAddrPort(c.seal(append([]byte{byte(answerKind)}, encoded...)), from)
@@ -341,8 +379,10 @@
 	c.roster.Sweep(now)
 	c.probeSilentAgents(now)
 	answer := &wire.PollAnswer{Sequence: poll.Sequence, Fresh: !c.isBehind, ZoneIndex: c.zoneIndex, ZonesOut: c.zonesOut, RoutingVersion: c.table.Version}
+	for _, address := range c.cluster.controlAddresses() {
+		answer.Control = append(answer.Control, address.String())
+	}
 	if poll.Self != nil {
-		c.handovers.RecordStart(uint64(poll.Self.Address)<<16|uint64(poll.Self.Port), poll.Self.Incarnation)
 		answer.Incarnation = c.roster.RecordPoll(now, poll.Self)
 	}
 	if c.isRegistering {
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -84,7 +84,8 @@
 	fetch     fetch
 	// reportedIncarnation is the agent's incarnation in the newest poll, and
 	// minIncarnation the lowest that the next poll may report.
-	reportedIncarnation, minIncarnation uint64
+	reportedIncarnation uint64
+	minIncarnation      atomic.Uint64
 }
 
 // fetch is a routing table that is being received in parts.
@@ -295,7 +296,7 @@
 	position.AddTo(poll)
 	if p.self != nil {
 		poll.Self = p.self()
-		poll.Self.Incarnation = max(poll.Self.Incarnation, p.minIncarnation)
+		poll.Self.Incarnation = max(poll.Self.Incarnation, p.minIncarnation.Load())
 		p.reportedIncarnation = poll.Self.Incarnation
 	}
 	return poll
@@ -315,8 +316,8 @@
 func (p *poller) apply(a answer) (isMore bool) {
 	now, message := p.node.Now(), a.message
 	p.updateControl(message.Control)
-	if next := message.Incarnation + 1; p.self != nil && message.Incarnation > p.reportedIncarnation && next > p.minIncarnation {
-		p.minIncarnation = next
+	if next := message.Incarnation + 1; p.self != nil && message.Incarnation > p.reportedIncarnation && next > p.minIncarnation.Load() {
+		p.minIncarnation.Store(next)
 		isMore = true
 	}
 	if p.fetch.version > message.RoutingVersion {
