Give log lines on open flows a budget of their own

Cause: all lines of decisions share a limit per second. In an overload the lines of new flows use it up, so that the few lines that show why an open flow broke are suppressed. Packets that were tried on an endpoint, bounced, or dropped while they waited had no line at all.

Change: decisionlog.Logger.OpenFlow has a budget as large as the common one and uses what is left of that one beyond it, so none of its lines is suppressed while common ones are written. Lines `try`, `bounce` and `lost` are new; `drop`, and `reset` of an open flow, use the budget, and resets of new flows do not. flow.Deferred counts the packets that it drops.

--- a/internal/decisionlog/decisionlog_test.go
+++ b/internal/decisionlog/decisionlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -27,3 +28,36 @@
 		g.Expect(out.String()).To(ContainSubstring(`"lines":7`))
 	})
 }
+
+// Lines about open flows must not be lost among those about new flows in an overload.
+func TestLinesOnOpenFlowsAreNotSuppressedBeforeCommonOnes(t *testing.T) {
+	for _, isCommonFirst := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			var out bytes.Buffer
+			logger := decisionlog.New(&log.Logger{Writer: &log.IOWriter{Writer: &out}}, 3)
+			common := func() {
+				for range 10 {
+					logger.Decision("take").Msg("")
+				}
+			}
+			if isCommonFirst {
+				common()
+			}
+			for range 7 {
+				logger.OpenFlow("reset").Msg("")
+			}
+			common()
+			open := strings.Count(out.String(), `"reset"`)
+			g.Expect(strings.Count(out.String(), `"take"`) + open).To(Equal(6))
+			if isCommonFirst {
+				g.Expect(open).To(Equal(3))
+			} else {
+				g.Expect(open).To(Equal(6), "the common budget was not in use")
+			}
+			time.Sleep(time.Second)
+			logger.OpenFlow("reset").Msg("")
+			g.Expect(out.String()).To(ContainSubstring(fmt.Sprintf(`"open_flow_lines":%d`, 7-open)))
+		})
+	}
+}
--- a/internal/flow/deferred.go
+++ b/internal/flow/deferred.go
@@ -20,6 +20,8 @@
 type Deferred[C any] struct {
 	packets []DeferredPacket[C]
 	held    map[deferredID]bool
+	// lost is the number of packets that were dropped since the last call of TakeLost.
+	lost int
 }
 
 // DeferredPacket is a packet with the time at which it arrived.
@@ -48,7 +50,11 @@
 func (d *Deferred[C]) Add(now, arrivedAt time.Duration, h *Header, packet []byte, extra C) {
 	d.dropOld(now)
 	id := deferredID{flow: h.KeyFromCaller(), seq: h.Seq, length: h.Length, isSYN: h.IsSYN}
-	if d.held[id] || len(d.packets) >= maxDeferred {
+	if d.held[id] {
+		return
+	}
+	if len(d.packets) >= maxDeferred {
+		d.lost++
 		return
 	}
 	d.held[id] = true
@@ -67,6 +73,14 @@
 	return taken
 }
 
+// TakeLost returns how many packets were dropped since it was last called, because they were too old
+// or too many. Retransmissions of packets that are held do not count.
+func (d *Deferred[C]) TakeLost() int {
+	lost := d.lost
+	d.lost = 0
+	return lost
+}
+
 // Len returns the number of packets held.
 func (d *Deferred[C]) Len() int { return len(d.packets) }
 
@@ -75,6 +89,7 @@
 	for _, p := range d.packets {
 		if now-p.ArrivedAt > DeferTTL {
 			delete(d.held, p.id)
+			d.lost++
 			continue
 		}
 		kept = append(kept, p)
--- a/internal/flow/deferred_test.go
+++ b/internal/flow/deferred_test.go
@@ -61,3 +61,17 @@
 	g.Expect(d.Take(0)).To(HaveLen(maxDeferred))
 	g.Expect(d.held).To(BeEmpty())
 }
+
+// Packets of open flows that are dropped while an instance starts must show in its log.
+func TestLostDeferredPacketsAreCounted(t *testing.T) {
+	g, d := NewWithT(t), NewDeferred[int]()
+	for number := range uint32(maxDeferred + 3) {
+		for range 2 {
+			d.Add(0, 0, &Header{Source: key.Caller, Destination: key.Dialed, Seq: number}, nil, 0)
+		}
+	}
+	g.Expect(d.TakeLost()).To(Equal(6), "three packets and their repetitions")
+	d.Take(DeferTTL + 1)
+	g.Expect(d.TakeLost()).To(Equal(maxDeferred))
+	g.Expect(d.TakeLost()).To(BeZero())
+}
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -102,7 +102,7 @@
 		return
 	}
 	// The new endpoint may have accepted flows before its first announcement.
-	a.resetFlows("endpoint-restarted", ended, a.table.ClearBefore(ended.LastSeen-reuseMargin))
+	a.resetFlows(reasonRestarted, ended, a.table.ClearBefore(ended.LastSeen-reuseMargin))
 	a.witnesses.Clear()
 	a.adoptUntil = 0
 }
--- a/internal/machine/opaque/agent/check.go
+++ b/internal/machine/opaque/agent/check.go
@@ -79,7 +79,7 @@
 	}
 	a.instance.Log.Info().Dur("uptime_ms", a.node.Now()).Int("flows", a.table.Active()).Msg("no endpoint is running")
 	a.adoptUntil, a.knownFrom = 0, -flow.ColdWindow
-	a.resetFlows("endpoint-left", endpoint, a.table.Clear())
+	a.resetFlows(reasonLeft, endpoint, a.table.Clear())
 	a.witnesses.Clear()
 	a.refreshRecord()
 	return true
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -173,6 +173,7 @@
 	isTried := isAdopting && isUnknown && (a.lifecycle.Endpoint() != nil || a.lifecycle.IsUnannounced())
 	if isTried && a.bounceable.add(now, key, offer) {
 		a.bounceable.keep(key, buffer)
+		a.openFlowLine("try", key, offer).Dur("adopt_left_ms", a.adoptUntil-now).Dur("uptime_ms", now).Msg("")
 		a.deliver(buffer[opaque.OfferHeadroom:])
 		return
 	}
@@ -213,7 +214,7 @@
 	offer.Hops++
 	if !ok || offer.Hops > maxHops(state.View, offer) {
 		a.metrics.dropped.WithLabelValues("no-holder").Inc()
-		a.instance.Decisions.Decision("drop").Str("flow", key.String()).Int("hops", offer.Hops).
+		a.openFlowLine("drop", key, offer).
 			Int("agents", state.View.LiveCount()).Str("reason", "no agent holds the flow").Msg("")
 		return
 	}
@@ -315,6 +316,7 @@
 func (a *Agent) releaseDeferred() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	defer a.logLostDeferred()
 	if a.deferred.Len() == 0 {
 		return
 	}
@@ -429,6 +431,7 @@
 func (a *Agent) deliver(packet []byte) {
 	if _, err := a.outbound.WriteToUDPAddrPort(packet, a.instance.Settings.Opaque.Endpoint); err != nil {
 		a.metrics.dropped.WithLabelValues("endpoint-unreachable").Inc()
+		a.logUnreachable(packet, err)
 	}
 }
 
@@ -442,14 +445,11 @@
 	endpoint *flow.Endpoint
 }
 
-// reasonNoOwner is the reason of the reset of a flow that no agent owns.
-const reasonNoOwner = "no-agent-holds-flow"
-
 // sendReset resets a flow at its caller and logs the cause.
 func (a *Agent) sendReset(key flow.Key, seq uint32, cause resetCause) {
 	a.metrics.resets.WithLabelValues(cause.reason).Inc()
 	now, state := a.node.Now(), a.node.State()
-	entry := a.instance.Decisions.Decision("reset").Str("flow", key.String()).Str("reason", cause.reason).
+	entry := a.resetLine(cause.reason).Str("flow", key.String()).Str("reason", cause.reason).
 		Int("hops", cause.hops).Int("expired", cause.expired).Dur("uptime_ms", now)
 	if cause.endpoint == nil {
 		cause.endpoint = a.lifecycle.Endpoint()
@@ -508,6 +508,7 @@
 	}
 	a.metrics.dropped.WithLabelValues("reset-of-unknown-flow").Inc()
 	if packet, ok := a.codec.Parse(buffer[min(opaque.OfferHeadroom, len(buffer)):]); ok {
+		a.openFlowLine("bounce", key, &offer).Str("reason", "reset by the endpoint").Msg("")
 		a.bounceable.setBounced(a.node.Now(), key)
 		a.forwardInOrder(&packet, &offer, buffer, a.node.Now())
 	}
@@ -522,7 +523,7 @@
 	if existing != nil && !h.IsSYN && existing.Matches(h) {
 		// The endpoint has lost a flow that it had. The reset makes the caller reconnect.
 		a.table.Remove(key)
-		a.sendReset(key, h.Ack, resetCause{reason: "endpoint-lost-flow"})
+		a.sendReset(key, h.Ack, resetCause{reason: reasonLostFlow})
 		a.recordLostFlow(existing)
 		return
 	}
@@ -542,5 +543,6 @@
 		a.forwardToNext(h, key, &offer, buffer, flow.RefusedByEndpoint)
 		return
 	}
+	a.openFlowLine("bounce", key, &offer).Str("reason", "returned by the endpoint").Msg("")
 	a.forwardInOrder(h, &offer, buffer, a.node.Now())
 }
--- a/internal/machine/opaque/pathtest/overlap_test.go
+++ b/internal/machine/opaque/pathtest/overlap_test.go
@@ -17,6 +17,7 @@
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasturn.example/internal/decisionlog"
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/machine/opaque"
@@ -288,3 +289,28 @@
 		tc.g.Expect(log.count("flows taken over", fmt.Sprintf(`"flows":%d`, count))).To(Equal(1))
 	})
 }
+
+// Agents that have been killed try packets of others' flows while many new flows arrive. The log
+// must show the former although the latter exceed its limit.
+func TestTriedPacketsAreLoggedAmongManyNewFlows(t *testing.T) {
+	runInCluster(t, false, 2, 2, func(tc *testCluster) {
+		log, flows := tc.recordLog(), tc.openFlows(20)
+		recordLog := tc.configure
+		tc.configure = func(instance *machine.Instance) {
+			recordLog(instance)
+			instance.Decisions = decisionlog.New(instance.Log, 5)
+		}
+		tc.restartAgents()
+		tc.addColdBalancer()
+		tc.sleep(time.Until(time.Now().Truncate(time.Second).Add(time.Second)))
+		for range 100 {
+			tc.prepare(orders, anyZone).sendSYN(0)
+		}
+		tc.sleep(100 * time.Millisecond)
+		takes := log.count(`"decision":"take"`)
+		tc.expectServed(flows[:5])
+		tc.g.Expect(log.count(`"decision":"take"`)).To(Equal(takes), "the common budget must be used up")
+		tc.g.Expect(log.count(`"decision":"try"`)).To(BeNumerically(">", 0))
+		tc.g.Expect(log.count(`"decision":"bounce"`, "returned by the endpoint")).To(BeNumerically(">", 0))
+	})
+}
