--- a/internal/machine/opaque/pathtest/overlap_test.go
+++ b/internal/machine/opaque/pathtest/overlap_test.go
@@ -252,6 +252,28 @@
 	}
 }
 
+// The wall clock of an agent's machine is set back before each start, so that its incarnation is lower
+// than the one before until control has answered. The polls of the agent that stops and of its next
+// start must not pass for those of another start.
+func TestFlowsAreHandedOverAfterTheClockWentBack(t *testing.T) {
+	runInCluster(t, false, 2, 3, func(tc *testCluster) {
+		tc.addControl(1)
+		log := tc.recordLog()
+		recordLog, offset := tc.configure, uint64(0)
+		tc.configure = func(instance *machine.Instance) {
+			recordLog(instance)
+			offset += 10_000
+			instance.Incarnation -= offset
+		}
+		s, flows := tc.openAtBusiest(40)
+		for range 3 {
+			s.rollAgent(500 * time.Millisecond)
+			tc.sleep(time.Second)
+		}
+		tc.expectTakenOver(log, 3, flows)
+	})
+}
+
 // openFlowsAtOnce opens more flows than openFlows can before the first ones are idle for too long.
 func (tc *testCluster) openFlowsAtOnce(count int) []*callerFlow {
 	tc.sites[0].endpoint.slots = count
