Take no new flows at a balancer whose network link is full

What callers saw: with 2.3 times the traffic on an installation whose balancers have 2.7 Mbit/s, packets of open flows waited at the balancers of the busiest zone; downloads of a service with free slots were late too. In a trial with more retransmissions a balancer suspected all agents of its zone, counted as cut off and stayed overloaded for 9 s after the burst, while its link sent 168 KB in 0.5 s, which is its rate.

Change: flow.LinkBudget models a link of nine tenths of the rate; new flows are dropped, the less urgent ones first, while packets would wait there, and reset once that has lasted for an attempt. [link] kbit_per_second states the rate, on the platform link-mbps; without it nothing changes.

--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -38,6 +38,7 @@
 	owners   *ownerCache
 	suspects *suspects
 	deferred deferredPackets
+	link     *link
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
 	// draining is closed when Drain is called.
@@ -52,6 +53,7 @@
 	outcomeNoEndpoint = "no-endpoint"
 	outcomeDeferred   = "deferred"
 	outcomeMalformed  = "malformed"
+	outcomeLinkFull   = "link-full"
 )
 
 // New returns the balancer role of an instance and opens its sockets.
@@ -59,6 +61,7 @@
 	b := &Balancer{
 		instance: instance, codec: codec, owners: newOwnerCache(), suspects: newSuspects(instance.Metrics),
 		deferred: deferredPackets{packets: flow.NewDeferred[struct{}]()},
+		link:     newLink(instance),
 		origin:   flow.TagOf(instance.Settings.Zone),
 		draining: make(chan struct{}),
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -87,7 +90,7 @@
 
 func (b *Balancer) counters() map[string]prometheus.Counter {
 	counts := make(map[string]prometheus.Counter)
-	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeDeferred, outcomeMalformed} {
+	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeDeferred, outcomeMalformed, outcomeLinkFull} {
 		counts[outcome] = b.packets.WithLabelValues(outcome)
 	}
 	return counts
@@ -154,6 +157,14 @@
 		w.refuse(h, key, state, isLate, outcomeNoRoute)
 		return outcomeNoRoute
 	}
+	if decision, wait := b.link.decide(b.node, route); decision != flow.LinkFree {
+		b.instance.Decisions.Decision("link-full").Str("flow", key.String()).Int("attempt", h.Attempt).
+			Int("less_urgent", route.LessUrgent).Dur("wait_ms", wait).Bool("saturated", decision == flow.LinkSaturated).Msg("")
+		// A caller that is reset tries again at once; the next transmission of its SYN comes later.
+		isLate = isLate || decision == flow.LinkBusy
+		w.refuse(h, key, state, isLate, outcomeLinkFull)
+		return outcomeLinkFull
+	}
 	hash := key.Hash()
 	service := route.Pick(hash)
 	agents := flow.ChooseCandidates(state.View, service, hash, b.origin, state.IsOut)
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -81,6 +81,8 @@
 	started  time.Time
 	state    atomic.Pointer[State]
 	poller   *poller
+	// sentBytes is the value of SentBytes.
+	sentBytes atomic.Uint64
 	// syncedAt is the value of SyncedAt in nanoseconds.
 	syncedAt       atomic.Int64
 	reachabilityMu sync.Mutex
@@ -342,6 +344,13 @@
 	return n.reachability.IsCutOff(n.Now())
 }
 
+// packetHeaderBytes is the size of the IPv4 and UDP headers of a datagram.
+const packetHeaderBytes = 20 + 8
+
+// SentBytes returns the number of bytes sent to other instances and callers, with the headers of
+// the datagrams.
+func (n *Node) SentBytes() uint64 { return n.sentBytes.Load() }
+
 // send sends a datagram to another instance, sealed if the cluster has keys.
 func (n *Node) send(datagram []byte, to netip.AddrPort) {
 	if n.sealer != nil {
@@ -352,6 +361,7 @@
 		}
 		datagram = sealed
 	}
+	n.sentBytes.Add(uint64(len(datagram) + packetHeaderBytes))
 	if _, err := n.conn.WriteToUDPAddrPort(datagram, to); err != nil {
 		n.instance.Log.Debug().Err(err).Stringer("to", to).Msg("cannot send datagram")
 	}
@@ -392,6 +402,7 @@
 // SendPacket sends an unmodified and unsealed packet to a caller.
 func (n *Node) SendPacket(packet []byte, caller netip.Addr) {
 	to := netip.AddrPortFrom(caller, n.instance.Settings.Opaque.CallerPort)
+	n.sentBytes.Add(uint64(len(packet) + packetHeaderBytes))
 	if _, err := n.conn.WriteToUDPAddrPort(packet, to); err != nil {
 		n.instance.Log.Debug().Err(err).Stringer("to", to).Msg("cannot send packet to caller")
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -34,6 +34,8 @@
 	Timeout time.Duration
 	// Priority is the urgency of the route's flows, 0 being the most urgent.
 	Priority int
+	// LessUrgent is how many other priorities of the table's routes are less urgent.
+	LessUrgent int
 
 	totalWeight uint64
 }
@@ -149,9 +151,24 @@
 			t.routes[dialedAddress(route)] = converted
 		}
 	}
+	t.rankPriorities()
 	return t
 }
 
+// rankPriorities sets LessUrgent of all routes that accept new flows.
+func (t *Table) rankPriorities() {
+	var priorities []int
+	for _, route := range t.routes {
+		priorities = append(priorities, route.Priority)
+	}
+	slices.Sort(priorities)
+	priorities = slices.Compact(priorities)
+	for _, route := range t.routes {
+		at, _ := slices.BinarySearch(priorities, route.Priority)
+		route.LessUrgent = len(priorities) - 1 - at
+	}
+}
+
 func newRoute(from *wire.Route) *Route {
 	route := &Route{
 		LatencyObjective: time.Duration(from.LatencyObjectiveMs) * time.Millisecond,
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -126,3 +126,23 @@
 	g.Expect(AddressNumber(netip.MustParseAddr("1.2.3.4"))).To(Equal(uint32(0x01020304)))
 	g.Expect(NumberAddress(0x01020304).String()).To(Equal("1.2.3.4"))
 }
+
+// Routes whose flows are the least urgent of a table must be told from the others, whatever numbers
+// the operator uses for priorities.
+func TestRoutesAreRankedByUrgency(t *testing.T) {
+	g := NewWithT(t)
+	ranks := func(priorities ...uint32) (ranks []int) {
+		next := table(1)
+		for i, priority := range priorities {
+			next.Routes = append(next.Routes, &wire.Route{Address: 1, Port: uint32(i + 1), Services: []*wire.WeightedService{weighted("old", 1)}, Priority: priority})
+		}
+		parsed := New(next)
+		for i := range priorities {
+			ranks = append(ranks, parsed.Lookup(netip.AddrPortFrom(NumberAddress(1), uint16(i+1))).LessUrgent)
+		}
+		return ranks
+	}
+	g.Expect(ranks(2, 1, 2, 7)).To(Equal([]int{1, 2, 1, 0}))
+	g.Expect(ranks(0, 0)).To(Equal([]int{0, 0}))
+	g.Expect(ranks(math.MaxUint32, 0)).To(Equal([]int{0, 1}))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,7 +48,10 @@
 	DefaultShutdownTimeout    = 10 * time.Minute
 
 	maxDecisionsPerSecond = 1_000_000
-	maxControlID          = 1_000_000
+	// maxKbitPerSecond is the rate of a link of 1 Tbit/s.
+	maxKbitPerSecond = 1_000_000_000
+	kbitBytes        = 1000 / 8
+	maxControlID     = 1_000_000
 )
 
 // Settings holds the validated settings of an instance.
@@ -99,6 +102,9 @@
 	// Advertise is the address at which others reach Listen, for example through a
 	// forwarded port. If it is not set, others use Listen.
 	Advertise netip.AddrPort
+	// BytesPerSecond is the rate of the network link of the instance in each direction, 0 if it is
+	// not known.
+	BytesPerSecond int
 }
 
 // Address returns the address at which other instances reach this one.
@@ -221,9 +227,12 @@
 		DataFolder:      file.String(sectionInstance, "data", ""),
 		ShutdownTimeout: file.Duration(sectionInstance, "shutdown_timeout", DefaultShutdownTimeout, time.Second, 24*time.Hour),
 		Cluster:         readCluster(file),
-		Link:            Link{Listen: file.RequiredAddrPort(sectionLink, "listen"), Advertise: file.AddrPort(sectionLink, "advertise")},
-		Metrics:         Metrics{Listen: file.AddrPort(sectionMetrics, "listen")},
-		Log:             readLog(file),
+		Link: Link{
+			Listen: file.RequiredAddrPort(sectionLink, "listen"), Advertise: file.AddrPort(sectionLink, "advertise"),
+			BytesPerSecond: file.Int(sectionLink, "kbit_per_second", 0, 0, maxKbitPerSecond) * kbitBytes,
+		},
+		Metrics: Metrics{Listen: file.AddrPort(sectionMetrics, "listen")},
+		Log:     readLog(file),
 	}
 	if strings.ContainsAny(s.Zone, " \t") {
 		file.Reject(sectionInstance, "zone", s.Zone, "a name without spaces or tabs")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -87,6 +87,7 @@
 [link]
 listen = [::1]:7400
 advertise = [::2]:7402
+kbit_per_second = -1
 [opaque]
 caller_port = 70000
 heartbeat = soon
@@ -94,7 +95,7 @@
 `
 	_, err := settings.Parse("agent.ini", []byte(text))
 	for _, place := range []string{
-		"[cluster] keys", "[cluster] peers", "[link] listen", "[link] advertise", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
+		"[cluster] keys", "[cluster] peers", "[link] listen", "[link] advertise", "[link] kbit_per_second", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
 		"[opaque] endpoint", "[opaque] outbound", "[opaque] announce",
 	} {
 		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(place)))
