Check a desired state before it is sent

An operator learned of a mistake in a desired state only by sending it, one error at a time and without its place, and not at all of entries without effect.

"sassafrasturnctl check FILE [--against HOST:PORT] [--format text|json]" lists all errors with their line and column, warnings, and the differences from the version in force, which it reads with one GET. parseRouting and routing.Check return the first of the faults and problems that the command lists, so that both have one code. The new package internal/lint finds warnings and differences; platform only translates. A file that does not start with "{" is still taken for a service document.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -7,7 +7,6 @@
 package routing
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -68,48 +67,10 @@
 	return &Table{}
 }
 
-// Check validates a table submitted by an operator.
+// Check validates a table submitted by an operator. It returns the first of its Problems.
 func Check(table *wire.RoutingTable) error {
-	known := make(map[string]bool)
-	for _, service := range table.Services {
-		if service.Service == "" {
-			return Error.New("a service of the table has no name")
-		}
-		if rate := service.ColdPerSecond; !(rate >= 0 && rate <= math.MaxFloat64) {
-			return Error.New("service %q: cold rate: found %v, allowed: 0 or more", service.Service, rate)
-		}
-		known[service.Service] = true
-	}
-	seen := make(map[netip.AddrPort]bool)
-	for _, route := range table.Routes {
-		dialed := dialedAddress(route)
-		if route.Port < 1 || route.Port > math.MaxUint16 {
-			return Error.New("route %s: port: found %d, allowed: 1 to %d", dialed, route.Port, math.MaxUint16)
-		}
-		if route.Address == 0 {
-			return Error.New("route %s: address: found %s, allowed: an address that callers can dial", dialed, dialed.Addr())
-		}
-		if seen[dialed] {
-			return Error.New("two routes have the same address %s", dialed)
-		}
-		seen[dialed] = true
-		if err := checkServices(dialed, route.Services, known); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func checkServices(dialed netip.AddrPort, services []*wire.WeightedService, known map[string]bool) error {
-	total := uint64(0)
-	for _, service := range services {
-		if !known[service.Service] {
-			return Error.New("route %s refers to service %q, which is not in the table", dialed, service.Service)
-		}
-		total += uint64(service.Weight)
-	}
-	if total == 0 {
-		return Error.New("route %s has no service with a weight greater than 0", dialed)
+	for problem := range Problems(table) {
+		return problem.Err
 	}
 	return nil
 }
