--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -6,8 +6,10 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"sassafrasturn.example/internal/flow"
@@ -27,10 +29,12 @@
 	// from FailuresFrom on.
 	FailureShare float64
 	FailuresFrom time.Duration
-	// ColdFor is how long the endpoint is cold from the start of the run. ColdFactor
+	// ColdFor is how long the endpoint is cold. ColdFactor
 	// multiplies the duration of work during that time; 0 means 1.
 	ColdFor    time.Duration
 	ColdFactor float64
+	// ColdFrom is when the endpoint becomes cold, if not at the start of the run.
+	ColdFrom time.Duration
 }
 
 // Load describes the requests of the callers.
@@ -44,6 +48,9 @@
 	// BurstZone is the zone from which the additional requests of the burst come;
 	// empty for all zones.
 	BurstZone string
+	// ZoneRates, if not nil, returns the share of RequestsPerSecond that comes from each zone
+	// at a time. The shares must not sum up to more than 1.
+	ZoneRates func(at time.Duration) map[string]float64
 	// InitialRequests is the number of requests that arrive at the start of the run,
 	// as after an outage.
 	InitialRequests int
@@ -76,6 +83,14 @@
 	// succeeded later.
 	RefusedAttempts int
 	P50, P99        time.Duration
+	// Zones are the results by the callers' zone.
+	Zones map[string]*ZoneResult
+}
+
+// ZoneResult counts the requests of a zone's callers. Left are those that endpoints of other
+// zones have accepted.
+type ZoneResult struct {
+	Requests, WithinObjective, Left int
 }
 
 // share returns part/whole; 0 if whole is 0.
@@ -196,6 +211,9 @@
 
 // callerZone draws the zone of a request at random.
 func (s *Simulation) callerZone() string {
+	if s.load.ZoneRates != nil {
+		return s.drawZone(s.load.ZoneRates(s.Now))
+	}
 	excess := 1 - 1/max(s.load.BurstFactor, 1)
 	if s.load.BurstZone != "" && s.isBurst() && s.random.Float64() < excess {
 		return s.load.BurstZone
@@ -203,6 +221,18 @@
 	return s.Endpoints[s.random.IntN(len(s.Endpoints))].Zone
 }
 
+// drawZone draws a zone by its share, or returns the empty name for the rest.
+func (s *Simulation) drawZone(shares map[string]float64) string {
+	at := s.random.Float64()
+	for _, zone := range slices.Sorted(maps.Keys(shares)) {
+		if at < shares[zone] {
+			return zone
+		}
+		at -= shares[zone]
+	}
+	return ""
+}
+
 func (s *Simulation) scheduleArrival(placer Placer) {
 	rate := s.load.RequestsPerSecond
 	if s.isBurst() {
@@ -219,7 +249,11 @@
 
 func (s *Simulation) newRequest(placer Placer) {
 	r := &request{createdAt: s.Now, zone: s.callerZone()}
+	if r.zone == "" {
+		return
+	}
 	s.result.Requests++
+	s.zoneResult(r.zone).Requests++
 	s.schedule(s.load.Deadline, func() {
 		if !r.isDone {
 			r.isDone = true
@@ -229,6 +263,16 @@
 	s.attempt(placer, r)
 }
 
+func (s *Simulation) zoneResult(zone string) *ZoneResult {
+	if s.result.Zones == nil {
+		s.result.Zones = make(map[string]*ZoneResult)
+	}
+	if s.result.Zones[zone] == nil {
+		s.result.Zones[zone] = new(ZoneResult)
+	}
+	return s.result.Zones[zone]
+}
+
 // transmissionIntervals are the times from each transmission of a flow's first packet to
 // the next one, or to the end of the attempt.
 var transmissionIntervals = [...]time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}
@@ -288,6 +332,9 @@
 		s.pending[chosen] = make(map[*request]bool)
 	}
 	r.acceptedAt = s.Now
+	if endpoint.Zone != r.zone {
+		s.zoneResult(r.zone).Left++
+	}
 	s.pending[chosen][r] = true
 	s.InFlight[chosen]++
 	if s.InFlight[chosen] <= s.Endpoints[chosen].Slots {
@@ -304,7 +351,7 @@
 		s.ResponseTimes[chosen].Observe(s.Now, s.Now-r.acceptedAt)
 		if !r.isDone {
 			r.isDone = true
-			s.recordLatency(s.Now - r.createdAt + networkRoundTrip)
+			s.recordLatency(r.zone, s.Now-r.createdAt+networkRoundTrip)
 		}
 		if queue := s.queues[chosen]; len(queue) > 0 {
 			s.queues[chosen] = queue[1:]
@@ -320,16 +367,17 @@
 	if endpoint.SlowFactor > 0 && s.Now >= endpoint.SlowFrom {
 		work *= endpoint.SlowFactor
 	}
-	if s.Now < endpoint.ColdFor && endpoint.ColdFactor > 0 {
+	if s.Now >= endpoint.ColdFrom && s.Now < endpoint.ColdFrom+endpoint.ColdFor && endpoint.ColdFactor > 0 {
 		work *= endpoint.ColdFactor
 	}
 	return time.Duration(work)
 }
 
-func (s *Simulation) recordLatency(latency time.Duration) {
+func (s *Simulation) recordLatency(zone string, latency time.Duration) {
 	s.latencies = append(s.latencies, latency)
 	if latency <= s.load.Objective {
 		s.result.WithinObjective++
+		s.zoneResult(zone).WithinObjective++
 	} else {
 		s.result.Late++
 	}
--- a/internal/emulate/placers.go
+++ b/internal/emulate/placers.go
@@ -63,6 +63,10 @@
 	// Gate decides whether an agent accepts a flow; nil means flow.Gate.
 	Gate func(endpoint *flow.Endpoint, request flow.AdmissionRequest) flow.Reason
 
+	// Offers counts the agents that flows were offered to, and Crossings the hops between zones
+	// on the way to them.
+	Offers, Crossings int
+
 	view  *flow.View
 	index map[netip.AddrPort]int
 	// saturations are those of the endpoints. isRush is whether the last flow was refused
@@ -80,6 +84,11 @@
 	}
 	candidates := p.candidates(rendezvous.Mix(key), flow.TagOf(zone))
 	for i, candidate := range candidates {
+		p.Offers++
+		if candidate.Zone != zone {
+			p.Crossings++
+		}
+		zone = candidate.Zone
 		chosen := p.index[candidate.Address]
 		endpoint := &flow.Endpoint{Service: service, Slots: s.Endpoints[chosen].Slots, LastSeen: s.Now}
 		request := flow.AdmissionRequest{
