Report the load of endpoints to balancers

Balancers decide without any knowledge of how long flows would wait at the agents, so that a flow that no agent takes walks over all its candidates.

Agents now send a balancer their endpoint's load (KindLoad) when they do not take a flow that it has offered or when the flow has to wait for a slot: at most once in 50 ms to each balancer and fewer than 200 times in any second. They answer KindLoadRequest. Only flows of routes that state an objective and a timeout lead to reports. EndpointLoad says also whether the endpoint is saturated, since agents refuse flows at once only then.

The balancer keeps plausible reports of live agents of its view for 2 s, counts the others, and measures the round trip of its requests. Nothing uses the reports yet. The waits are estimated from the requests in flight and the response time.

--- a/internal/flow/load.go
+++ b/internal/flow/load.go
@@ -20,6 +20,9 @@
 type Load struct {
 	IsReady         bool
 	Slots, InFlight int
+	// IsSaturated is set if the agent refuses flows that it cannot serve in time at once, because
+	// the overload lasts; see Saturation.
+	IsSaturated bool
 	// ServiceTime is the median time that the endpoint needs for a request without waiting for
 	// a slot, 0 if it is not known.
 	ServiceTime time.Duration
@@ -31,7 +34,7 @@
 func (l *Load) Message() *wire.EndpointLoad {
 	message := &wire.EndpointLoad{
 		Ready: l.IsReady, Slots: uint32(max(l.Slots, 0)), InFlight: uint32(max(l.InFlight, 0)),
-		ServiceTimeMs: milliseconds(l.ServiceTime),
+		ServiceTimeMs: milliseconds(l.ServiceTime), Saturated: l.IsSaturated,
 	}
 	last := Urgencies - 1
 	for last > 0 && l.Waits[last-1] == l.Waits[Urgencies-1] {
@@ -46,6 +49,9 @@
 // maxLoadTime bounds the times in a report, which come from other instances.
 const maxLoadTime = time.Minute
 
+// maxLoadCount bounds the slots and the requests in flight in a report.
+const maxLoadCount = 1 << 20
+
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d, 0), maxLoadTime).Milliseconds())
 }
@@ -53,10 +59,9 @@
 // LoadOf returns the load in a message. Values out of range are limited, and a class that the
 // message lacks has the wait of the last one.
 func LoadOf(message *wire.EndpointLoad) Load {
-	const maxCount = 1 << 20
 	load := Load{
-		IsReady: message.Ready, Slots: int(min(message.Slots, maxCount)), InFlight: int(min(message.InFlight, maxCount)),
-		ServiceTime: fromMilliseconds(message.ServiceTimeMs),
+		IsReady: message.Ready, Slots: int(min(message.Slots, maxLoadCount)), InFlight: int(min(message.InFlight, maxLoadCount)),
+		ServiceTime: fromMilliseconds(message.ServiceTimeMs), IsSaturated: message.Saturated,
 	}
 	wait := time.Duration(0)
 	for class := range load.Waits {
--- /dev/null
+++ b/internal/flow/reports.go
@@ -0,0 +1,126 @@
+package flow
+
+import (
+	"net/netip"
+	"time"
+
+	"sassafrasturn.example/internal/routing"
+	"sassafrasturn.example/internal/wire"
+)
+
+// ReportOutcome is what becomes of a report of an endpoint's load.
+type ReportOutcome string
+
+// Outcomes of reports.
+const (
+	ReportRecorded ReportOutcome = "recorded"
+	// ReportUnreadable means that the report cannot be decoded.
+	ReportUnreadable ReportOutcome = "unreadable"
+	// ReportUnknownAgent means that the view has no live agent with the address in the report.
+	ReportUnknownAgent ReportOutcome = "unknown-agent"
+	// ReportImplausible means that the report has no slots, no waits, or values out of range.
+	ReportImplausible ReportOutcome = "implausible"
+	// ReportUnrequested means that the report answers a request that this process has not made,
+	// or made too long ago.
+	ReportUnrequested ReportOutcome = "unrequested"
+)
+
+// ReportNumber returns the address of an agent as reports contain it.
+func ReportNumber(agent netip.AddrPort) uint64 {
+	return uint64(routing.AddressNumber(agent.Addr()))<<16 | uint64(agent.Port())
+}
+
+// reportAgent is the inverse of ReportNumber. It returns an invalid address for a number that
+// is none.
+func reportAgent(number uint64) netip.AddrPort {
+	if number >= 1<<48 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(routing.NumberAddress(uint32(number>>16)), uint16(number))
+}
+
+// ReportSender returns the agent that a report names.
+func ReportSender(message *wire.EndpointLoad) netip.AddrPort { return reportAgent(message.Agent) }
+
+// RecordReport keeps a report that its agent sent at a time, or later, if the report is plausible
+// and the view has its agent as a live one, which bounds the store.
+func (l *Loads) RecordReport(at time.Duration, message *wire.EndpointLoad, view *View) ReportOutcome {
+	agent := ReportSender(message)
+	switch {
+	case !view.IsLive(agent):
+		return ReportUnknownAgent
+	case !isPlausible(message):
+		return ReportImplausible
+	}
+	l.Record(at, agent, LoadOf(message))
+	return ReportRecorded
+}
+
+// isPlausible reports whether the values of a report are in their ranges. A wait out of range
+// must not be limited and used, since it would stand for a refusal.
+func isPlausible(message *wire.EndpointLoad) bool {
+	if message.Slots == 0 || len(message.WaitMs) == 0 {
+		return false
+	}
+	for _, wait := range message.WaitMs {
+		if time.Duration(wait)*time.Millisecond > maxLoadTime {
+			return false
+		}
+	}
+	return message.Slots <= maxLoadCount && message.InFlight <= maxLoadCount &&
+		time.Duration(message.ServiceTimeMs)*time.Millisecond <= maxLoadTime
+}
+
+const (
+	// reportInterval is the shortest interval between reports of an agent to the same balancer.
+	reportInterval = 50 * time.Millisecond
+	// Bursts of up to maxReportBurst reports follow each other at once, and more of them at
+	// intervals of reportSpacing. In no second are there more than 200.
+	maxReportBurst = 20
+	reportSpacing  = time.Second / 180
+	// maxReportedBalancers bounds the balancers that are remembered for reportInterval.
+	maxReportedBalancers = 1024
+)
+
+// ReportLimit bounds the reports that an agent sends. It is not safe for concurrent use.
+type ReportLimit struct {
+	sentTo map[netip.AddrPort]time.Duration
+	// nextAt is when the next report would be due if all were sent at intervals of
+	// reportSpacing.
+	nextAt time.Duration
+}
+
+// NewReportLimit returns a limit that has counted no reports.
+func NewReportLimit() *ReportLimit {
+	return &ReportLimit{sentTo: make(map[netip.AddrPort]time.Duration)}
+}
+
+// Allow reports whether an unrequested report to a balancer may be sent now, and counts it.
+func (r *ReportLimit) Allow(now time.Duration, balancer netip.AddrPort) bool {
+	last, ok := r.sentTo[balancer]
+	if ok && now-last < reportInterval || !ok && len(r.sentTo) >= maxReportedBalancers || !r.AllowAnswer(now) {
+		return false
+	}
+	r.sentTo[balancer] = now
+	return true
+}
+
+// AllowAnswer is Allow for a report that a balancer has requested, which counts only against
+// the reports of all balancers.
+func (r *ReportLimit) AllowAnswer(now time.Duration) bool {
+	nextAt := max(r.nextAt, now)
+	if nextAt-now > (maxReportBurst-1)*reportSpacing {
+		return false
+	}
+	r.nextAt = nextAt + reportSpacing
+	return true
+}
+
+// Sweep forgets the balancers that may be sent a report again.
+func (r *ReportLimit) Sweep(now time.Duration) {
+	for balancer, at := range r.sentTo {
+		if now-at >= reportInterval {
+			delete(r.sentTo, balancer)
+		}
+	}
+}
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -75,6 +75,7 @@
 	// suspects are the agents that do not answer probes.
 	suspects *flow.Suspects
 	forwards *flow.Forwards
+	reports  loadReports
 	// isOrphanCheckScheduled is set while a check of the orphans is scheduled.
 	isOrphanCheckScheduled bool
 	// record is the record that the agent reports of itself.
@@ -109,7 +110,7 @@
 		forwards:   flow.NewForwards(),
 		adoptUntil: s.Opaque.MaxFlowLifetime, checkChanged: make(chan struct{}, 1),
 		awaitsFlows: true, handoverAnswers: make(chan handoverAnswer, maxHandoverAnswers),
-		metrics: newMetrics(instance.Metrics),
+		metrics: newMetrics(instance.Metrics), reports: newLoadReports(instance.Metrics),
 	}
 	a.gate.SilenceTimeout = max(a.gate.SilenceTimeout, s.Opaque.HeartbeatInterval+heartbeatSlack)
 	a.lifecycle = flow.NewLifecycle(a.gate.SilenceTimeout)
@@ -206,6 +207,7 @@
 		a.orphans.Sweep(a.node.Now())
 		a.suspects.Sweep(a.node.Now())
 		a.forwards.Sweep(a.node.Now())
+		a.reports.limit.Sweep(a.node.Now())
 		a.metrics.flows.Set(float64(a.table.Len()))
 		a.metrics.inFlight.Set(float64(a.table.InFlight()))
 		before := a.record.Sequence
--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -36,8 +36,13 @@
 	from    netip.AddrPort
 }
 
-// handleMessage queues an answer about a handover. It is dropped if the queue is full.
+// handleMessage answers a request for the load, or queues an answer about a handover. That is
+// dropped if the queue is full.
 func (a *Agent) handleMessage(kind opaque.Kind, data []byte, from netip.AddrPort) {
+	if kind == opaque.KindLoadRequest {
+		a.answerLoadRequest(data, from)
+		return
+	}
 	message := new(wire.Handover)
 	isAnswer := kind == opaque.KindHandoverAnswer || kind == opaque.KindTakeoverAnswer
 	if !isAnswer || proto.Unmarshal(data, message) != nil {
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -40,6 +40,7 @@
 	a.metrics.offers.WithLabelValues(outcomeOf(reason)).Inc()
 	a.logOffer(key, h, offer, reason)
 	if reason != flow.Accepted {
+		a.reportOffer(now, key, offer.Balancer, reason)
 		a.forwardToNext(h, key, offer, buffer, reason)
 		return
 	}
@@ -47,6 +48,7 @@
 		a.forwardToNext(h, key, offer, buffer, flow.RefusedBusy)
 		return
 	}
+	a.reportOffer(now, key, offer.Balancer, reason)
 	a.bounceable.add(now, key, offer)
 	a.deliver(buffer[opaque.OfferHeadroom:])
 	if offer.Hops > 0 || h.Attempt > 0 || offer.IsReordered {
@@ -539,6 +541,7 @@
 		a.table.Refuse(key)
 		a.metrics.offers.WithLabelValues(outcomeOf(flow.RefusedByEndpoint)).Inc()
 		a.logOffer(key, h, &offer, flow.RefusedByEndpoint)
+		a.reportOffer(a.node.Now(), key, offer.Balancer, flow.RefusedByEndpoint)
 		a.forwardToNext(h, key, &offer, buffer, flow.RefusedByEndpoint)
 		return
 	}
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -37,6 +37,7 @@
 	conn     machine.Socket
 	owners   *ownerCache
 	suspects *suspects
+	loads    *agentLoads
 	deferred deferredPackets
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
@@ -58,7 +59,7 @@
 func New(instance *machine.Instance, codec flow.Codec) (*Balancer, error) {
 	b := &Balancer{
 		instance: instance, codec: codec, owners: newOwnerCache(), suspects: newSuspects(instance.Metrics),
-		deferred: deferredPackets{packets: flow.NewDeferred[struct{}]()},
+		loads: newAgentLoads(instance.Metrics), deferred: deferredPackets{packets: flow.NewDeferred[struct{}]()},
 		origin:   flow.TagOf(instance.Settings.Zone),
 		draining: make(chan struct{}),
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -68,6 +69,7 @@
 	instance.Metrics.MustRegister(b.packets)
 	node, err := opaque.NewNode(instance, nil, opaque.Handlers{
 		OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer, Synced: b.releaseDeferred,
+		Message: b.handleMessage,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -39,6 +39,10 @@
 	// KindTakeoverAnswer carries them.
 	KindTakeover
 	KindTakeoverAnswer
+	// KindLoad reports the load of an agent's endpoint to a balancer. KindLoadRequest requests
+	// such a report. Both carry a wire.EndpointLoad; the request has only its sequence.
+	KindLoad
+	KindLoadRequest
 )
 
 // MaxCandidates is the maximum number of agents that one SYN is offered to.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -38,6 +38,10 @@
 	totalWeight uint64
 }
 
+// HasDeadline reports whether the route states both an objective and a timeout, which decisions
+// under load require.
+func (r *Route) HasDeadline() bool { return r.LatencyObjective > 0 && r.Timeout > 0 }
+
 // WeightedService is a service of a route with its weight.
 type WeightedService struct {
 	Name   string
