Let balancers send new flows to other zones by the zones' loads

Balancers offer flows by flow.ZoneShares where the route states an objective and a timeout. Metrics count flows and bytes between zones by reason, and a decision log line tells changes of the shares with their inputs.

--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -47,7 +47,8 @@
 // View is the set of agents known to a node. It is immutable.
 type View struct {
 	byService map[string][]Member
-	live      map[netip.AddrPort]bool
+	// live are the agents that have not expired, with their zones.
+	live map[netip.AddrPort]ZoneTag
 	// awaited are the agents that have expired and may return.
 	awaited map[netip.AddrPort]Absence
 	zones   []ZoneTag
@@ -71,7 +72,7 @@
 func NewView(members []Member) *View {
 	view := &View{
 		byService: make(map[string][]Member),
-		live:      make(map[netip.AddrPort]bool, len(members)), awaited: make(map[netip.AddrPort]Absence),
+		live:      make(map[netip.AddrPort]ZoneTag, len(members)), awaited: make(map[netip.AddrPort]Absence),
 	}
 	for _, member := range members {
 		member.zoneIndex = slices.Index(view.zones, member.zone)
@@ -82,7 +83,7 @@
 		view.byService[member.Service] = append(view.byService[member.Service], member)
 		switch {
 		case !member.IsExpired:
-			view.live[member.Address] = true
+			view.live[member.Address] = member.zone
 		case member.IsUnseen:
 			view.awaited[member.Address] = AbsenceUnseen
 		case !member.IsReady:
@@ -126,7 +127,16 @@
 
 // IsLive reports whether the view contains an agent with this address that has not
 // expired.
-func (v *View) IsLive(address netip.AddrPort) bool { return v.live[address] }
+func (v *View) IsLive(address netip.AddrPort) bool {
+	_, ok := v.live[address]
+	return ok
+}
+
+// ZoneOf returns the zone of an agent that has not expired.
+func (v *View) ZoneOf(address netip.AddrPort) (zone ZoneTag, ok bool) {
+	zone, ok = v.live[address]
+	return zone, ok
+}
 
 // AbsenceOf returns why an expired agent is absent.
 func (v *View) AbsenceOf(address netip.AddrPort) Absence { return v.awaited[address] }
--- a/internal/flow/zoneshares.go
+++ b/internal/flow/zoneshares.go
@@ -13,8 +13,7 @@
 // ZoneReport is the answer of one agent to a balancer's request for its load.
 type ZoneReport struct {
 	Load Load
-	// Age is the time since the answer was received, and RoundTrip the time from the request
-	// to it.
+	// Age is the time since the request, and RoundTrip the time from it to the answer.
 	Age, RoundTrip time.Duration
 }
 
@@ -67,8 +66,8 @@
 	Wait      time.Duration
 	// ServiceTime is the mean over the endpoints whose service time is known, 0 if none is.
 	ServiceTime time.Duration
-	// RoundTrip is the shortest one measured.
-	RoundTrip time.Duration
+	// RoundTrip is the shortest one measured, and Age the mean age of the reports.
+	RoundTrip, Age time.Duration
 }
 
 const (
@@ -86,7 +85,7 @@
 // its age, since older ones do not yet include what the last steps moved.
 func SumZone(zone string, endpoints int, reports []ZoneReport) ZoneLoad {
 	load := ZoneLoad{Zone: zone, Endpoints: endpoints}
-	var total, full, timed, slots, inFlight, wait, serviceTime float64
+	var total, full, timed, age, slots, inFlight, wait, serviceTime float64
 	for i := range reports {
 		r := &reports[i]
 		if r.Age < 0 || r.Age > MaxZoneReportAge || !r.Load.IsReady || r.Load.Slots <= 0 {
@@ -95,6 +94,7 @@
 		weight := math.Exp2(-float64(r.Age) / float64(ZoneStepInterval))
 		load.Reports++
 		total += weight
+		age += float64(r.Age)
 		slots += weight * float64(r.Load.Slots)
 		inFlight += weight * float64(r.Load.InFlight)
 		if r.Load.InFlight >= r.Load.Slots {
@@ -113,7 +113,7 @@
 		return ZoneLoad{Zone: zone, Endpoints: endpoints}
 	}
 	load.Slots, load.InFlight = slots/total*float64(endpoints), inFlight/total*float64(endpoints)
-	load.FullShare = full / total
+	load.FullShare, load.Age = full/total, time.Duration(age/float64(load.Reports))
 	if full > 0 {
 		load.Wait = time.Duration(wait / full)
 	}
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -38,6 +38,7 @@
 	owners   *ownerCache
 	suspects *suspects
 	loads    *agentLoads
+	zones    *zoneShares
 	deferred deferredPackets
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
@@ -67,6 +68,7 @@
 		}, []string{"outcome"}),
 	}
 	instance.Metrics.MustRegister(b.packets)
+	b.zones = newZoneShares(b)
 	node, err := opaque.NewNode(instance, nil, opaque.Handlers{
 		OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer, Synced: b.releaseDeferred,
 		Message: b.handleMessage,
@@ -82,6 +84,7 @@
 // Run forwards packets until ctx ends.
 func (b *Balancer) Run(ctx context.Context) error {
 	go b.node.Run(ctx)
+	go b.zones.run(ctx)
 	w := &worker{balancer: b, counts: b.counters()}
 	opaque.ReceivePackets(ctx, b.conn, b.instance.Log, func(buffer []byte) { w.handle(buffer, b.node.Now()) })
 	return nil
@@ -97,7 +100,7 @@
 
 func (b *Balancer) handleOwnerUpdate(update opaque.OwnerUpdate) {
 	if update.Owner.Addr().IsValid() && update.Owner.Port() != 0 {
-		b.owners.put(update.Flow, update.Owner)
+		b.owners.put(update.Flow, cachedOwner{update.Owner, b.zones.crossing(b.node.State(), update.Flow, update.Owner)})
 	}
 }
 
@@ -158,22 +161,30 @@
 	}
 	hash := key.Hash()
 	service := route.Pick(hash)
-	agents := flow.ChooseCandidates(state.View, service, hash, b.origin, state.IsOut)
+	agents, placement := b.zones.choose(state, route, service, hash)
 	if len(agents) == 0 {
 		w.refuse(h, key, state, isLate, outcomeNoEndpoint)
 		return outcomeNoEndpoint
 	}
 	suspected := b.deprioritizeSuspects(h.Attempt, agents)
 	offer := opaque.Offer{
-		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(), IsReordered: suspected > 0,
-		IsLate: isLate,
+		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(),
+		// Flows that leave the zone do not start with the first agent of their order.
+		IsReordered: suspected > 0 || placement != flow.PlacedHome && route.HasDeadline(),
+		IsLate:      isLate,
 	}
 	for i := range agents {
 		offer.AddCandidate(agents[(i+h.Attempt)%len(agents)].Address)
 	}
 	first, _ := offer.PopCandidate()
+	if h.Attempt == 0 {
+		b.zones.flows[placement].Inc()
+	}
+	if agents[h.Attempt%len(agents)].Zone != b.instance.Settings.Zone {
+		b.zones.count(placement, len(buffer)-opaque.OfferHeadroom)
+	}
 	b.instance.Decisions.Decision("offer").Str("flow", key.String()).Int("attempt", h.Attempt).Str("service", service).
-		Stringer("agent", first).Int("suspected", suspected).
+		Stringer("agent", first).Int("suspected", suspected).Str("placement", string(placement)).
 		Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
 	b.node.SendOffer(&offer, buffer, first)
 	return outcomeOffered
@@ -204,9 +215,10 @@
 	key := h.KeyFromCaller()
 	offer := opaque.Offer{Origin: b.origin, Balancer: b.node.Address(), HasVisited: true}
 	state := b.node.State()
-	if owner, ok := b.owners.get(key); ok && state.View.IsLive(owner) {
+	if owner, ok := b.owners.get(key); ok && state.View.IsLive(owner.address) {
 		offer.IsShortcut = true
-		b.node.SendOffer(&offer, buffer, owner)
+		b.zones.count(owner.crossing, len(buffer)-opaque.OfferHeadroom)
+		b.node.SendOffer(&offer, buffer, owner.address)
 		return outcomeForwarded
 	}
 	hash := key.Hash()
@@ -219,6 +231,9 @@
 	if !ok {
 		return outcomeNoEndpoint
 	}
+	if first.Zone != b.instance.Settings.Zone {
+		b.zones.count(flow.PlacedNoEndpoint, len(buffer)-opaque.OfferHeadroom)
+	}
 	b.node.SendOffer(&offer, buffer, first.Address)
 	return outcomeForwarded
 }
--- a/internal/machine/opaque/balancer/ownercache.go
+++ b/internal/machine/opaque/balancer/ownercache.go
@@ -7,7 +7,7 @@
 	"sassafrasturn.example/internal/flow"
 )
 
-// maxCachedOwners bounds the entries of each of the two generations: 2 MB with map
+// maxCachedOwners bounds the entries of each of the two generations: 2.5 MB with map
 // overhead.
 const maxCachedOwners = 16_384
 
@@ -16,24 +16,30 @@
 // they reach the owner.
 type ownerCache struct {
 	mu       sync.Mutex
-	current  map[flow.Key]netip.AddrPort
-	previous map[flow.Key]netip.AddrPort
+	current  map[flow.Key]cachedOwner
+	previous map[flow.Key]cachedOwner
+}
+
+type cachedOwner struct {
+	address netip.AddrPort
+	// crossing is why packets go to another zone, empty if the owner is in the balancer's zone.
+	crossing flow.PlacementReason
 }
 
 func newOwnerCache() *ownerCache {
-	return &ownerCache{current: make(map[flow.Key]netip.AddrPort)}
+	return &ownerCache{current: make(map[flow.Key]cachedOwner)}
 }
 
-func (c *ownerCache) put(key flow.Key, owner netip.AddrPort) {
+func (c *ownerCache) put(key flow.Key, owner cachedOwner) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.current) >= maxCachedOwners {
-		c.previous, c.current = c.current, make(map[flow.Key]netip.AddrPort)
+		c.previous, c.current = c.current, make(map[flow.Key]cachedOwner)
 	}
 	c.current[key] = owner
 }
 
-func (c *ownerCache) get(key flow.Key) (netip.AddrPort, bool) {
+func (c *ownerCache) get(key flow.Key) (cachedOwner, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if owner, ok := c.current[key]; ok {
--- a/internal/settings/opaque.go
+++ b/internal/settings/opaque.go
@@ -60,6 +60,9 @@
 	ColdSlack  int
 	// StopGracePeriod is the time in which a process must stop after the request to stop.
 	StopGracePeriod time.Duration
+	// ZoneLeaveCost is how much earlier a flow must be answered in another zone to leave that
+	// of its balancer.
+	ZoneLeaveCost time.Duration
 }
 
 // Defaults and limits of the opaque mode. The defaults are the values of the smaller
@@ -71,6 +74,8 @@
 	defaultAddressReuseDelay = 2 * time.Second
 	defaultMaxFlowLifetime   = time.Minute
 	defaultStopGracePeriod   = 6 * time.Second
+	defaultZoneLeaveCost     = 5 * time.Millisecond
+	maxZoneLeaveCost         = time.Minute
 	defaultColdPercent       = 150
 	defaultColdSlack         = 5
 	maxColdPercent           = 10_000
@@ -85,6 +90,7 @@
 		AddressReuseDelay: file.Duration(sectionOpaque, "address_reuse", defaultAddressReuseDelay, time.Millisecond, time.Hour),
 		MaxFlowLifetime:   file.Duration(sectionOpaque, "flow_lifetime", defaultMaxFlowLifetime, time.Second, 24*time.Hour),
 		StopGracePeriod:   file.Duration(sectionOpaque, "stop_time", defaultStopGracePeriod, time.Second, time.Hour),
+		ZoneLeaveCost:     file.Duration(sectionOpaque, "zone_leave_cost", defaultZoneLeaveCost, 0, maxZoneLeaveCost),
 		ColdFactor:        float64(file.Int(sectionOpaque, "cold_percent", defaultColdPercent, 1, maxColdPercent)) / percent,
 		ColdSlack:         file.Int(sectionOpaque, "cold_slack", defaultColdSlack, 0, maxColdSlack),
 		MayBootstrap:      readBool(file, sectionOpaque, "found"),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"regexp"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -73,6 +74,7 @@
 		s, err := settings.Load(path)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(s.Mode).To(Equal(settings.ModeOpaque))
+		g.Expect(s.Opaque.ZoneLeaveCost).To(Equal(5 * time.Millisecond))
 	}
 }
 
@@ -91,10 +93,11 @@
 caller_port = 70000
 heartbeat = soon
 cold_percent = 0
+zone_leave_cost = -1ms
 `
 	_, err := settings.Parse("agent.ini", []byte(text))
 	for _, place := range []string{
-		"[cluster] keys", "[cluster] peers", "[link] listen", "[link] advertise", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent",
+		"[cluster] keys", "[cluster] peers", "[link] listen", "[link] advertise", "[opaque] caller_port", "[opaque] heartbeat", "[opaque] cold_percent", "[opaque] zone_leave_cost",
 		"[opaque] endpoint", "[opaque] outbound", "[opaque] announce",
 	} {
 		NewWithT(t).Expect(err).To(MatchError(ContainSubstring(place)))
