--- a/internal/emulate/zones.go
+++ b/internal/emulate/zones.go
@@ -21,15 +21,10 @@
 	// Reaches, if not nil, reports whether answers to requests for load of a zone's balancers
 	// arrive from another zone.
 	Reaches func(at time.Duration, from, to string) bool
-	// Observe, if not nil, is called with the share of flows that leave after each decision.
-	Observe func(at time.Duration, zone string, leaving float64)
 
 	balancers map[string][]*zoneBalancer
 	random    *rand.Rand
 	offered   []flow.Member
-	reason    flow.PlacementReason
-	// reasons counts placements.
-	reasons map[flow.PlacementReason]int
 }
 
 type zoneBalancer struct {
@@ -54,7 +49,6 @@
 	if p.view == nil {
 		p.prepare(s)
 		p.balancers, p.random = make(map[string][]*zoneBalancer), rand.New(rand.NewPCG(1, 2))
-		p.reasons = make(map[flow.PlacementReason]int)
 	}
 	if p.balancers[zone] == nil {
 		for range p.Balancers {
@@ -69,11 +63,10 @@
 		p.step(s, balancer)
 	}
 	p.ChooseCandidates = func(view *flow.View, key uint64, origin flow.ZoneTag) []flow.Member {
-		p.offered, p.reason = p.choose(s.Now, balancer, view, key, origin)
+		p.offered = p.choose(s.Now, balancer, view, key, origin)
 		return p.offered
 	}
 	chosen, ok := p.Offering.Place(s, key, zone)
-	p.reasons[p.reason]++
 	for _, member := range p.offered {
 		at := p.index[member.Address]
 		if ok && at == chosen && s.InFlight[at] < s.Endpoints[at].Slots {
@@ -91,14 +84,14 @@
 	return func(zone string) bool { return p.IsOut != nil && p.IsOut(at, zone) }
 }
 
-func (p *ZoneOffering) choose(now time.Duration, b *zoneBalancer, view *flow.View, key uint64, origin flow.ZoneTag) ([]flow.Member, flow.PlacementReason) {
+func (p *ZoneOffering) choose(now time.Duration, b *zoneBalancer, view *flow.View, key uint64, origin flow.ZoneTag) []flow.Member {
 	isOut := p.isOutAt(now)
 	if b.split != nil {
-		if members, reason := flow.ChooseZoneCandidates(view, service, key, origin, isOut, b.split); len(members) > 0 {
-			return members, reason
+		if members, _ := flow.ChooseZoneCandidates(view, service, key, origin, isOut, b.split); len(members) > 0 {
+			return members
 		}
 	}
-	return flow.ChooseCandidates(view, service, key, origin, isOut), flow.PlacedHome
+	return flow.ChooseCandidates(view, service, key, origin, isOut)
 }
 
 func (p *ZoneOffering) loadOf(s *Simulation, endpoint int) flow.Load {
@@ -139,13 +132,6 @@
 		zones = append(zones, flow.SumZone(zone, len(members), reports))
 	}
 	b.split = b.shares.Step(s.Now, zones)
-	if p.Observe != nil {
-		leaving := 0.0
-		if b.split != nil {
-			leaving = b.split.LeavingShare()
-		}
-		p.Observe(s.Now, b.zone, leaving)
-	}
 	p.request(s, b, agents)
 }
 
--- a/internal/emulate/zones_test.go
+++ b/internal/emulate/zones_test.go
@@ -245,9 +245,10 @@
 	return &scenarios[slices.IndexFunc(scenarios, func(z zoneScenario) bool { return z.name == name })]
 }
 
-// Guards against shares that hold flows in a zone that is short, or push them into one that is.
+// Guards against shares that hold flows in a zone that is short, or push them into one that is. In
+// the high step, only a fourteenth of all slots is free.
 func TestZoneSharesServeAShortZone(t *testing.T) {
-	for _, name := range []string{"step", "two short", "slow zone", "evacuation"} {
+	for _, name := range []string{"step", "high step", "two short", "slow zone", "evacuation"} {
 		g, z := NewWithT(t), findZoneScenario(name)
 		got, fixed, stays := z.run(byShares, 1), z.run(byFixed, 1), z.run(staying, 1)
 		g.Expect(1-got.all).To(BeNumerically("<", 0.1*(1-stays.all)), name)
@@ -267,6 +268,25 @@
 	g.Expect(waves.all).To(BeNumerically(">", fixed.all-0.001))
 }
 
+// Without figures, flows must be placed as before: no answers arrive, or none of the own zone.
+func TestZoneSharesWithoutFiguresAreTheFixedCandidates(t *testing.T) {
+	g := NewWithT(t)
+	none := func(string, string) bool { return false }
+	notOfHome := func(from, to string) bool { return from != to }
+	for _, c := range []struct {
+		scenario string
+		reaches  func(from, to string) bool
+	}{{"step", none}, {"evacuation", none}, {"step", notOfHome}} {
+		z := findZoneScenario(c.scenario)
+		got := z.run(func(z *zoneScenario) Placer {
+			placer := byShares(z).(*ZoneOffering)
+			placer.Reaches = func(_ time.Duration, from, to string) bool { return c.reaches(from, to) }
+			return placer
+		}, 1)
+		g.Expect(got).To(Equal(z.run(byFixed, 1)), c.scenario)
+	}
+}
+
 // Nothing is gained by leaving if all zones are full.
 func TestZoneSharesStayInAnOverloadOfAllZones(t *testing.T) {
 	g := NewWithT(t)
@@ -289,7 +309,7 @@
 			name string
 			make func(z *zoneScenario) Placer
 		}{{"never", staying}, {"fixed", byFixed}, {"least", leastLoaded}, {"shares", byShares}} {
-			t.Logf("%-10s %-7s %s", z.name, p.name, z.run(p.make, 1))
+			t.Logf("%-10s %-7s %s", z.name, p.name, z.run(p.make, 3))
 		}
 	}
 }
--- a/internal/flow/zoneshares.go
+++ b/internal/flow/zoneshares.go
@@ -58,8 +58,10 @@
 	Endpoints int
 	// Reports is how many reports the other fields are taken from; 0 if they are not known.
 	Reports int
-	// Slots and InFlight are of all endpoints together, extrapolated from those that reported.
-	Slots, InFlight float64
+	// Slots, Free and InFlight are of all endpoints together, extrapolated from those that
+	// reported. Free are the slots without a request; what waits at one endpoint takes none of
+	// another.
+	Slots, Free, InFlight float64
 	// FullShare is the share of endpoints without a free slot, from 0 to 1, and Wait the mean
 	// time that a flow of the least urgent class waits at one of these.
 	FullShare float64
@@ -85,7 +87,7 @@
 // its age, since older ones do not yet include what the last steps moved.
 func SumZone(zone string, endpoints int, reports []ZoneReport) ZoneLoad {
 	load := ZoneLoad{Zone: zone, Endpoints: endpoints}
-	var total, full, timed, age, slots, inFlight, wait, serviceTime float64
+	var total, full, timed, age, slots, free, inFlight, wait, serviceTime float64
 	for i := range reports {
 		r := &reports[i]
 		if r.Age < 0 || r.Age > MaxZoneReportAge || !r.Load.IsReady || r.Load.Slots <= 0 {
@@ -96,6 +98,7 @@
 		total += weight
 		age += float64(r.Age)
 		slots += weight * float64(r.Load.Slots)
+		free += weight * float64(max(0, r.Load.Slots-r.Load.InFlight))
 		inFlight += weight * float64(r.Load.InFlight)
 		if r.Load.InFlight >= r.Load.Slots {
 			full += weight
@@ -112,7 +115,8 @@
 	if endpoints < minZoneReports || load.Reports < minZoneReports {
 		return ZoneLoad{Zone: zone, Endpoints: endpoints}
 	}
-	load.Slots, load.InFlight = slots/total*float64(endpoints), inFlight/total*float64(endpoints)
+	scale := float64(endpoints) / total
+	load.Slots, load.Free, load.InFlight = slots*scale, free*scale, inFlight*scale
 	load.FullShare, load.Age = full/total, time.Duration(age/float64(load.Reports))
 	if full > 0 {
 		load.Wait = time.Duration(wait / full)
@@ -131,10 +135,7 @@
 const homeReserve = 0.125
 
 // homeRoom returns how many slots of the zone flows that return to it may use.
-func (z *ZoneLoad) homeRoom() float64 { return max(0, z.Slots*(1-homeReserve)-z.InFlight) }
-
-// freeSlots returns how many slots of the zone flows that leave another one may use.
-func (z *ZoneLoad) freeSlots() float64 { return max(0, z.Slots-z.InFlight) }
+func (z *ZoneLoad) homeRoom() float64 { return max(0, z.Free-z.Slots*homeReserve) }
 
 // firstCandidates is how many agents of a zone a flow is offered to before it waits or leaves.
 const firstCandidates = 3
@@ -323,9 +324,9 @@
 
 // move moves flows between home, which has endpoints, and other zones.
 func (s *ZoneShares) move(home *ZoneLoad, others []*ZoneLoad) {
-	// Flows that leave would occupy slots of home in proportion to those that stay. Without a
-	// shortage of home none would have left, so that they need all of its slots at least.
-	demand := max(home.InFlight/max(1-s.leaving(), maxZoneStep), home.Slots)
+	// Flows that leave would occupy slots of home in proportion to those that stay. What waits
+	// does not count: it was offered before.
+	demand := max((home.Slots-home.Free)/max(1-s.leaving(), maxZoneStep), home.Slots)
 	budget := maxZoneStep
 	if room := home.homeRoom(); room > 0 {
 		s.takeHome(min(budget, s.leaving()/2, roomPerStep*room/demand))
@@ -358,7 +359,7 @@
 // roomFor returns the room of another zone in slots of home: a slower zone needs more slots for
 // the same flows.
 func roomFor(home, other *ZoneLoad) float64 {
-	room := other.freeSlots()
+	room := other.Free
 	if home.ServiceTime > 0 && other.ServiceTime > 0 {
 		room *= float64(home.ServiceTime) / float64(other.ServiceTime)
 	}
@@ -389,7 +390,7 @@
 	slots, room := 0.0, 0.0
 	for _, other := range others {
 		slots += other.Slots
-		room += other.freeSlots()
+		room += other.Free
 	}
 	if slots == 0 {
 		clear(s.shares)
@@ -400,7 +401,7 @@
 	for i, other := range others {
 		s.shares[other.Zone] += missing * other.Slots / slots
 		if wanted[i] = other.Slots / slots; room > 0 {
-			wanted[i] = other.freeSlots() / room
+			wanted[i] = other.Free / room
 		}
 		distance += max(0, wanted[i]-s.shares[other.Zone])
 	}
@@ -420,7 +421,7 @@
 		if share := s.shares[other.Zone]; share > 0 {
 			split.Leaving = append(split.Leaving, ZoneShare{Zone: other.Zone, Share: share, tag: TagOf(other.Zone)})
 		}
-		if room := other.freeSlots(); room > most && gain(home, other) > s.cost {
+		if room := other.Free; room > most && gain(home, other) > s.cost {
 			most, split.Target, split.target = room, other.Zone, TagOf(other.Zone)
 		}
 	}
--- a/internal/flow/zoneshares_test.go
+++ b/internal/flow/zoneshares_test.go
@@ -18,7 +18,7 @@
 // taken. Above 1, flows wait.
 func zoneLoad(zone string, use float64) ZoneLoad {
 	const slots = 36
-	load := ZoneLoad{Zone: zone, Endpoints: 12, Reports: 8, Slots: slots, InFlight: min(use, 1) * slots, FullShare: min(1, use*use*use), RoundTrip: time.Millisecond}
+	load := ZoneLoad{Zone: zone, Endpoints: 12, Reports: 8, Slots: slots, InFlight: use * slots, Free: max(0, 1-use) * slots, FullShare: min(1, use*use*use), RoundTrip: time.Millisecond}
 	load.Wait, load.ServiceTime = time.Duration(max(use, 0.3)*40)*time.Millisecond, 40*time.Millisecond
 	return load
 }
@@ -121,9 +121,11 @@
 	g := NewWithT(t)
 	report := func(age time.Duration, load Load) ZoneReport { return ZoneReport{Load: load, Age: age} }
 	good := Load{IsReady: true, Slots: 3, InFlight: 1}
-	sum := SumZone("b", 12, []ZoneReport{report(0, good), report(0, Load{IsReady: true, Slots: 3, InFlight: 3})})
+	// What waits at one endpoint must not hide the free slots of another.
+	sum := SumZone("b", 12, []ZoneReport{report(0, good), report(0, Load{IsReady: true, Slots: 3, InFlight: 9})})
 	g.Expect(sum.Slots).To(BeNumerically("~", 36, 1e-9))
-	g.Expect(sum.InFlight).To(BeNumerically("~", 24, 1e-9))
+	g.Expect(sum.InFlight).To(BeNumerically("~", 60, 1e-9))
+	g.Expect(sum.Free).To(BeNumerically("~", 12, 1e-9))
 	g.Expect(sum.FullShare).To(BeNumerically("~", 0.5, 1e-9))
 	for name, bad := range map[string]ZoneReport{
 		"stale": report(MaxZoneReportAge+1, good), "of the future": report(-1, good),
--- a/internal/machine/opaque/balancer/zones.go
+++ b/internal/machine/opaque/balancer/zones.go
@@ -171,6 +171,11 @@
 // needed.
 func (z *zoneShares) step(now time.Duration, state *opaque.State, service string, s *serviceZones) {
 	agents := state.View.ReadyByZone(service, state.IsOut)
+	if _, hasHome := agents[z.home()]; len(agents) == 0 || hasHome && len(agents) == 1 {
+		// There is no other zone to leave for.
+		s.split.Store(nil)
+		return
+	}
 	loads := z.balancer.loads
 	loads.mu.Lock()
 	isShort := flow.IsZoneShort(now, loads.reports, agents[z.home()])
@@ -232,8 +237,8 @@
 	var inputs []string
 	for i := range zones {
 		l := &zones[i]
-		inputs = append(inputs, fmt.Sprintf("%s: share %.2f, endpoints %d, reports %d, age %s, in flight %.1f of %.1f, full %.2f, wait %s, service time %s, round trip %s",
-			l.Zone, shares[l.Zone], l.Endpoints, l.Reports, l.Age.Round(time.Millisecond), l.InFlight, l.Slots, l.FullShare,
+		inputs = append(inputs, fmt.Sprintf("%s: share %.2f, endpoints %d, reports %d, age %s, in flight %.1f, free %.1f of %.1f, full %.2f, wait %s, service time %s, round trip %s",
+			l.Zone, shares[l.Zone], l.Endpoints, l.Reports, l.Age.Round(time.Millisecond), l.InFlight, l.Free, l.Slots, l.FullShare,
 			l.Wait.Round(time.Millisecond), l.ServiceTime, l.RoundTrip))
 	}
 	z.balancer.instance.Decisions.Decision("zone-shares").Str("service", service).Str("reason", string(reason)).
--- a/internal/machine/opaque/pathtest/endpoint_test.go
+++ b/internal/machine/opaque/pathtest/endpoint_test.go
@@ -28,6 +28,8 @@
 	isSilent   bool
 	// isPaused is set while the endpoint does not answer requests.
 	isPaused bool
+	// work is how long the endpoint takes for a request.
+	work time.Duration
 	// isStarting is set while the endpoint resets every flow.
 	isStarting bool
 	// isQueueFull is set while connections to the endpoint time out.
@@ -154,7 +156,12 @@
 		}, data)
 		existing.answeredSeq = h.Seq
 		existing.nextSeq += uint32(len(data))
-		e.send(existing.lastAnswer)
+		answer := existing.lastAnswer
+		if e.work == 0 {
+			e.send(answer)
+			return
+		}
+		time.AfterFunc(e.work, func() { e.send(answer) })
 	}
 }
 
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -143,7 +143,7 @@
 			Outbound: netip.AddrPortFrom(address, outPort), Endpoint: netip.AddrPortFrom(address, servicePort), Service: "orders",
 			EndpointCheck:     netip.AddrPortFrom(address, servicePort),
 			HeartbeatInterval: time.Second, AddressReuseDelay: 2 * time.Second, MaxFlowLifetime: time.Minute,
-			ColdFactor: 1.5, ColdSlack: 5, StopGracePeriod: 6 * time.Second,
+			ColdFactor: 1.5, ColdSlack: 5, StopGracePeriod: 6 * time.Second, ZoneLeaveCost: 5 * time.Millisecond,
 		},
 	}
 	instance, err := machine.New(s)
