--- a/internal/emulate/zones_test.go
+++ b/internal/emulate/zones_test.go
@@ -290,7 +290,8 @@
 // Nothing is gained by leaving if all zones are full.
 func TestZoneSharesStayInAnOverloadOfAllZones(t *testing.T) {
 	g := NewWithT(t)
-	got, fixed := findZoneScenario("all full").run(byShares, 1), findZoneScenario("all full").run(byFixed, 1)
+	// With a single seed, the share of one zone varies by more than a hundredth.
+	got, fixed := findZoneScenario("all full").run(byShares, seeds), findZoneScenario("all full").run(byFixed, seeds)
 	g.Expect(got.crossings).To(BeNumerically("<", fixed.crossings/10))
 	for zone := range got.inTime {
 		g.Expect(got.left[zone]).To(BeNumerically("<", 0.02))
