Refuse at the balancer what no agent would take

In an overload that lasts, a flow that no agent takes walks over six agents before the last one resets it.

A balancer now refuses the first transmission of a SYN at once if each candidate has reported within 200 ms that it is saturated and that the flow would have to wait for longer than until the next transmission. Candidates at which the wait is that long are left out while others remain that are not suspected. Only routes that state an objective and a timeout are concerned, and a SYN that may be a copy of an offered one is never refused.

--- a/internal/flow/load.go
+++ b/internal/flow/load.go
@@ -79,7 +79,7 @@
 
 // Loads holds the latest report of each agent. It is not safe for concurrent use.
 type Loads struct {
-	byAgent map[netip.AddrPort]loadReport
+	byAgent map[netip.AddrPort]*loadReport
 }
 
 type loadReport struct {
@@ -92,19 +92,22 @@
 const maxLoadAge = 2 * time.Second
 
 // NewLoads returns an empty store.
-func NewLoads() *Loads { return &Loads{byAgent: make(map[netip.AddrPort]loadReport)} }
+func NewLoads() *Loads { return &Loads{byAgent: make(map[netip.AddrPort]*loadReport)} }
 
 // Record keeps a report that an agent sent at a time, or later.
 func (l *Loads) Record(at time.Duration, agent netip.AddrPort, load Load) {
-	l.byAgent[agent] = loadReport{load: load, at: at}
+	l.byAgent[agent] = &loadReport{load: load, at: at}
 }
 
 // Get returns the latest report of an agent and its age. It returns false if there is none that
 // is recent.
 func (l *Loads) Get(now time.Duration, agent netip.AddrPort) (load Load, age time.Duration, ok bool) {
 	report, ok := l.byAgent[agent]
+	if !ok {
+		return Load{}, 0, false
+	}
 	age = now - report.at
-	return report.load, age, ok && age <= maxLoadAge
+	return report.load, age, age <= maxLoadAge
 }
 
 // Wait returns for how long at least a flow that arrives now has to wait for a slot of an agent's
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -41,6 +41,7 @@
 	deferred deferredPackets
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 	// draining is closed when Drain is called.
 	draining chan struct{}
 }
@@ -51,6 +52,7 @@
 	outcomeForwarded  = "forwarded"
 	outcomeNoRoute    = "no-route"
 	outcomeNoEndpoint = "no-endpoint"
+	outcomeOverload   = "overload"
 	outcomeDeferred   = "deferred"
 	outcomeMalformed  = "malformed"
 )
@@ -65,8 +67,11 @@
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sassafrasturn_packets_total", Help: "Callers' packets by what became of them.",
 		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_refusals_total", Help: "New flows that the balancer has reset, by reason.",
+		}, []string{"reason"}),
 	}
-	instance.Metrics.MustRegister(b.packets)
+	instance.Metrics.MustRegister(b.packets, b.refusals)
 	node, err := opaque.NewNode(instance, nil, opaque.Handlers{
 		OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer, Synced: b.releaseDeferred,
 		Message: b.handleMessage,
@@ -89,7 +94,7 @@
 
 func (b *Balancer) counters() map[string]prometheus.Counter {
 	counts := make(map[string]prometheus.Counter)
-	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeDeferred, outcomeMalformed} {
+	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeOverload, outcomeDeferred, outcomeMalformed} {
 		counts[outcome] = b.packets.WithLabelValues(outcome)
 	}
 	return counts
@@ -164,14 +169,20 @@
 		return outcomeNoEndpoint
 	}
 	suspected := b.deprioritizeSuspects(h.Attempt, agents)
+	first := agents[0].Address
+	agents, isRefused := b.considerLoads(route, h, hash, agents, suspected, isLate)
+	if isRefused {
+		w.refuse(h, key, state, isLate, outcomeOverload)
+		return outcomeOverload
+	}
 	offer := opaque.Offer{
-		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(), IsReordered: suspected > 0,
-		IsLate: isLate,
+		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(),
+		IsReordered: suspected > 0 || agents[0].Address != first, IsLate: isLate,
 	}
 	for i := range agents {
 		offer.AddCandidate(agents[(i+h.Attempt)%len(agents)].Address)
 	}
-	first, _ := offer.PopCandidate()
+	first, _ = offer.PopCandidate()
 	b.instance.Decisions.Decision("offer").Str("flow", key.String()).Int("attempt", h.Attempt).Str("service", service).
 		Stringer("agent", first).Int("suspected", suspected).
 		Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
@@ -191,6 +202,7 @@
 	if !state.IsUsable || h.Attempt > 0 || isLate {
 		return
 	}
+	b.refusals.WithLabelValues(reason).Inc()
 	b.instance.Decisions.Decision("refuse").Str("flow", key.String()).Str("reason", reason).
 		Uint64("routing_version", state.Table.Version).Int("agents", state.View.LiveCount()).Msg("")
 	w.reset = b.codec.AppendReset(w.reset[:0], key, h.Ack)
--- a/internal/machine/opaque/pathtest/loads_test.go
+++ b/internal/machine/opaque/pathtest/loads_test.go
@@ -121,3 +121,179 @@
 		tc.g.Expect(l.reports).To(BeEmpty())
 	})
 }
+
+// report sends all balancers a report of a site, as its agent does.
+func (tc *testCluster) report(s *site, change func(*wire.EndpointLoad)) {
+	address := netip.AddrPortFrom(s.address, linkPort)
+	message := &wire.EndpointLoad{Agent: flow.ReportNumber(address), Slots: 5, InFlight: 25, WaitMs: []uint32{600}, Ready: true, Saturated: true}
+	if change != nil {
+		change(message)
+	}
+	data, _ := proto.Marshal(message)
+	for _, b := range tc.balancers {
+		tc.network.send(tc.control.seal(append([]byte{byte(opaque.KindLoad)}, data...)), address, netip.AddrPortFrom(b.address.Addr(), linkPort))
+	}
+}
+
+func (tc *testCluster) reportAll(change func(*wire.EndpointLoad)) {
+	for _, s := range tc.sites {
+		tc.report(s, change)
+	}
+	tc.sleep(2 * linkLatency)
+}
+
+// isRefusedAtBalancer sends the first SYN of a flow, and reports whether it is reset in less time
+// than an agent would need.
+func (tc *testCluster) isRefusedAtBalancer() bool {
+	f := tc.prepare(orders, anyZone)
+	f.sendSYN(0)
+	tc.sleep(2*linkLatency + linkLatency/2)
+	return f.isReset
+}
+
+// maxRefusalTime is how long a report may lead to refusals.
+const maxRefusalTime = 200 * time.Millisecond
+
+// A balancer refuses a flow if all its candidates have reported that they would not take it, with
+// and without control, and as long as the reports are recent. Whatever is missing, the flow is
+// offered, and served if there is a free slot after all.
+func TestBalancersRefuseWhatNoAgentWouldTake(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare   func(tc *testCluster)
+		isRefused bool
+	}{
+		"all full":                  {func(tc *testCluster) { tc.reportAll(nil) }, true},
+		"all full, control is down": {func(tc *testCluster) { tc.control.isDown = true; tc.sleep(5 * time.Second); tc.reportAll(nil) }, true},
+		"one report is lost": {func(tc *testCluster) {
+			tc.network.cutOneWay(tc.sites[1].address, tc.balancers[0].address.Addr())
+			tc.network.cutOneWay(tc.sites[1].address, tc.balancers[1].address.Addr())
+			tc.reportAll(nil)
+		}, false},
+		"reports are stale behind a cut in one direction": {func(tc *testCluster) {
+			tc.reportAll(nil)
+			for _, s := range tc.sites {
+				for _, b := range tc.balancers {
+					tc.network.cutOneWay(s.address, b.address.Addr())
+				}
+			}
+			tc.sleep(maxRefusalTime)
+			tc.reportAll(nil)
+		}, false},
+		"an agent dies after a report of a long wait": {func(tc *testCluster) {
+			tc.report(tc.sites[0], func(m *wire.EndpointLoad) { m.WaitMs = []uint32{60_000} })
+			tc.sites[0].stop()
+			tc.sites[0].endpoint.stop()
+			tc.sleep(maxRefusalTime)
+			tc.report(tc.sites[1], nil)
+			tc.report(tc.sites[2], nil)
+			tc.sleep(2 * linkLatency)
+		}, false},
+		"the balancers restart":       {func(tc *testCluster) { tc.reportAll(nil); tc.restartBalancers(); tc.sleep(time.Second) }, false},
+		"waits are short":             {func(tc *testCluster) { tc.reportAll(func(m *wire.EndpointLoad) { m.WaitMs = []uint32{150} }) }, false},
+		"the endpoints are in a rush": {func(tc *testCluster) { tc.reportAll(func(m *wire.EndpointLoad) { m.Saturated = false }) }, false},
+		"the waits are of other flows": {func(tc *testCluster) {
+			tc.reportAll(func(m *wire.EndpointLoad) { m.WaitMs = []uint32{600, 600, 0, 600} })
+		}, false},
+		"reports are implausible":    {func(tc *testCluster) { tc.reportAll(func(m *wire.EndpointLoad) { m.Slots = 0 }) }, false},
+		"answers were not requested": {func(tc *testCluster) { tc.reportAll(func(m *wire.EndpointLoad) { m.Sequence = 7 }) }, false},
+		"the route has no deadline": {func(tc *testCluster) {
+			tc.control.setRoute(3, orders, "orders")
+			tc.sleep(time.Second)
+			tc.reportAll(nil)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runWithAndWithoutKeys(t, 2, 3, func(tc *testCluster) {
+				c.prepare(tc)
+				tc.g.Expect(tc.isRefusedAtBalancer()).To(Equal(c.isRefused))
+				tc.sleep(maxRefusalTime)
+				for range 10 {
+					tc.g.Expect(tc.isServed(orders)).To(BeTrue())
+				}
+			})
+		})
+	}
+}
+
+// Agents in a real overload, whose endpoints have no free slot for 1.4 s, report waits that lead to
+// refusals at the balancer, which end once they have free slots.
+func TestOverloadedAgentsHaveFlowsRefusedAtTheBalancer(t *testing.T) {
+	runWithAndWithoutKeys(t, 1, 1, func(tc *testCluster) {
+		endpoint := tc.sites[0].endpoint
+		flows := tc.openFlows(40)
+		sendAll := func() {
+			for _, f := range flows {
+				f.sendRequest()
+			}
+		}
+		for range 10 {
+			// Answers take 1.8 s.
+			endpoint.isPaused = true
+			sendAll()
+			tc.sleep(1800 * time.Millisecond)
+			endpoint.isPaused = false
+			sendAll()
+			tc.sleep(20 * time.Millisecond)
+			for _, f := range flows {
+				f.seq += uint32(len("request"))
+			}
+		}
+		endpoint.isPaused = true
+		sendAll()
+		refused := 0
+		for range 60 {
+			tc.sleep(50 * time.Millisecond)
+			sendAll()
+			if tc.isRefusedAtBalancer() {
+				refused++
+			}
+		}
+		tc.g.Expect(refused).To(BeNumerically(">", 10))
+		endpoint.isPaused = false
+		sendAll()
+		tc.sleep(maxRefusalTime)
+		tc.g.Expect(tc.isServed(orders)).To(BeTrue())
+	})
+}
+
+// A copy of a SYN that an endpoint has accepted arrives when all agents have become full. A reset
+// would close the open flow.
+func TestCopyOfAnOfferedSYNIsNotRefused(t *testing.T) {
+	runWithAndWithoutKeys(t, 1, 2, func(tc *testCluster) {
+		f := tc.dial(orders, anyZone)
+		tc.reportAll(nil)
+		f.seq--
+		f.sendSYN(0)
+		f.seq++
+		tc.sleep(20 * time.Millisecond)
+		tc.g.Expect(f.isReset).To(BeFalse())
+		tc.g.Expect(tc.isRefusedAtBalancer()).To(BeTrue())
+		tc.expectServed([]*callerFlow{f})
+	})
+}
+
+// Instances of an earlier release take no message of an unknown kind. They go on, and so do those
+// that get no reports from them.
+func TestInstancesIgnoreReportsThatAreNotForThem(t *testing.T) {
+	runWithAndWithoutKeys(t, 1, 2, func(tc *testCluster) {
+		flows := tc.openFlows(5)
+		earlier, err := opaque.NewListener(tc.instance(settings.RoleBalancer, ip(8, 2), zoneOf(0)), opaque.Handlers{})
+		tc.g.Expect(err).NotTo(HaveOccurred())
+		ctx, _ := tc.context()
+		go earlier.Run(ctx)
+		l := tc.addLoadListener(1)
+		targets := []netip.AddrPort{
+			earlier.Address(), netip.AddrPortFrom(tc.balancers[0].address.Addr(), linkPort), netip.AddrPortFrom(tc.sites[0].address, linkPort),
+		}
+		for _, to := range targets {
+			for kind := opaque.KindLoad; kind < opaque.KindLoadRequest+3; kind++ {
+				l.SendMessage(kind, &wire.EndpointLoad{}, to)
+				l.SendMessage(kind, &wire.PollAnswer{RoutingVersion: 1 << 60, Control: []string{"a"}}, to)
+			}
+		}
+		tc.sleep(20 * time.Millisecond)
+		tc.g.Expect(l.reports).To(BeEmpty())
+		tc.expectServed(flows)
+		tc.g.Expect(tc.isServed(orders)).To(BeTrue())
+	})
+}
