--- a/internal/machine/opaque/pathtest/loads_test.go
+++ b/internal/machine/opaque/pathtest/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -297,3 +298,30 @@
 		tc.g.Expect(tc.isServed(orders)).To(BeTrue())
 	})
 }
+
+// A flow that is not offered to the first agent of its order, because that one is full, has its owner
+// reported with its SYN. Otherwise its next packets would pass that agent.
+func TestOwnersOfFlowsPastFullAgentsAreReported(t *testing.T) {
+	runInCluster(t, false, 1, 2, func(tc *testCluster) {
+		tc.stateDeadline(2)
+		var updates atomic.Int64
+		tc.network.mu.Lock()
+		tc.network.policy = func(data []byte, _, to netip.AddrPort, delay time.Duration) (time.Duration, bool) {
+			if to.Port() == linkPort && opaque.Kind(data[0]) == opaque.KindOwnerUpdate {
+				updates.Add(1)
+			}
+			return delay, false
+		}
+		tc.network.mu.Unlock()
+		first, _ := tc.openAtBusiest(10)
+		tc.g.Expect(updates.Load()).To(BeZero())
+		opened := len(first.endpoint.opened)
+		tc.report(first, nil)
+		tc.sleep(2 * linkLatency)
+		tc.prepare(orders, anyZone).sendSYN(0)
+		// The agent has the SYN, and the caller has not sent anything else yet.
+		tc.sleep(3 * linkLatency)
+		tc.g.Expect(first.endpoint.opened).To(HaveLen(opened), "flows at an agent that is full")
+		tc.g.Expect(updates.Load()).To(Equal(int64(1)))
+	})
+}
