--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -42,6 +42,7 @@
 	deferred deferredPackets
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
 	// draining is closed when Drain is called.
 	draining chan struct{}
 }
@@ -52,6 +53,7 @@
 	outcomeForwarded  = "forwarded"
 	outcomeNoRoute    = "no-route"
 	outcomeNoEndpoint = "no-endpoint"
+	outcomeOverload   = "overload"
 	outcomeDeferred   = "deferred"
 	outcomeMalformed  = "malformed"
 )
@@ -66,8 +68,11 @@
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "sassafrasturn_packets_total", Help: "Callers' packets by what became of them.",
 		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "sassafrasturn_refusals_total", Help: "New flows that the balancer has reset, by reason.",
+		}, []string{"reason"}),
 	}
-	instance.Metrics.MustRegister(b.packets)
+	instance.Metrics.MustRegister(b.packets, b.refusals)
 	b.zones = newZoneShares(b)
 	node, err := opaque.NewNode(instance, nil, opaque.Handlers{
 		OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer, Synced: b.releaseDeferred,
@@ -92,7 +97,7 @@
 
 func (b *Balancer) counters() map[string]prometheus.Counter {
 	counts := make(map[string]prometheus.Counter)
-	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeDeferred, outcomeMalformed} {
+	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeOverload, outcomeDeferred, outcomeMalformed} {
 		counts[outcome] = b.packets.WithLabelValues(outcome)
 	}
 	return counts
@@ -167,16 +172,22 @@
 		return outcomeNoEndpoint
 	}
 	suspected := b.deprioritizeSuspects(h.Attempt, agents)
+	first := agents[0].Address
+	agents, isRefused := b.considerLoads(route, h, hash, agents, suspected, isLate)
+	if isRefused {
+		w.refuse(h, key, state, isLate, outcomeOverload)
+		return outcomeOverload
+	}
 	offer := opaque.Offer{
 		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(),
 		// Flows that leave the zone do not start with the first agent of their order.
-		IsReordered: suspected > 0 || placement != flow.PlacedHome && route.HasDeadline(),
+		IsReordered: suspected > 0 || agents[0].Address != first || placement != flow.PlacedHome && route.HasDeadline(),
 		IsLate:      isLate,
 	}
 	for i := range agents {
 		offer.AddCandidate(agents[(i+h.Attempt)%len(agents)].Address)
 	}
-	first, _ := offer.PopCandidate()
+	first, _ = offer.PopCandidate()
 	if h.Attempt == 0 {
 		b.zones.flows[placement].Inc()
 	}
@@ -202,6 +213,7 @@
 	if !state.IsUsable || h.Attempt > 0 || isLate {
 		return
 	}
+	b.refusals.WithLabelValues(reason).Inc()
 	b.instance.Decisions.Decision("refuse").Str("flow", key.String()).Str("reason", reason).
 		Uint64("routing_version", state.Table.Version).Int("agents", state.View.LiveCount()).Msg("")
 	w.reset = b.codec.AppendReset(w.reset[:0], key, h.Ack)
