Test that no share goes to a zone whose answers are lost

A link may be cut in one direction. The decision log must show no share of a zone whose agents get requests for their load and whose answers do not arrive.

--- a/internal/machine/opaque/pathtest/zones_test.go
+++ b/internal/machine/opaque/pathtest/zones_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/netip"
+	"regexp"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -21,14 +22,20 @@
 type zoneCluster struct {
 	*testCluster
 	balancer *prometheus.Registry
-	// logged counts the balancer's log lines about changes of shares.
-	logged atomic.Int32
+	// logged counts the balancer's log lines about changes of shares, and loggedZone2 those in which
+	// zone 2 has a share.
+	logged, loggedZone2 atomic.Int32
 }
 
+var shareOfZone2 = regexp.MustCompile(`zone-2: share (0\.0[1-9]|0\.[1-9]|1)`)
+
 // Write receives the lines of the balancer's decision log.
 func (zc *zoneCluster) Write(line []byte) (int, error) {
 	if bytes.Contains(line, []byte(`"decision":"zone-shares"`)) && bytes.Contains(line, []byte("round trip 2ms")) {
 		zc.logged.Add(1)
+		if shareOfZone2.Match(line) {
+			zc.loggedZone2.Add(1)
+		}
 	}
 	return len(line), nil
 }
@@ -140,7 +147,7 @@
 				t.Logf("calm %+v short %+v left %v", calm, short, left)
 				zc.g.Expect(short.served).To(Equal(short.flows))
 				zc.g.Expect(left).To(BeNumerically(">", 0.2*float64(short.flows)))
-				zc.g.Expect(zc.logged.Load()).To(BeNumerically(">", 0))
+				zc.g.Expect(zc.loggedZone2.Load()).To(BeNumerically(">", 0))
 				zc.g.Expect(zc.metric("sassafrasturn_zone_crossing_bytes_total", "shortage")).To(BeNumerically(">", 0))
 				after := zc.load(50, 3*time.Second)
 				zc.g.Expect(after.opened[callersZone]).To(Equal(after.flows))
@@ -224,3 +231,21 @@
 	g.Expect(got.served).To(BeNumerically(">=", fixed.served))
 	g.Expect(got.retransmitted).To(BeNumerically("<", fixed.retransmitted/2))
 }
+
+// Packets from zone 2 to the balancer are lost while those to it arrive: its agents do not answer
+// requests for their load, so that flows leave for the other zone.
+func TestFlowsDoNotLeaveForAZoneWhoseAnswersAreLost(t *testing.T) {
+	runInZones(t, true, func(zc *zoneCluster) {
+		const silent = 2
+		for _, s := range zc.sites {
+			if s.number%3 == silent {
+				zc.network.cutOneWay(s.address, zc.balancers[len(zc.balancers)-1].address.Addr())
+			}
+		}
+		l := zc.load(150, 4*time.Second)
+		zc.g.Expect(l.served).To(Equal(l.flows))
+		zc.g.Expect(l.opened[0]).To(BeNumerically(">", 2*l.opened[silent]))
+		zc.g.Expect(zc.logged.Load()).To(BeNumerically(">", 0))
+		zc.g.Expect(zc.loggedZone2.Load()).To(BeZero())
+	})
+}
