--- a/internal/flow/load.go
+++ b/internal/flow/load.go
@@ -20,6 +20,9 @@
 type Load struct {
 	IsReady         bool
 	Slots, InFlight int
+	// IsSaturated is set if the agent refuses flows that it cannot serve in time at once, because
+	// the overload lasts; see Saturation.
+	IsSaturated bool
 	// ServiceTime is the median time that the endpoint needs for a request without waiting for
 	// a slot, 0 if it is not known.
 	ServiceTime time.Duration
@@ -31,7 +34,7 @@
 func (l *Load) Message() *wire.EndpointLoad {
 	message := &wire.EndpointLoad{
 		Ready: l.IsReady, Slots: uint32(max(l.Slots, 0)), InFlight: uint32(max(l.InFlight, 0)),
-		ServiceTimeMs: milliseconds(l.ServiceTime),
+		ServiceTimeMs: milliseconds(l.ServiceTime), Saturated: l.IsSaturated,
 	}
 	last := Urgencies - 1
 	for last > 0 && l.Waits[last-1] == l.Waits[Urgencies-1] {
@@ -46,6 +49,9 @@
 // maxLoadTime bounds the times in a report, which come from other instances.
 const maxLoadTime = time.Minute
 
+// maxLoadCount bounds the slots and the requests in flight in a report.
+const maxLoadCount = 1 << 20
+
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d, 0), maxLoadTime).Milliseconds())
 }
@@ -53,10 +59,9 @@
 // LoadOf returns the load in a message. Values out of range are limited, and a class that the
 // message lacks has the wait of the last one.
 func LoadOf(message *wire.EndpointLoad) Load {
-	const maxCount = 1 << 20
 	load := Load{
-		IsReady: message.Ready, Slots: int(min(message.Slots, maxCount)), InFlight: int(min(message.InFlight, maxCount)),
-		ServiceTime: fromMilliseconds(message.ServiceTimeMs),
+		IsReady: message.Ready, Slots: int(min(message.Slots, maxLoadCount)), InFlight: int(min(message.InFlight, maxLoadCount)),
+		ServiceTime: fromMilliseconds(message.ServiceTimeMs), IsSaturated: message.Saturated,
 	}
 	wait := time.Duration(0)
 	for class := range load.Waits {
@@ -74,7 +79,7 @@
 
 // Loads holds the latest report of each agent. It is not safe for concurrent use.
 type Loads struct {
-	byAgent map[netip.AddrPort]loadReport
+	byAgent map[netip.AddrPort]*loadReport
 }
 
 type loadReport struct {
@@ -87,19 +92,22 @@
 const maxLoadAge = 2 * time.Second
 
 // NewLoads returns an empty store.
-func NewLoads() *Loads { return &Loads{byAgent: make(map[netip.AddrPort]loadReport)} }
+func NewLoads() *Loads { return &Loads{byAgent: make(map[netip.AddrPort]*loadReport)} }
 
 // Record keeps a report that an agent sent at a time, or later.
 func (l *Loads) Record(at time.Duration, agent netip.AddrPort, load Load) {
-	l.byAgent[agent] = loadReport{load: load, at: at}
+	l.byAgent[agent] = &loadReport{load: load, at: at}
 }
 
 // Get returns the latest report of an agent and its age. It returns false if there is none that
 // is recent.
 func (l *Loads) Get(now time.Duration, agent netip.AddrPort) (load Load, age time.Duration, ok bool) {
 	report, ok := l.byAgent[agent]
+	if !ok {
+		return Load{}, 0, false
+	}
 	age = now - report.at
-	return report.load, age, ok && age <= maxLoadAge
+	return report.load, age, age <= maxLoadAge
 }
 
 // Wait returns for how long at least a flow that arrives now has to wait for a slot of an agent's
--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -47,10 +47,14 @@
 	return h
 }
 
-// handleMessage queues an answer about a handover. It is dropped if the queue is full.
+// handleMessage answers a request for the load, or queues an answer about a handover. That is
+// dropped if the queue is full.
 func (a *Agent) handleMessage(kind opaque.Kind, data []byte, from netip.AddrPort) {
 	queue := a.handovers.sent
 	switch kind {
+	case opaque.KindLoadRequest:
+		a.answerLoadRequest(data, from)
+		return
 	case opaque.KindHandoverAnswer:
 	case opaque.KindTakeoverAnswer:
 		queue = a.handovers.taken
