--- a/internal/flow/reports.go
+++ b/internal/flow/reports.go
@@ -73,11 +73,11 @@
 
 const (
 	// reportInterval is the shortest interval between reports of an agent to the same balancer.
-	reportInterval = 50 * time.Millisecond
+	reportInterval = 250 * time.Millisecond
 	// Bursts of up to maxReportBurst reports follow each other at once, and more of them at
 	// intervals of reportSpacing. In no second are there more than 200.
-	maxReportBurst = 20
-	reportSpacing  = time.Second / 180
+	maxReportBurst = 10
+	reportSpacing  = time.Second / 50
 	// maxReportedBalancers bounds the balancers that are remembered for reportInterval.
 	maxReportedBalancers = 1024
 )
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -184,11 +184,6 @@
 	}
 	suspected := b.deprioritizeSuspects(h.Attempt, agents)
 	first := agents[0].Address
-	agents, isRefused := b.considerLoads(route, h, hash, agents, suspected, isLate)
-	if isRefused {
-		w.refuse(h, key, state, isLate, outcomeOverload)
-		return outcomeOverload
-	}
 	offer := opaque.Offer{
 		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(),
 		// Flows that leave the zone do not start with the first agent of their order.
