Keep load reports for the decision on zones, and leave refusals to the agents

Cause: reports every 50 ms and refusals at balancers took part of small links and left agents' queues unevenly used.

--- a/internal/flow/load.go
+++ b/internal/flow/load.go
@@ -20,9 +20,6 @@
 type Load struct {
 	IsReady         bool
 	Slots, InFlight int
-	// IsSaturated is set if the agent refuses flows that it cannot serve in time at once, because
-	// the overload lasts; see Saturation.
-	IsSaturated bool
 	// ServiceTime is the median time that the endpoint needs for a request without waiting for
 	// a slot, 0 if it is not known.
 	ServiceTime time.Duration
@@ -34,7 +31,7 @@
 func (l *Load) Message() *wire.EndpointLoad {
 	message := &wire.EndpointLoad{
 		Ready: l.IsReady, Slots: uint32(max(l.Slots, 0)), InFlight: uint32(max(l.InFlight, 0)),
-		ServiceTimeMs: milliseconds(l.ServiceTime), Saturated: l.IsSaturated,
+		ServiceTimeMs: milliseconds(l.ServiceTime),
 	}
 	last := Urgencies - 1
 	for last > 0 && l.Waits[last-1] == l.Waits[Urgencies-1] {
@@ -61,7 +58,7 @@
 func LoadOf(message *wire.EndpointLoad) Load {
 	load := Load{
 		IsReady: message.Ready, Slots: int(min(message.Slots, maxLoadCount)), InFlight: int(min(message.InFlight, maxLoadCount)),
-		ServiceTime: fromMilliseconds(message.ServiceTimeMs), IsSaturated: message.Saturated,
+		ServiceTime: fromMilliseconds(message.ServiceTimeMs),
 	}
 	wait := time.Duration(0)
 	for class := range load.Waits {
--- a/internal/flow/reports.go
+++ b/internal/flow/reports.go
@@ -72,10 +72,11 @@
 }
 
 const (
-	// reportInterval is the shortest interval between reports of an agent to the same balancer.
+	// reportInterval is the shortest interval between reports of an agent to the same balancer. With
+	// 50 ms, reports took a tenth of a balancer's link of 2.7 Mbit/s in an overload.
 	reportInterval = 250 * time.Millisecond
 	// Bursts of up to maxReportBurst reports follow each other at once, and more of them at
-	// intervals of reportSpacing. In no second are there more than 200.
+	// intervals of reportSpacing. In no second are there more than 60.
 	maxReportBurst = 10
 	reportSpacing  = time.Second / 50
 	// maxReportedBalancers bounds the balancers that are remembered for reportInterval.
--- a/internal/machine/opaque/agent/load.go
+++ b/internal/machine/opaque/agent/load.go
@@ -38,14 +38,12 @@
 // load returns the load of the endpoint. Its slots are 0 if there is no endpoint. The caller
 // holds the lock.
 func (a *Agent) load(now time.Duration) flow.Load {
-	a.observeSaturation()
 	load := flow.Load{IsReady: a.record.Ready && !a.isZoneOut, InFlight: a.table.InFlight()}
 	endpoint := a.lifecycle.Endpoint()
 	if endpoint == nil {
 		return load
 	}
 	load.Slots = endpoint.Slots
-	load.IsSaturated = a.saturation.IsSustained(now)
 	load.ServiceTime = serviceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
 	load.Waits = estimateWaits(load.Slots, load.InFlight, load.ServiceTime)
 	return load
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -54,7 +54,6 @@
 	outcomeForwarded  = "forwarded"
 	outcomeNoRoute    = "no-route"
 	outcomeNoEndpoint = "no-endpoint"
-	outcomeOverload   = "overload"
 	outcomeDeferred   = "deferred"
 	outcomeMalformed  = "malformed"
 	outcomeLinkFull   = "link-full"
@@ -100,7 +99,7 @@
 
 func (b *Balancer) counters() map[string]prometheus.Counter {
 	counts := make(map[string]prometheus.Counter)
-	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeOverload, outcomeDeferred, outcomeMalformed, outcomeLinkFull} {
+	for _, outcome := range []string{outcomeOffered, outcomeForwarded, outcomeNoRoute, outcomeNoEndpoint, outcomeDeferred, outcomeMalformed, outcomeLinkFull} {
 		counts[outcome] = b.packets.WithLabelValues(outcome)
 	}
 	return counts
@@ -183,17 +182,16 @@
 		return outcomeNoEndpoint
 	}
 	suspected := b.deprioritizeSuspects(h.Attempt, agents)
-	first := agents[0].Address
 	offer := opaque.Offer{
 		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(),
 		// Flows that leave the zone do not start with the first agent of their order.
-		IsReordered: suspected > 0 || agents[0].Address != first || placement != flow.PlacedHome && route.HasDeadline(),
+		IsReordered: suspected > 0 || placement != flow.PlacedHome && route.HasDeadline(),
 		IsLate:      isLate,
 	}
 	for i := range agents {
 		offer.AddCandidate(agents[(i+h.Attempt)%len(agents)].Address)
 	}
-	first, _ = offer.PopCandidate()
+	first, _ := offer.PopCandidate()
 	if h.Attempt == 0 {
 		b.zones.flows[placement].Inc()
 	}
--- a/internal/machine/opaque/balancer/loads.go
+++ b/internal/machine/opaque/balancer/loads.go
@@ -1,10 +1,8 @@
 package balancer
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +11,6 @@
 
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/machine/opaque"
-	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -31,7 +28,6 @@
 type agentLoads struct {
 	mu      sync.Mutex
 	reports *flow.Loads
-	offered flow.RecentOffers
 	// requests are those that await an answer, by sequence.
 	requests     map[uint64]loadRequest
 	lastSequence uint64
@@ -40,7 +36,6 @@
 	// answer. It is set before the node runs.
 	handleRoundTrip func(agent netip.AddrPort, roundTrip time.Duration)
 	received        *prometheus.CounterVec
-	leftOut         prometheus.Counter
 }
 
 type loadRequest struct {
@@ -52,12 +47,9 @@
 	received := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "sassafrasturn_load_reports_total", Help: "Reports of the load of agents' endpoints, by what became of them.",
 	}, []string{"outcome"})
-	leftOut := prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "sassafrasturn_candidates_left_out_total", Help: "Candidates that new flows were not offered to, because the flow would have to wait there for too long.",
-	})
-	registry.MustRegister(received, leftOut)
+	registry.MustRegister(received)
 	return &agentLoads{
-		reports: flow.NewLoads(), requests: make(map[uint64]loadRequest), received: received, leftOut: leftOut,
+		reports: flow.NewLoads(), requests: make(map[uint64]loadRequest), received: received,
 		// Answers to requests of an earlier start of the process do not match.
 		lastSequence: rand.Uint64(),
 	}
@@ -97,53 +89,6 @@
 	return outcome
 }
 
-// considerLoads applies the reports of load to the candidates for a new flow with a hash, of which
-// the last suspected are suspected to have failed. It returns the agents that the flow is offered
-// to, or true if it is to be refused. Routes without an objective and a timeout are not concerned.
-func (b *Balancer) considerLoads(route *routing.Route, h *flow.Header, hash uint64, agents []flow.Member, suspected int, isLate bool) (remaining []flow.Member, isRefused bool) {
-	if !route.HasDeadline() {
-		return agents, false
-	}
-	var addresses [flow.MaxCandidates]netip.AddrPort
-	for i := range agents {
-		addresses[i] = agents[i].Address
-	}
-	now := b.node.Now()
-	b.loads.mu.Lock()
-	c := b.loads.reports.Consider(now, flow.UrgencyOf(route.Priority), h.Attempt, agents, suspected)
-	// An endpoint may have a flow whose SYN was held back until the next transmission, or whose SYN
-	// was offered before.
-	if c.IsRefused = c.IsRefused && !isLate && !b.loads.offered.Has(now, hash); !c.IsRefused {
-		b.loads.offered.Record(now, hash)
-	}
-	b.loads.mu.Unlock()
-	if c.IsRefused || c.LeftOut > 0 {
-		b.loads.leftOut.Add(float64(c.LeftOut))
-		b.logLoads(h, route, &c, addresses[:len(agents)])
-	}
-	return c.Agents, c.IsRefused
-}
-
-// logLoads writes the waits and ages of the reports that a decision is based on, in the order of
-// the candidates.
-func (b *Balancer) logLoads(h *flow.Header, route *routing.Route, c *flow.Candidates, agents []netip.AddrPort) {
-	entry := b.instance.Decisions.Decision("load")
-	if entry == nil {
-		return
-	}
-	var inputs strings.Builder
-	for i, agent := range agents {
-		if wait := c.Waits[i]; wait.IsKnown {
-			fmt.Fprintf(&inputs, "%s=%dms/%dms ", agent, wait.Wait.Milliseconds(), wait.Age.Milliseconds())
-		} else {
-			fmt.Fprintf(&inputs, "%s=none ", agent)
-		}
-	}
-	entry.Str("flow", h.KeyFromCaller().String()).Int("attempt", h.Attempt).Int("priority", route.Priority).
-		Str("waits_and_ages", strings.TrimSpace(inputs.String())).
-		Int("left_out", c.LeftOut).Bool("refused", c.IsRefused).Msg("")
-}
-
 // sweep removes old reports and requests. The caller holds the lock.
 func (l *agentLoads) sweep(now time.Duration) {
 	if now-l.sweptAt < loadSweepInterval {
