--- a/internal/flow/load.go
+++ b/internal/flow/load.go
@@ -46,6 +46,9 @@
 // maxLoadTime bounds the times in a report, which come from other instances.
 const maxLoadTime = time.Minute
 
+// maxLoadCount bounds the slots and the requests in flight in a report.
+const maxLoadCount = 1 << 20
+
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(d, 0), maxLoadTime).Milliseconds())
 }
@@ -53,9 +56,8 @@
 // LoadOf returns the load in a message. Values out of range are limited, and a class that the
 // message lacks has the wait of the last one.
 func LoadOf(message *wire.EndpointLoad) Load {
-	const maxCount = 1 << 20
 	load := Load{
-		IsReady: message.Ready, Slots: int(min(message.Slots, maxCount)), InFlight: int(min(message.InFlight, maxCount)),
+		IsReady: message.Ready, Slots: int(min(message.Slots, maxLoadCount)), InFlight: int(min(message.InFlight, maxLoadCount)),
 		ServiceTime: fromMilliseconds(message.ServiceTimeMs),
 	}
 	wait := time.Duration(0)
@@ -74,7 +76,7 @@
 
 // Loads holds the latest report of each agent. It is not safe for concurrent use.
 type Loads struct {
-	byAgent map[netip.AddrPort]loadReport
+	byAgent map[netip.AddrPort]*loadReport
 }
 
 type loadReport struct {
@@ -87,19 +89,22 @@
 const maxLoadAge = 2 * time.Second
 
 // NewLoads returns an empty store.
-func NewLoads() *Loads { return &Loads{byAgent: make(map[netip.AddrPort]loadReport)} }
+func NewLoads() *Loads { return &Loads{byAgent: make(map[netip.AddrPort]*loadReport)} }
 
 // Record keeps a report that an agent sent at a time, or later.
 func (l *Loads) Record(at time.Duration, agent netip.AddrPort, load Load) {
-	l.byAgent[agent] = loadReport{load: load, at: at}
+	l.byAgent[agent] = &loadReport{load: load, at: at}
 }
 
 // Get returns the latest report of an agent and its age. It returns false if there is none that
 // is recent.
 func (l *Loads) Get(now time.Duration, agent netip.AddrPort) (load Load, age time.Duration, ok bool) {
 	report, ok := l.byAgent[agent]
+	if !ok {
+		return Load{}, 0, false
+	}
 	age = now - report.at
-	return report.load, age, ok && age <= maxLoadAge
+	return report.load, age, age <= maxLoadAge
 }
 
 // Wait returns for how long at least a flow that arrives now has to wait for a slot of an agent's
