Place new flows by the measured speed of endpoints

Fast and slow endpoints of a service got equal shares of the flows, so long requests on slow ones were late while fast ones had free slots. An agent now measures the median time to the first byte of the requests that found a free slot (the last 64), and reports it in its record. It drops the measurement when another start of the endpoint begins, and measures neither a cold endpoint nor one whose start is disputed. A balancer offers flows to slow agents (1.4 times the median of their service) behind the others of their zone, and keeps one as the last of the first candidates. One in 16 flows ignores speeds, so that a slow endpoint which recovers is measured again at any load. flow.Order is as before; an offer that starts at another agent than the order has IsReordered set.

The gate no longer takes an endpoint for slow that has a free slot and answers other requests while it works on a long one: it uses the median of the last 8 such requests where that is shorter than the mean, and the longest wait counts only since the last answer. An endpoint that is slow for its service may have one request more than slots, because flows that wait do so elsewhere.

--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -72,8 +72,13 @@
 	IsFull bool
 	// ResponseTime is the recent mean time to the first byte of the endpoint's
 	// answers, and LongestWait how long the flow that has waited longest has been
-	// without one.
+	// without one while no other flow got one.
 	ResponseTime, LongestWait time.Duration
+	// ServiceTime is the median time of the last few requests that found a free slot, 0 if it
+	// is not known.
+	ServiceTime time.Duration
+	// IsSlowForService is true if the endpoint is slow for its service; see View.
+	IsSlowForService bool
 	// FailureRate is the share of requests that the endpoint recently failed, from 0
 	// to 1.
 	FailureRate float64
@@ -84,12 +89,19 @@
 // isSlow reports whether a flow would probably miss its objective at an endpoint with
 // the given number of slots. This is the case if the expected response time exceeds
 // half of the objective, which leaves too little margin for the variance of the work,
-// or if a flow has already waited for longer than the objective.
+// or if a flow has already waited for longer than the objective. If a slot is free, a
+// flow waits for no other, and single long requests, which raise the mean response
+// time, do not count. An endpoint that is slow for its service would otherwise refuse
+// flows for a part of an overload while it has free slots.
 func (r *AdmissionRequest) isSlow(slots int) bool {
 	if r.Objective == 0 {
 		return false
 	}
-	expected := r.ResponseTime + r.ResponseTime*time.Duration(r.InFlight)/time.Duration(max(slots, 1))
+	response := r.ResponseTime
+	if r.InFlight < slots && r.ServiceTime > 0 {
+		response = min(response, r.ServiceTime)
+	}
+	expected := response + response*time.Duration(r.InFlight)/time.Duration(max(slots, 1))
 	return expected > r.Objective/2 || r.LongestWait > r.Objective
 }
 
@@ -135,6 +147,11 @@
 	maxQueuePerSlot = 4
 )
 
+// slowQueue is how many requests may queue at an endpoint that is slow for its service, whatever
+// candidates are left. Flows that wait do so at fast endpoints, see keepSlow, so in an overload
+// each of its slots would otherwise be unused between a request and the next offer.
+const slowQueue = 1
+
 // queuePerSlot returns how many requests may queue for each slot, given how many
 // candidates are left after this one: none if there are two or more, since one of them
 // may have a free slot.
@@ -166,7 +183,11 @@
 	case request.IsZoneOut:
 		return RefusedZoneOut
 	}
-	if request.InFlight/(1+queuePerSlot(request.CandidatesLeft)) >= endpoint.Slots {
+	inFlight := request.InFlight
+	if request.IsSlowForService {
+		inFlight -= slowQueue
+	}
+	if inFlight/(1+queuePerSlot(request.CandidatesLeft)) >= endpoint.Slots {
 		return RefusedBusy
 	}
 	if request.IsFull {
--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"time"
 
 	"sassafrasturn.example/internal/rendezvous"
 )
@@ -21,9 +22,13 @@
 	// IsUnseen is true if the agent counts as expired only because control has recently
 	// started and has not heard of it yet.
 	IsUnseen bool
+	// ServiceTime is the service time that the agent has reported, 0 if it is not known.
+	ServiceTime time.Duration
 
-	hash uint64
-	zone ZoneTag
+	// isSlow is set if the endpoint is slow for its service.
+	isSlow bool
+	hash   uint64
+	zone   ZoneTag
 	// zoneIndex is the index of the zone in the zones of the view.
 	zoneIndex int
 }
@@ -51,6 +56,9 @@
 	// awaited are the agents that have expired and may return.
 	awaited map[netip.AddrPort]Absence
 	zones   []ZoneTag
+	// speeds are those of the services, and slow the agents that are slow for theirs.
+	speeds map[string]Speed
+	slow   map[netip.AddrPort]bool
 }
 
 // Absence is why an agent that has expired may be about to return.
@@ -89,6 +97,7 @@
 			view.awaited[member.Address] = AbsenceStopped
 		}
 	}
+	view.rateSpeeds()
 	return view
 }
 
@@ -348,12 +357,15 @@
 // of one service that accept new flows and whose zone is in service. Agents of the
 // caller's zone come first. The last of them comes after those of other zones, because
 // the last candidate queues the flow, and a flow that has to queue need not leave its
-// zone. Those of other zones are of different ones, as far as possible.
+// zone. Those of other zones are of different ones, as far as possible. Within a zone, slow
+// agents come last, but for one; see rankBySpeed and keepSlow.
 func ChooseCandidates(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool) []Member {
 	var ownSpace, otherSpace [MaxCandidates]*Member
 	var ownScores, otherScores [MaxCandidates]uint64
 	ownZone, otherZones := rendezvous.NewTopK(ownSpace[:], ownScores[:]), rendezvous.NewTopK(otherSpace[:], otherScores[:])
 	var bestOfZones [maxRankedZones]zoneBest
+	var slow slowBest
+	isBySpeed := view.speeds[service].Slow > 0 && !isRemeasuring(flow)
 	members := view.byService[service]
 	for i := range members {
 		member := &members[i]
@@ -361,7 +373,11 @@
 			continue
 		}
 		score := rendezvous.Score(flow, member.hash)
+		if isBySpeed {
+			score = rankBySpeed(score, member)
+		}
 		if member.zone == origin {
+			slow.add(member, score)
 			ownZone.Add(member, score)
 			continue
 		}
@@ -376,6 +392,9 @@
 	if len(own) == maxOwnZoneCandidates {
 		spreadOverZones(view, flow, &bestOfZones, others)
 	}
+	if isBySpeed {
+		keepSlow(own, slow.first)
+	}
 	beforeOthers := len(own)
 	if len(others) > 0 && len(own) >= maxOwnZoneCandidates {
 		beforeOthers--
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -47,8 +47,10 @@
 	awaitsFirstRequest bool
 	// isAwaitingAnswer is set if the endpoint received a SYN or data at awaitingSince
 	// and has not answered since.
-	isAwaitingAnswer                 bool
-	awaitingSince                    time.Duration
+	isAwaitingAnswer bool
+	awaitingSince    time.Duration
+	// isMeasured is set if the request that awaits an answer found a free slot.
+	isMeasured                       bool
 	callerFinished, endpointFinished bool
 	// isClosed is set if both ends have closed the flow, so that the endpoint no
 	// longer has it.
@@ -90,6 +92,11 @@
 	// requestTimes are the times of the requests within requestWindow.
 	requestTimes []time.Duration
 	responseTime ResponseTime
+	// serviceTime is measured with requests that find one of measuredSlots free.
+	serviceTime   ServiceTime
+	measuredSlots int
+	// answeredAt is when the endpoint last answered a request.
+	answeredAt time.Duration
 	// failureRate is the share of requests whose flows the endpoint reset.
 	failureRate FailureRate
 	// cachedWait is the longest wait of a flow as of cachedWaitAt.
@@ -179,6 +186,7 @@
 func (t *Table) startWait(now time.Duration, f *Flow) {
 	if !f.isAwaitingAnswer {
 		f.isAwaitingAnswer, f.awaitingSince = true, now
+		t.startMeasurement(f)
 	}
 	t.setInFlight(f, true)
 }
@@ -192,12 +200,13 @@
 func (t *Table) FailureRate(now time.Duration) float64 { return t.failureRate.Value(now) }
 
 // LongestWait returns the longest time that a flow has been waiting for an answer to
-// its SYN or to a request.
+// its SYN or to a request, or the time since the endpoint answered another request if that is
+// shorter: an endpoint that works on one long request besides others is not stuck.
 func (t *Table) LongestWait(now time.Duration) time.Duration {
 	if now-t.cachedWaitAt >= longestWaitMaxAge {
 		t.cachedWait, t.cachedWaitAt = t.longestWait(now), now
 	}
-	return t.cachedWait
+	return min(t.cachedWait, now-t.answeredAt)
 }
 
 // longestWaitMaxAge is how long the longest wait is cached, since computing it
@@ -339,6 +348,10 @@
 	}
 	if f.isAwaitingAnswer && h.Length > 0 {
 		t.responseTime.Observe(now, now-f.awaitingSince)
+		t.answeredAt = now
+		if f.isMeasured {
+			t.serviceTime.Observe(now - f.awaitingSince)
+		}
 	}
 	if h.Length > 0 || h.IsFIN {
 		t.setInFlight(f, false)
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -78,7 +78,8 @@
 	// isOrphanCheckScheduled is set while a check of the orphans is scheduled.
 	isOrphanCheckScheduled bool
 	// record is the record that the agent reports of itself.
-	record wire.AgentRecord
+	record      wire.AgentRecord
+	serviceTime serviceTime
 	// self is the agent with the last service that it has reported.
 	self flow.Member
 	// isLeaving is set by Drain, and isHandedOver once it has handed over the flows.
@@ -109,7 +110,7 @@
 		forwards:   flow.NewForwards(),
 		adoptUntil: s.Opaque.MaxFlowLifetime, checkChanged: make(chan struct{}, 1),
 		awaitsFlows: true, handoverAnswers: make(chan handoverAnswer, maxHandoverAnswers),
-		metrics: newMetrics(instance.Metrics),
+		metrics: newMetrics(instance.Metrics), serviceTime: newServiceTime(instance.Metrics),
 	}
 	a.gate.SilenceTimeout = max(a.gate.SilenceTimeout, s.Opaque.HeartbeatInterval+heartbeatSlack)
 	a.lifecycle = flow.NewLifecycle(a.gate.SilenceTimeout)
@@ -165,13 +166,14 @@
 	if a.lifecycle.IsDown() {
 		service = ""
 	}
-	if service == a.record.Service && isReady == a.record.Ready {
+	serviceTime := a.refreshServiceTime(now)
+	if service == a.record.Service && isReady == a.record.Ready && serviceTime == a.record.ServiceTimeMs {
 		return
 	}
 	if service != "" {
 		a.self.Service = service
 	}
-	a.record.Service, a.record.Ready = service, isReady
+	a.record.Service, a.record.Ready, a.record.ServiceTimeMs = service, isReady, serviceTime
 	a.record.Sequence++
 }
 
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -85,7 +85,7 @@
 		InFlight:       a.table.InFlight(),
 		RecentRequests: a.table.RecentRequests(now),
 		ResponseTime:   a.table.ResponseTime(now), LongestWait: a.table.LongestWait(now),
-		FailureRate: a.table.FailureRate(now),
+		ServiceTime: a.table.RecentServiceTime(), IsSlowForService: state.View.IsSlow(a.node.Address()), FailureRate: a.table.FailureRate(now),
 	}
 	route := state.Table.Lookup(h.Destination)
 	if route != nil {
--- /dev/null
+++ b/internal/machine/opaque/agent/servicetime.go
@@ -0,0 +1,51 @@
+package agent
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"sassafrasturn.example/internal/flow"
+)
+
+// serviceTime is what the agent reports of its endpoint's speed. The agent's lock guards it.
+type serviceTime struct {
+	// measured is the start of the endpoint that the measurement is of, nil for none.
+	measured *flow.Endpoint
+	// reported is the value of the latest record in milliseconds.
+	reported uint32
+	gauge    prometheus.Gauge
+}
+
+func newServiceTime(registry *prometheus.Registry) serviceTime {
+	gauge := prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "sassafrasturn_service_time_seconds", Help: "Median time that the endpoint needs for a request without waiting for a slot, 0 if it is not known.",
+	})
+	registry.MustRegister(gauge)
+	return serviceTime{gauge: gauge}
+}
+
+// refreshServiceTime returns the endpoint's service time for the record, 0 if it is not known. It
+// drops the measurement when another start of the endpoint has begun, and measures only while
+// one start runs that is not cold: which of two starts has answered a request is not known.
+func (a *Agent) refreshServiceTime(now time.Duration) uint32 {
+	endpoint := a.lifecycle.Endpoint()
+	if endpoint != nil && !endpoint.IsSameStart(a.serviceTime.measured) {
+		a.table.DropServiceTime()
+		a.serviceTime.measured = endpoint
+	}
+	slots := 0
+	isWarm := endpoint != nil && now >= endpoint.ColdUntil && endpoint.LastSeen >= a.zoneReturnedAt
+	if isWarm && a.lifecycle.Admission(now) == endpoint {
+		slots = endpoint.Slots
+	}
+	a.table.SetMeasuredSlots(slots)
+	a.serviceTime.gauge.Set(a.table.ServiceTime(now).Seconds())
+	reported := a.table.ReportedServiceTime()
+	if reported != a.serviceTime.reported {
+		a.instance.Decisions.Decision("service-time").Uint32("reported_ms", reported).Uint32("before_ms", a.serviceTime.reported).
+			Dur("median_ms", a.table.ServiceTime(now)).Int("slots", slots).Msg("")
+		a.serviceTime.reported = reported
+	}
+	return reported
+}
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -37,6 +37,7 @@
 	conn     machine.Socket
 	owners   *ownerCache
 	suspects *suspects
+	speeds   *speeds
 	deferred deferredPackets
 	origin   flow.ZoneTag
 	packets  *prometheus.CounterVec
@@ -58,6 +59,7 @@
 func New(instance *machine.Instance, codec flow.Codec) (*Balancer, error) {
 	b := &Balancer{
 		instance: instance, codec: codec, owners: newOwnerCache(), suspects: newSuspects(instance.Metrics),
+		speeds:   newSpeeds(instance.Metrics),
 		deferred: deferredPackets{packets: flow.NewDeferred[struct{}]()},
 		origin:   flow.TagOf(instance.Settings.Zone),
 		draining: make(chan struct{}),
@@ -68,6 +70,7 @@
 	instance.Metrics.MustRegister(b.packets)
 	node, err := opaque.NewNode(instance, nil, opaque.Handlers{
 		OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer, Synced: b.releaseDeferred,
+		Published: b.handlePublished,
 	})
 	if err != nil {
 		return nil, err
@@ -161,9 +164,10 @@
 		w.refuse(h, key, state, isLate, outcomeNoEndpoint)
 		return outcomeNoEndpoint
 	}
+	isBySpeed := flow.IsReorderedBySpeed(hash, agents)
 	suspected := b.deprioritizeSuspects(h.Attempt, agents)
 	offer := opaque.Offer{
-		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(), IsReordered: suspected > 0,
+		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(), IsReordered: suspected > 0 || isBySpeed,
 		IsLate: isLate,
 	}
 	for i := range agents {
@@ -171,7 +175,7 @@
 	}
 	first, _ := offer.PopCandidate()
 	b.instance.Decisions.Decision("offer").Str("flow", key.String()).Int("attempt", h.Attempt).Str("service", service).
-		Stringer("agent", first).Int("suspected", suspected).
+		Stringer("agent", first).Int("suspected", suspected).Bool("by_speed", isBySpeed).
 		Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
 	b.node.SendOffer(&offer, buffer, first)
 	return outcomeOffered
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -433,7 +433,7 @@
 		}
 		address := netip.AddrPortFrom(routing.NumberAddress(record.Address), uint16(record.Port))
 		member := flow.NewMember(address, record.Zone, record.Service)
-		member.IsReady = record.Ready
+		member.IsReady, member.ServiceTime = record.Ready, flow.ServiceTimeOf(record.ServiceTimeMs)
 		member.IsExpired, member.IsUnseen = record.Gone || record.Unseen, record.Unseen
 		members = append(members, member)
 	}
--- a/internal/roster/replica.go
+++ b/internal/roster/replica.go
@@ -111,7 +111,7 @@
 
 func isSame(a, b *wire.AgentRecord) bool {
 	return a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && a.Gone == b.Gone && a.Unseen == b.Unseen &&
-		a.Ready == b.Ready && a.Service == b.Service && a.Zone == b.Zone
+		a.Ready == b.Ready && a.Service == b.Service && a.Zone == b.Zone && a.ServiceTimeMs == b.ServiceTimeMs
 }
 
 // expireAbsent marks the agents that are absent from the roster just fetched as expired.
