Accept flows at slow endpoints beside long requests, and simulate uneven speeds

An endpoint that is slow for its service gets flows only once others are full. Its gate then refused them for a part of the time, because single long requests raised its mean response time or waited for longer than the objective, while slots were free. Its response time no longer counts there. It still refuses while it has answered nothing for longer than the objective.

internal/emulate gets long requests, endpoints that recover or restart, and records that change with the service time.

--- a/internal/emulate/emulate.go
+++ b/internal/emulate/emulate.go
@@ -20,16 +20,18 @@
 	// Queue is the number of requests that may wait at the endpoint; it refuses
 	// flows beyond them.
 	Queue int
-	// SlowFactor multiplies the duration of work from SlowFrom on; 0 means 1.
-	SlowFactor float64
-	SlowFrom   time.Duration
+	// SlowFactor multiplies the duration of work from SlowFrom until SlowUntil; 0 means 1. A
+	// SlowUntil of 0 means the end of the run.
+	SlowFactor          float64
+	SlowFrom, SlowUntil time.Duration
 	// FailureShare is the share of requests, from 0 to 1, that the endpoint resets
 	// from FailuresFrom on.
 	FailureShare float64
 	FailuresFrom time.Duration
-	// ColdFor is how long the endpoint is cold from the start of the run. ColdFactor
-	// multiplies the duration of work during that time; 0 means 1.
+	// ColdFor is how long the endpoint is cold from the start of the run, or from RestartsAt
+	// if that is set. ColdFactor multiplies the duration of work during that time; 0 means 1.
 	ColdFor    time.Duration
+	RestartsAt time.Duration
 	ColdFactor float64
 }
 
@@ -49,6 +51,12 @@
 	InitialRequests int
 	// MeanWork is the mean duration of the work for a request.
 	MeanWork time.Duration
+	// LongShare is the share of requests, from 0 to 1, that need LongFactor times as long as
+	// the others. They are part of the mean.
+	LongShare, LongFactor float64
+	// WorkSigma is the standard deviation of the logarithm of the work, without that between
+	// long requests and others; 0 means workSigma.
+	WorkSigma float64
 	// Objective is the latency objective of the callers. Deadline is the time after
 	// which a request fails.
 	Objective, Deadline time.Duration
@@ -106,15 +114,19 @@
 	// FailureRates are the moving averages of the share of requests that each
 	// endpoint has reset.
 	FailureRates []flow.FailureRate
+	// ServiceTimes are the measurements of each endpoint's service time.
+	ServiceTimes []flow.ServiceTime
 
 	load   Load
 	random *rand.Rand
 	events eventHeap
 	queues [][]*request
 	// pending are the requests that each endpoint has accepted and not finished.
-	pending   []map[*request]bool
-	result    Result
-	latencies []time.Duration
+	pending []map[*request]bool
+	// answeredAt is when each endpoint last answered a request.
+	answeredAt []time.Duration
+	result     Result
+	latencies  []time.Duration
 }
 
 type request struct {
@@ -123,6 +135,8 @@
 	createdAt time.Duration
 	// acceptedAt is when an endpoint accepted the request.
 	acceptedAt time.Duration
+	// isMeasured is set if the request found a free slot at a warm endpoint.
+	isMeasured bool
 	attempts   int
 	// transmissions counts those of the first packet in the current attempt.
 	transmissions int
@@ -176,12 +190,14 @@
 	s := &Simulation{
 		Endpoints: endpoints, InFlight: make([]int, len(endpoints)), load: load,
 		ResponseTimes: make([]flow.ResponseTime, len(endpoints)), FailureRates: make([]flow.FailureRate, len(endpoints)), pending: make([]map[*request]bool, len(endpoints)),
+		ServiceTimes: make([]flow.ServiceTime, len(endpoints)), answeredAt: make([]time.Duration, len(endpoints)),
 		random: rand.New(rand.NewPCG(seed, 17)), queues: make([][]*request, len(endpoints)),
 	}
 	for range load.InitialRequests {
 		s.newRequest(placer)
 	}
 	s.scheduleArrival(placer)
+	s.scheduleRestarts()
 	for len(s.events.events) > 0 {
 		next := heap.Pop(&s.events).(event)
 		s.Now = next.at
@@ -190,6 +206,29 @@
 	return s.finish()
 }
 
+// scheduleRestarts drops the measurement of an endpoint that restarts, as its agent does.
+func (s *Simulation) scheduleRestarts() {
+	for i, endpoint := range s.Endpoints {
+		if endpoint.RestartsAt == 0 {
+			continue
+		}
+		s.schedule(endpoint.RestartsAt, func() {
+			s.ServiceTimes[i] = flow.ServiceTime{}
+			for r := range s.pending[i] {
+				r.isMeasured = false
+			}
+		})
+	}
+}
+
+func (e *Endpoint) isCold(now time.Duration) bool {
+	return now >= e.RestartsAt && now < e.RestartsAt+e.ColdFor
+}
+
+func (e *Endpoint) isSlow(now time.Duration) bool {
+	return e.SlowFactor > 0 && now >= e.SlowFrom && (e.SlowUntil == 0 || now < e.SlowUntil)
+}
+
 func (s *Simulation) isBurst() bool {
 	return s.load.BurstFactor > 0 && s.Now >= s.load.BurstFrom && s.Now < s.load.BurstTo
 }
@@ -265,6 +304,9 @@
 	s.schedule(retryDelay, func() { s.attempt(placer, r) })
 }
 
+// SinceAnswer returns the time since an endpoint last answered a request.
+func (s *Simulation) SinceAnswer(endpoint int) time.Duration { return s.Now - s.answeredAt[endpoint] }
+
 // LongestWait returns the age of the oldest pending request of an endpoint.
 func (s *Simulation) LongestWait(endpoint int) time.Duration {
 	longest := time.Duration(0)
@@ -290,7 +332,9 @@
 	r.acceptedAt = s.Now
 	s.pending[chosen][r] = true
 	s.InFlight[chosen]++
+	r.isMeasured = false
 	if s.InFlight[chosen] <= s.Endpoints[chosen].Slots {
+		r.isMeasured = !endpoint.isCold(s.Now)
 		s.serve(chosen, r)
 		return
 	}
@@ -301,7 +345,11 @@
 	s.schedule(s.serviceTime(chosen), func() {
 		s.InFlight[chosen]--
 		delete(s.pending[chosen], r)
+		s.answeredAt[chosen] = s.Now
 		s.ResponseTimes[chosen].Observe(s.Now, s.Now-r.acceptedAt)
+		if r.isMeasured {
+			s.ServiceTimes[chosen].Observe(s.Now - r.acceptedAt)
+		}
 		if !r.isDone {
 			r.isDone = true
 			s.recordLatency(s.Now - r.createdAt + networkRoundTrip)
@@ -315,17 +363,33 @@
 
 func (s *Simulation) serviceTime(chosen int) time.Duration {
 	endpoint := &s.Endpoints[chosen]
-	// The mean of this log-normal distribution is MeanWork.
-	work := float64(s.load.MeanWork) * math.Exp(workSigma*s.random.NormFloat64()-workSigma*workSigma/2)
-	if endpoint.SlowFactor > 0 && s.Now >= endpoint.SlowFrom {
+	work := s.drawWork()
+	if endpoint.isSlow(s.Now) {
 		work *= endpoint.SlowFactor
 	}
-	if s.Now < endpoint.ColdFor && endpoint.ColdFactor > 0 {
+	if endpoint.isCold(s.Now) && endpoint.ColdFactor > 0 {
 		work *= endpoint.ColdFactor
 	}
 	return time.Duration(work)
 }
 
+// drawWork returns the work of a request in nanoseconds at the normal speed. Its mean is MeanWork.
+func (s *Simulation) drawWork() float64 {
+	sigma := s.load.WorkSigma
+	if sigma == 0 {
+		sigma = workSigma
+	}
+	work := float64(s.load.MeanWork) * math.Exp(sigma*s.random.NormFloat64()-sigma*sigma/2)
+	if s.load.LongShare == 0 {
+		return work
+	}
+	work /= 1 + s.load.LongShare*(s.load.LongFactor-1)
+	if s.random.Float64() < s.load.LongShare {
+		work *= s.load.LongFactor
+	}
+	return work
+}
+
 func (s *Simulation) recordLatency(latency time.Duration) {
 	s.latencies = append(s.latencies, latency)
 	if latency <= s.load.Objective {
--- a/internal/emulate/placers.go
+++ b/internal/emulate/placers.go
@@ -62,9 +62,18 @@
 	ResetsAtOnce bool
 	// Gate decides whether an agent accepts a flow; nil means flow.Gate.
 	Gate func(endpoint *flow.Endpoint, request flow.AdmissionRequest) flow.Reason
-
-	view  *flow.View
-	index map[netip.AddrPort]int
+	// CountsLongRequests makes agents take an endpoint for stuck that works on a long request,
+	// also while it answers others.
+	CountsLongRequests bool
+	// BySpeed makes balancers know the service times that agents report.
+	BySpeed bool
+	// Reports counts the changes of the service times in agents' records.
+	Reports int
+
+	members     []flow.Member
+	nextReports time.Duration
+	view        *flow.View
+	index       map[netip.AddrPort]int
 	// saturations are those of the endpoints. isRush is whether the last flow was refused
 	// in a rush.
 	saturations []flow.Saturation
@@ -78,6 +87,9 @@
 	if p.view == nil {
 		p.prepare(s)
 	}
+	if p.BySpeed && s.Now >= p.nextReports {
+		p.readReports(s)
+	}
 	candidates := p.candidates(rendezvous.Mix(key), flow.TagOf(zone))
 	for i, candidate := range candidates {
 		chosen := p.index[candidate.Address]
@@ -85,7 +97,10 @@
 		request := flow.AdmissionRequest{
 			IsRouteAllowed: true, CandidatesLeft: len(candidates) - 1 - i, InFlight: s.InFlight[chosen],
 			ResponseTime: s.ResponseTimes[chosen].Mean(s.Now), LongestWait: s.LongestWait(chosen), Objective: s.load.Objective,
-			FailureRate: s.FailureRates[chosen].Value(s.Now),
+			ServiceTime: s.ServiceTimes[chosen].Recent(), IsSlowForService: p.view.IsSlow(candidate.Address), FailureRate: s.FailureRates[chosen].Value(s.Now),
+		}
+		if !p.CountsLongRequests {
+			request.LongestWait = min(request.LongestWait, s.SinceAnswer(chosen))
 		}
 		p.saturations[chosen].Observe(s.Now, s.InFlight[chosen], endpoint.Slots)
 		if p.decide(s.Now, endpoint, request) == flow.Accepted {
@@ -118,11 +133,30 @@
 func (p *Offering) prepare(s *Simulation) {
 	p.index = make(map[netip.AddrPort]int)
 	p.saturations = make([]flow.Saturation, len(s.Endpoints))
-	var members []flow.Member
 	for i, endpoint := range s.Endpoints {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
 		p.index[address] = i
-		members = append(members, flow.NewMember(address, endpoint.Zone, service))
+		p.members = append(p.members, flow.NewMember(address, endpoint.Zone, service))
+	}
+	p.view = flow.NewView(p.members)
+}
+
+// reportInterval is the time until a change of a record has reached all balancers: two polls and
+// a round of gossip, which take up to 500 ms each.
+const reportInterval = 1500 * time.Millisecond
+
+// readReports updates the view with the service times that have changed.
+func (p *Offering) readReports(s *Simulation) {
+	p.nextReports = s.Now + reportInterval
+	changes := 0
+	for i := range p.members {
+		if reported := flow.ServiceTimeOf(s.ServiceTimes[i].Reported()); reported != p.members[i].ServiceTime {
+			p.members[i].ServiceTime = reported
+			changes++
+		}
+	}
+	if changes > 0 {
+		p.Reports += changes
+		p.view = flow.NewView(p.members)
 	}
-	p.view = flow.NewView(members)
 }
--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -91,12 +91,16 @@
 // half of the objective, which leaves too little margin for the variance of the work,
 // or if a flow has already waited for longer than the objective. If a slot is free, a
 // flow waits for no other, and single long requests, which raise the mean response
-// time, do not count. An endpoint that is slow for its service would otherwise refuse
+// time, do not count. Balancers offer flows to an endpoint that is slow for its service
+// only once others are full, so its response time does not count at all: it would refuse
 // flows for a part of an overload while it has free slots.
 func (r *AdmissionRequest) isSlow(slots int) bool {
 	if r.Objective == 0 {
 		return false
 	}
+	if r.IsSlowForService {
+		return r.LongestWait > r.Objective
+	}
 	response := r.ResponseTime
 	if r.InFlight < slots && r.ServiceTime > 0 {
 		response = min(response, r.ServiceTime)
--- a/internal/flow/servicetime_test.go
+++ b/internal/flow/servicetime_test.go
@@ -123,6 +123,7 @@
 		from := netip.AddrPortFrom(caller.Addr(), 1001+port)
 		table.HandleEndpointPacket(now, &Header{Source: dialed, Destination: from, IsACK: true, Seq: 101, Length: 10})
 	}
+	g.Expect(table.LongestWait(now)).To(BeZero(), "the endpoint has just answered, so it is not stuck")
 	g.Expect(table.serviceTime.count).To(Equal(1), "only the first request found a free slot")
 	serve(20, 10*ms)
 	g.Expect(table.ServiceTime(now)).To(Equal(10 * ms))
--- a/internal/flow/speed_test.go
+++ b/internal/flow/speed_test.go
@@ -159,3 +159,27 @@
 		})
 	}
 }
+
+// A long request at an endpoint that answers others is no reason to refuse flows for which slots
+// are free. The slots of slow endpoints stayed unused for a part of an overload.
+func TestGateAcceptsBesideLongRequests(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name    string
+		request AdmissionRequest
+		want    Reason
+	}{
+		{"long request raised the mean", AdmissionRequest{ResponseTime: 140 * ms, ServiceTime: 72 * ms, InFlight: 3}, Accepted},
+		{"service time not known", AdmissionRequest{ResponseTime: 140 * ms, InFlight: 3}, RefusedSlow},
+		{"endpoint became slow", AdmissionRequest{ResponseTime: 140 * ms, ServiceTime: 140 * ms, InFlight: 3}, RefusedSlow},
+		{"slow for its service", AdmissionRequest{ResponseTime: 140 * ms, InFlight: 4, IsSlowForService: true}, Accepted},
+		{"slow for its service and full", AdmissionRequest{ResponseTime: 140 * ms, InFlight: 5, IsSlowForService: true}, RefusedBusy},
+		{"slow for its service and stuck", AdmissionRequest{LongestWait: 500 * ms, IsSlowForService: true}, RefusedSlow},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			gate := Gate{SilenceTimeout: time.Second}
+			c.request.IsRouteAllowed, c.request.CandidatesLeft, c.request.Objective = true, 3, 400*ms
+			NewWithT(t).Expect(gate.Decide(0, &Endpoint{Slots: 4}, 0, c.request)).To(Equal(c.want))
+		})
+	}
+}
