--- a/internal/machine/opaque/pathtest/speed_test.go
+++ b/internal/machine/opaque/pathtest/speed_test.go
@@ -171,6 +171,15 @@
 		}
 		f := tc.openFlowsBySite(1)[s.endpoint.id][0]
 		tc.g.Expect(s.endpoint.opened).NotTo(BeEmpty())
+		s.endpoint.coldLeft = time.Hour
+		s.endpoint.announce()
+		for range samplesToReport {
+			tc.g.Expect(f.request()).NotTo(BeEmpty())
+		}
+		tc.sleep(2 * time.Second)
+		tc.g.Expect(tc.serviceTimeOf(s)).To(BeZero(), "a cold endpoint is not measured")
+		s.endpoint.coldLeft = 0
+		s.endpoint.announce()
 		for range samplesToReport {
 			tc.g.Expect(f.request()).NotTo(BeEmpty())
 		}
