--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -39,6 +39,7 @@
 	suspects *suspects
 	loads    *agentLoads
 	zones    *zoneShares
+	speeds   *speeds
 	deferred deferredPackets
 	link     *link
 	origin   flow.ZoneTag
@@ -65,6 +66,7 @@
 		instance: instance, codec: codec, owners: newOwnerCache(), suspects: newSuspects(instance.Metrics),
 		loads: newAgentLoads(instance.Metrics), deferred: deferredPackets{packets: flow.NewDeferred[struct{}]()},
 		link:     newLink(instance),
+		speeds:   newSpeeds(instance.Metrics),
 		origin:   flow.TagOf(instance.Settings.Zone),
 		draining: make(chan struct{}),
 		packets: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -78,7 +80,7 @@
 	b.zones = newZoneShares(b)
 	node, err := opaque.NewNode(instance, nil, opaque.Handlers{
 		OwnerUpdate: b.handleOwnerUpdate, ProbeAnswered: b.handleProbeAnswer, Synced: b.releaseDeferred,
-		Message: b.handleMessage,
+		Message: b.handleMessage, Published: b.handlePublished,
 	})
 	if err != nil {
 		return nil, err
@@ -181,11 +183,12 @@
 		w.refuse(h, key, state, isLate, outcomeNoEndpoint)
 		return outcomeNoEndpoint
 	}
+	isBySpeed := flow.IsReorderedBySpeed(hash, agents)
 	suspected := b.deprioritizeSuspects(h.Attempt, agents)
 	offer := opaque.Offer{
 		Origin: b.origin, Service: opaque.TagOfService(service), Balancer: b.node.Address(),
 		// Flows that leave the zone do not start with the first agent of their order.
-		IsReordered: suspected > 0 || placement != flow.PlacedHome && route.HasDeadline(),
+		IsReordered: suspected > 0 || isBySpeed || placement != flow.PlacedHome && route.HasDeadline(),
 		IsLate:      isLate,
 	}
 	for i := range agents {
@@ -199,7 +202,7 @@
 		b.zones.count(placement, len(buffer)-opaque.OfferHeadroom)
 	}
 	b.instance.Decisions.Decision("offer").Str("flow", key.String()).Int("attempt", h.Attempt).Str("service", service).
-		Stringer("agent", first).Int("suspected", suspected).Str("placement", string(placement)).
+		Stringer("agent", first).Int("suspected", suspected).Bool("by_speed", isBySpeed).Str("placement", string(placement)).
 		Uint64("routing_version", state.Table.Version).Uint64("zone_index", state.ZoneIndex).Msg("")
 	b.node.SendOffer(&offer, buffer, first)
 	return outcomeOffered
