Measure answers whose FIN arrives first

What callers saw: nothing by itself, but agents took slow endpoints for fast ones: on the installation with uneven endpoints the response time of an endpoint was measured for 1 of 619 packets with answers, so that flows were hardly ever refused as slow, nor failing endpoints avoided.

Cause: an endpoint that answers and closes sends its FIN at once, and it may arrive at the agent before the data. The table took the FIN for the end of the wait, and the data then for no answer.

Fix: a FIN whose sequence number is beyond what the endpoint has sent ends the wait as an answer. A FIN without data before it is none, as before.

Test: TestResponseTimeIsMeasuredWhenTheFINOvertakesTheAnswer failed before (found 0s).

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -325,6 +325,8 @@
 	if h.IsSYN || h.IsFIN {
 		end++
 	}
+	// A FIN may overtake the answer before it.
+	isAnswer := h.Length > 0 || h.IsFIN && f.hasFirstSeq && int32(h.Seq-f.highestSeq) > 0
 	if !f.hasFirstSeq || h.IsSYN && !f.isOpen {
 		f.firstSeq, f.highestSeq, f.hasFirstSeq, f.heldSince = h.Seq, end, true, now
 		f.isAdopted = !h.IsSYN
@@ -334,10 +336,10 @@
 	} else if int32(end-f.highestSeq) > 0 {
 		f.highestSeq = end
 	}
-	if f.isAwaitingAnswer && (h.Length > 0 || h.IsRST) {
+	if f.isAwaitingAnswer && (isAnswer || h.IsRST) {
 		t.failureRate.Observe(now, h.IsRST)
 	}
-	if f.isAwaitingAnswer && h.Length > 0 {
+	if f.isAwaitingAnswer && isAnswer {
 		t.responseTime.Observe(now, now-f.awaitingSince)
 	}
 	if h.Length > 0 || h.IsFIN {
--- a/internal/flow/table_test.go
+++ b/internal/flow/table_test.go
@@ -285,3 +285,27 @@
 	table.Refuse(Key{Caller: dialed, Dialed: caller})
 	g.Expect(table.Len()).To(Equal(1))
 }
+
+// Packets of an endpoint that answers and closes at once may arrive in another order. The answer must
+// be measured also if the FIN comes first, and a FIN without an answer must not be.
+func TestResponseTimeIsMeasuredWhenTheFINOvertakesTheAnswer(t *testing.T) {
+	const ms = time.Millisecond
+	g := NewWithT(t)
+	fin := func(seq uint32) *Header {
+		h := fromEndpoint(seq, 0)
+		h.IsFIN = true
+		return h
+	}
+	table := newTableWithOpenFlow()
+	table.HandleCallerPacket(10*ms, fromCaller(seqAfter(1), 200))
+	table.HandleEndpointPacket(50*ms, fin(seqAfter(1+1333)))
+	table.HandleEndpointPacket(50*ms, fromEndpoint(seqAfter(1+1200), 133))
+	table.HandleEndpointPacket(50*ms, fromEndpoint(seqAfter(1), 1200))
+	g.Expect(table.ResponseTime(50 * ms)).To(Equal(40 * ms / 8))
+	g.Expect(table.InFlight()).To(BeZero())
+
+	table = newTableWithOpenFlow()
+	table.HandleCallerPacket(10*ms, fromCaller(seqAfter(1), 200))
+	table.HandleEndpointPacket(50*ms, fin(seqAfter(1)))
+	g.Expect(table.ResponseTime(50 * ms)).To(BeZero())
+}
