Compare agents with the fast ones of their service

Cause: three of four endpoints of the installation take 56 ms and one of four 25 ms. None was above 1.4 times the median, so no agent was slow and placement changed nothing.

Change: agents are compared with the service time that one in eight of the service's agents does not exceed.

--- a/internal/flow/speed.go
+++ b/internal/flow/speed.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// slowRatio is the ratio to the median of the service above which an agent is slow. It is
+	// fastShare is that agents are compared with the fastest one in so many of the service. With the
+	// median, none would be slow where most endpoints are.
+	fastShare = 8
+	// slowRatio is the ratio to the fast agents of the service above which an agent is slow. It is
 	// between one and two steps of the reported values, so one step is not enough.
 	slowRatio = 1.4
-	// minSlowExcess is by how much a slow agent's service time exceeds the median at least.
+	// minSlowExcess is by how much a slow agent's service time exceeds that of the fast ones at least.
 	// Service times are reported in whole milliseconds, and a hop to another agent takes up to
 	// one, so less than that cannot be gained.
 	minSlowExcess = 2 * time.Millisecond
@@ -28,9 +31,9 @@
 
 // Speed is the speed of a service's agents in a view.
 type Speed struct {
-	// Median is the median of the service times of the agents that have reported one and have
-	// not expired. Measured is the number of these agents.
-	Median   time.Duration
+	// Fast is the service time that one in fastShare of the agents does not exceed, of those that
+	// have reported one and have not expired. Measured is the number of these agents.
+	Fast     time.Duration
 	Measured int
 	// Slow is the number of slow agents.
 	Slow int
@@ -89,7 +92,7 @@
 			continue
 		}
 		slices.Sort(times)
-		speed := Speed{Median: times[(len(times)-1)/2], Measured: len(times)}
+		speed := Speed{Fast: times[(len(times)-1)/fastShare], Measured: len(times)}
 		for i := range members {
 			member := &members[i]
 			member.isSlow = member.isMeasured() && speed.isSlow(member.ServiceTime)
@@ -105,7 +108,7 @@
 func (m *Member) isMeasured() bool { return m.ServiceTime > 0 && !m.IsExpired }
 
 func (s *Speed) isSlow(serviceTime time.Duration) bool {
-	return float64(serviceTime) > slowRatio*float64(s.Median) && serviceTime-s.Median >= minSlowExcess
+	return float64(serviceTime) > slowRatio*float64(s.Fast) && serviceTime-s.Fast >= minSlowExcess
 }
 
 // isRemeasuring reports whether a flow ignores speeds.
--- a/internal/flow/speed_test.go
+++ b/internal/flow/speed_test.go
@@ -38,7 +38,7 @@
 func TestSlowAgentsComeLastOfTheFirstCandidates(t *testing.T) {
 	g := NewWithT(t)
 	view := NewView(speedMembers(50, oneInFourSlow))
-	g.Expect(view.Speed("orders")).To(Equal(Speed{Median: 30 * time.Millisecond, Measured: 50, Slow: 13}))
+	g.Expect(view.Speed("orders")).To(Equal(Speed{Fast: 30 * time.Millisecond, Measured: 50, Slow: 13}))
 	remeasuring, flows := 0, 2000
 	for key := range uint64(flows) {
 		flow := rendezvous.Mix(key)
--- a/internal/machine/opaque/balancer/speeds.go
+++ b/internal/machine/opaque/balancer/speeds.go
@@ -64,6 +64,6 @@
 func (b *Balancer) logSpeed(view *flow.View, agent *flow.Member, class string) {
 	speed := view.Speed(agent.Service)
 	b.instance.Decisions.Decision("speed").Stringer("agent", agent.Address).Str("service", agent.Service).Str("class", class).
-		Dur("service_time_ms", agent.ServiceTime).Dur("median_ms", speed.Median).Int("measured", speed.Measured).Int("slow", speed.Slow).
+		Dur("service_time_ms", agent.ServiceTime).Dur("fast_ms", speed.Fast).Int("measured", speed.Measured).Int("slow", speed.Slow).
 		Dur("agents_known_ago_ms", b.node.Now()-b.node.SyncedAt()).Msg("")
 }
