--- a/internal/emulate/zones_test.go
+++ b/internal/emulate/zones_test.go
@@ -67,7 +67,7 @@
 		}},
 		{name: "evacuation", endpoints: equal, rates: steady(0.55, 0.55, 0.55), isOut: isAOut, change: func(e *Endpoint) {
 			if e.Zone == "a" {
-				e.ColdFrom, e.ColdFor, e.ColdFactor = zoneEnd, 2*time.Second, 1.6
+				e.RestartsAt, e.ColdFor, e.ColdFactor = zoneEnd, 2*time.Second, 1.6
 			}
 		}},
 		{name: "all full", endpoints: equal, rates: stepping([3]float64{0.5, 0.5, 0.5}, [3]float64{1.3, 1.3, 1.3})},
--- a/internal/machine/opaque/agent/load.go
+++ b/internal/machine/opaque/agent/load.go
@@ -44,15 +44,15 @@
 		return load
 	}
 	load.Slots = endpoint.Slots
-	load.ServiceTime = serviceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
+	load.ServiceTime = estimateServiceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
 	load.Waits = estimateWaits(load.Slots, load.InFlight, load.ServiceTime)
 	return load
 }
 
-// serviceTime estimates the time for which a request occupies a slot. The response time contains
+// estimateServiceTime estimates the time for which a request occupies a slot. The response time contains
 // the time in the endpoint's queue: by Little's law, inFlight requests leave per response time,
 // and slots of them per service time.
-func serviceTime(slots, inFlight int, responseTime time.Duration) time.Duration {
+func estimateServiceTime(slots, inFlight int, responseTime time.Duration) time.Duration {
 	if inFlight <= slots {
 		return responseTime
 	}
