Let agents take turns in trying a packet while its owner may be down

Cause: an agent that does not know the flows of its endpoint, because it was killed or got none by a handover, tries packets of unknown flows there. While the owner of a flow is down, one transmission was tried by all such agents within milliseconds and reached their endpoints, and not its own.

While all answer, or a balancer remembers this agent as the owner, a packet is tried at once as before.

--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"sassafrasturn.example/internal/flow"
@@ -167,13 +168,18 @@
 	existing := a.table.Get(key)
 	isUnknown := existing == nil || existing.IsUnanswered(now)
 	if isUnknown && a.bounceable.isBounced(now, key) {
+		offer.Trials++
 		a.forwardInOrder(h, offer, buffer, arrivedAt)
 		return
 	}
 	isTried := isAdopting && isUnknown && (a.lifecycle.Endpoint() != nil || a.lifecycle.IsUnannounced())
+	isTried = isTried && a.isTrialAllowed(now, h, key, offer)
+	if isAdopting {
+		offer.Trials++
+	}
 	if isTried && a.bounceable.add(now, key, offer) {
 		a.bounceable.keep(key, buffer)
-		a.openFlowLine("try", key, offer).Dur("adopt_left_ms", a.adoptUntil-now).Dur("uptime_ms", now).Msg("")
+		a.openFlowLine("try", key, offer).Int("earlier", offer.Trials-1).Dur("adopt_left_ms", a.adoptUntil-now).Dur("uptime_ms", now).Msg("")
 		a.deliver(buffer[opaque.OfferHeadroom:])
 		return
 	}
@@ -184,6 +190,24 @@
 	a.forwardInOrder(h, offer, buffer, arrivedAt)
 }
 
+// isTrialAllowed reports whether a packet of an unknown flow may be tried on the endpoint. It probes
+// the agents that may be absent, so that the next transmission of the packet finds out.
+func (a *Agent) isTrialAllowed(now time.Duration, h *flow.Header, key flow.Key, offer *opaque.Offer) bool {
+	repeatedFor, ok := a.forwards.Observe(now, h)
+	state, hash := a.node.State(), key.Hash()
+	if !ok || !state.IsUsable || offer.IsShortcut || offer.Trials == 0 {
+		return true
+	}
+	order := flow.Order{View: state.View, Flow: hash, Origin: offer.Origin, Services: state.Services(key, hash, a.services[:])}
+	away := order.AppendAway(nil, &a.self)
+	trial := flow.Trial{Earlier: offer.Trials, RepeatedFor: repeatedFor}
+	trial.IsOwnerAbsent = slices.ContainsFunc(away, func(agent netip.AddrPort) bool {
+		return repeatedFor == 0 || a.suspects.IsSuspected(now, agent)
+	})
+	a.probe(away)
+	return trial.IsAllowed()
+}
+
 // forwardInOrder sends a packet to the next agent in the order that may own its flow.
 // If no agent owns it, the packet is dropped or the flow is reset. A packet from an
 // instance with a newer routing table is deferred, because this agent's order may lack
--- a/internal/machine/opaque/datagram.go
+++ b/internal/machine/opaque/datagram.go
@@ -44,6 +44,9 @@
 // MaxCandidates is the maximum number of agents that one SYN is offered to.
 const MaxCandidates = flow.MaxCandidates
 
+// MaxTrials is the largest number of trials that an offer can encode.
+const MaxTrials = 7
+
 // MaxPacketBytes is the maximum size of a caller's or an endpoint's packet.
 const MaxPacketBytes = 2048
 
@@ -84,6 +87,11 @@
 	// IsLate is set for a SYN that the balancer has held back for so long that another
 	// transmission may have opened the flow meanwhile.
 	IsLate bool
+	// Trials is the number of agents on the way that do not know the flows of their endpoints, and
+	// have tried the packet there or left it for a later transmission; at most MaxTrials. It is
+	// valid if HasVisited is set. Datagrams have the same flags for it and for IsReordered and
+	// IsLate, which only SYNs have.
+	Trials int
 	// Origin is the zone of the balancer that received the packet.
 	Origin flow.ZoneTag
 	// Service is the service that the balancer chose for a SYN.
@@ -136,8 +144,14 @@
 	b[0] = byte(KindOffer)
 	b[1] = byte(min(o.Hops, maxHops))
 	b[2] = byte(o.candidateCount)
-	b[3] = flagIf(o.IsShortcut, flagShortcut) | flagIf(o.IsInconclusive, flagInconclusive) | flagIf(o.IsReordered, flagReordered) |
-		flagIf(o.HasVisited, flagVisited) | flagIf(o.IsReturned, flagReturned) | flagIf(o.IsLate, flagLate)
+	b[3] = flagIf(o.IsShortcut, flagShortcut) | flagIf(o.IsInconclusive, flagInconclusive) |
+		flagIf(o.HasVisited, flagVisited) | flagIf(o.IsReturned, flagReturned)
+	if o.HasVisited {
+		trials := min(o.Trials, MaxTrials)
+		b[3] |= flagIf(trials&1 != 0, flagReordered) | flagIf(trials&2 != 0, flagLate) | flagIf(trials&4 != 0, flagTrials)
+	} else {
+		b[3] |= flagIf(o.IsReordered, flagReordered) | flagIf(o.IsLate, flagLate)
+	}
 	binary.BigEndian.PutUint32(b[4:], uint32(o.Origin))
 	subject := uint32(o.Service)
 	if o.HasVisited {
@@ -164,6 +178,8 @@
 	flagVisited
 	flagReturned
 	flagLate
+	// flagTrials is the highest bit of Trials.
+	flagTrials
 )
 
 func flagIf(isSet bool, flag byte) byte {
@@ -173,6 +189,13 @@
 	return 0
 }
 
+func bitIf(flag byte, bit int) int {
+	if flag != 0 {
+		return bit
+	}
+	return 0
+}
+
 // maxHops is the largest hop count that an offer can encode. Higher counts are
 // sent as maxHops.
 const maxHops = 255
@@ -187,9 +210,7 @@
 		Hops:           int(data[1]),
 		IsShortcut:     data[3]&flagShortcut != 0,
 		IsInconclusive: data[3]&flagInconclusive != 0,
-		IsReordered:    data[3]&flagReordered != 0,
 		IsReturned:     data[3]&flagReturned != 0,
-		IsLate:         data[3]&flagLate != 0,
 		Origin:         flow.ZoneTag(binary.BigEndian.Uint32(data[4:])),
 		Balancer:       getAddress(data[12:]),
 		RoutingVersion: binary.BigEndian.Uint64(data[18:]),
@@ -199,8 +220,10 @@
 	o.HasVisited = data[3]&flagVisited != 0
 	if subject := binary.BigEndian.Uint32(data[8:]); o.HasVisited {
 		o.Visited = flow.AgentSet(subject)
+		o.Trials = bitIf(data[3]&flagReordered, 1) | bitIf(data[3]&flagLate, 2) | bitIf(data[3]&flagTrials, 4)
 	} else {
 		o.Service = ServiceTag(subject)
+		o.IsReordered, o.IsLate = data[3]&flagReordered != 0, data[3]&flagLate != 0
 	}
 	end := offerBytes + o.candidateCount*addressBytes
 	if len(data) < end {
