--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -67,10 +67,11 @@
 
 func (o *operator) desiredState() map[string]any {
 	routes, serviceEntries := []any{}, []any{}
+	// Objectives and different priorities put the decisions under load in force.
 	add := func(name string, dialed netip.AddrPort, service string) {
 		routes = append(routes, map[string]any{
 			"name": name, "host": dialed.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", dialed.Port()),
-			"timeout-ms": 1000 + o.version, "service": service,
+			"timeout-ms": 1000 + o.version, "target-latency-ms": 200, "priority": 1 + len(routes)%2, "service": service,
 		})
 	}
 	for _, service := range services {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -182,6 +182,7 @@
 [link]
 listen = %s:%d
 advertise = %s:%d
+kbit_per_second = 10000
 [metrics]
 listen = %s:%d
 [log]
