Do not take a link for saturated that was free in between

Cause: only a decision on a flow of the same urgency ended the time for which the link counted as full. A class without flows meanwhile was reset at once the next time, where its SYN should be dropped.

Change: each decision ends it for all classes whose limit is met. The extended test fails before.

--- a/internal/flow/linkbudget.go
+++ b/internal/flow/linkbudget.go
@@ -19,7 +19,7 @@
 	at      time.Duration
 	// sentBytes is the counter of sent bytes as of that time.
 	sentBytes uint64
-	// isBusy is set for each rank of which no flow has been taken since busySince.
+	// isBusy is set for each rank whose limit has been exceeded at all decisions since busySince.
 	isBusy    [linkRanks]bool
 	busySince [linkRanks]time.Duration
 }
@@ -65,8 +65,11 @@
 	}
 	b.advance(now, sentBytes)
 	rank := min(max(lessUrgent, 0), linkRanks-1)
-	if b.Wait() <= linkLimits[rank] {
-		b.isBusy[rank] = false
+	wait := b.Wait()
+	for i, limit := range linkLimits {
+		b.isBusy[i] = b.isBusy[i] && wait > limit
+	}
+	if wait <= linkLimits[rank] {
 		return LinkFree
 	}
 	if !b.isBusy[rank] {
--- a/internal/flow/linkbudget_test.go
+++ b/internal/flow/linkbudget_test.go
@@ -121,4 +121,8 @@
 	}
 	g.Expect(b.Decide(time.Minute, sent, 0)).To(Equal(LinkFree))
 	g.Expect(b.Decide(time.Minute+50*time.Millisecond, sent+rate, 0)).To(Equal(LinkBusy))
+	// A rank without flows while the link was free is not taken for saturated later.
+	g.Expect(b.Decide(time.Minute+51*time.Millisecond, sent+rate, 1)).To(Equal(LinkBusy))
+	g.Expect(b.Decide(2*time.Minute, sent+rate, 0)).To(Equal(LinkFree))
+	g.Expect(b.Decide(2*time.Minute+time.Millisecond, sent+2*rate, 1)).To(Equal(LinkBusy))
 }
