Take a flow for late by the service time, not by waits of others

Cause: whether an answer could still meet its objective was decided by the mean response time, which includes the endpoint's queue, so that first transmissions counted as late in an overload. Reports of load had the decaying mean, by which idle endpoints look fast.

Change: both use the measured median where it is known.

--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -92,7 +92,12 @@
 
 // isLate reports whether the answer would miss the objective even without a wait.
 func (r *AdmissionRequest) isLate() bool {
-	return r.Objective > 0 && r.Elapsed+r.ResponseTime > r.Objective
+	response := r.ResponseTime
+	if r.ServiceTime > 0 {
+		// The response time includes waits for slots.
+		response = min(response, r.ServiceTime)
+	}
+	return r.Objective > 0 && r.Elapsed+response > r.Objective
 }
 
 // isSlow reports whether a flow would probably miss its objective at an endpoint with
--- a/internal/machine/opaque/agent/load.go
+++ b/internal/machine/opaque/agent/load.go
@@ -44,7 +44,9 @@
 		return load
 	}
 	load.Slots = endpoint.Slots
-	load.ServiceTime = estimateServiceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
+	if load.ServiceTime = a.table.ServiceTime(now); load.ServiceTime == 0 {
+		load.ServiceTime = estimateServiceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
+	}
 	load.Waits = estimateWaits(load.Slots, load.InFlight, load.ServiceTime)
 	return load
 }
