Rank agents by speed also while flows leave their zone, and keep a way out of it

Cause: candidates by shares of zones ignored measured speeds, so that slow agents got their full share while a zone was short. Flows that stayed while no zone was better had candidates of their own zone only, also where these refuse for other reasons than a lack of slots (cold, failing), and flows of a zone without endpoints had all candidates in one other zone.

Change: both zones are ranked by speed; one candidate is of another zone unless all are known to be full; flows of a zone without endpoints have two candidates in the remaining zones.

--- a/internal/flow/zoneshares.go
+++ b/internal/flow/zoneshares.go
@@ -134,6 +134,10 @@
 // waits less than the default cost of leaving on average.
 const homeReserve = 0.125
 
+// fullShare is the share of a zone's endpoints without a free slot from which on a flow that is
+// offered to one of them hardly ever finds one.
+const fullShare = 0.75
+
 // homeRoom returns how many slots of the zone flows that return to it may use.
 func (z *ZoneLoad) homeRoom() float64 { return max(0, z.Free-z.Slots*homeReserve) }
 
@@ -186,6 +190,9 @@
 	// Target is the zone with the most free slots among those where flows gain more than the
 	// cost of leaving, empty if there is none.
 	Target string
+	// AreOthersFull is true if all other zones are known to have hardly a free slot, so that a
+	// flow gains nothing by a candidate there.
+	AreOthersFull bool
 	// Reason is why flows leave.
 	Reason PlacementReason
 
@@ -270,12 +277,16 @@
 func (s *ZoneShares) Step(now time.Duration, zones []ZoneLoad) *ZoneSplit {
 	home := ZoneLoad{Zone: s.home}
 	others := make([]*ZoneLoad, 0, len(zones))
+	areOthersFull := true
 	for i := range zones {
 		switch {
 		case zones[i].Zone == s.home:
 			home = zones[i]
 		case zones[i].isKnown():
 			others = append(others, &zones[i])
+			areOthersFull = areOthersFull && zones[i].FullShare >= fullShare
+		case zones[i].Endpoints > 0:
+			areOthersFull = false
 		}
 	}
 	slices.SortFunc(others, func(a, b *ZoneLoad) int { return cmp.Compare(a.Zone, b.Zone) })
@@ -302,7 +313,9 @@
 	if len(s.shares) == 0 && !isShort {
 		return nil
 	}
-	return s.split(&home, others)
+	split := s.split(&home, others)
+	split.AreOthersFull = areOthersFull
+	return split
 }
 
 // forgetUnknown ends the shares of zones without figures: they may be unreachable.
@@ -430,9 +443,13 @@
 
 // ChooseZoneCandidates returns the agents that a new flow is offered to by the shares of zones,
 // in order, and the reason. A flow that stays is offered to agents of its own zone, then to two
-// of the zone with the most room, and the last one is of its own zone, where it may wait. A flow
-// that leaves is offered to agents of its new zone, and then to those of its own. It returns no
-// agents if those of the zones have gone since the decision.
+// of the zone with the most room among those where it gains, and the last one is of its own zone,
+// where it may wait. If there is no such zone, all are of its own zone, but for one unless the others
+// are known to be full: agents also refuse flows for other reasons than a lack of slots. A flow that
+// leaves is offered to agents of
+// its new zone, and then to those of its own, or of the remaining zones where its own has none.
+// Agents are ranked by speed as in ChooseCandidates. It returns no agents if those of the zones have
+// gone since the decision.
 func ChooseZoneCandidates(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool, split *ZoneSplit) ([]Member, PlacementReason) {
 	second, leaves := split.Pick(flow)
 	hasSecond := leaves
@@ -442,17 +459,29 @@
 	var ownSpace, otherSpace [MaxCandidates]*Member
 	var ownScores, otherScores [MaxCandidates]uint64
 	ownZone, otherZone := rendezvous.NewTopK(ownSpace[:], ownScores[:]), rendezvous.NewTopK(otherSpace[:], otherScores[:])
+	var ownSlow, otherSlow slowBest
+	var away zoneBest
+	isBySpeed := view.speeds[service].Slow > 0 && !isRemeasuring(flow)
 	members := view.byService[service]
 	for i := range members {
 		member := &members[i]
 		isOwn := member.zone == origin
-		if !isOwn && (!hasSecond || member.zone != second) || !member.IsReady || member.IsExpired || isOut(member.Zone) {
+		if !member.IsReady || member.IsExpired || isOut(member.Zone) {
 			continue
 		}
 		score := rendezvous.Score(flow, member.hash)
+		if !isOwn && (!hasSecond || member.zone != second) {
+			away.add(member, score)
+			continue
+		}
+		if isBySpeed {
+			score = rankBySpeed(score, member)
+		}
 		if isOwn {
+			ownSlow.add(member, score)
 			ownZone.Add(member, score)
 		} else {
+			otherSlow.add(member, score)
 			otherZone.Add(member, score)
 		}
 	}
@@ -460,20 +489,47 @@
 	if leaves && len(others) > 0 {
 		others = others[:min(len(others), max(firstCandidates, MaxCandidates-len(own)))]
 		own = own[:min(len(own), MaxCandidates-len(others))]
+		if isBySpeed {
+			keepSlow(others, otherSlow.first)
+		}
+		if len(own) == 0 {
+			return withOtherZones(view, service, flow, origin, isOut, appendMembers(others)), split.Reason
+		}
 		return appendMembers(others, own), split.Reason
 	}
 	own = own[:min(len(own), max(maxOwnZoneCandidates, MaxCandidates-len(others)))]
 	others = others[:min(len(others), MaxCandidates-len(own))]
-	beforeOthers := len(own)
-	if len(others) > 0 && len(own) >= maxOwnZoneCandidates {
-		beforeOthers--
+	if isBySpeed {
+		keepSlow(own, ownSlow.first)
 	}
 	if len(own) == 0 {
 		return appendMembers(others), split.Reason
 	}
+	if !hasSecond && !split.AreOthersFull {
+		if away.first == nil || len(own) < MaxCandidates {
+			return ChooseCandidates(view, service, flow, origin, isOut), PlacedHome
+		}
+		others, own = append(others, away.first), own[:MaxCandidates-1]
+	}
+	beforeOthers := len(own)
+	if len(others) > 0 && len(own) >= maxOwnZoneCandidates {
+		beforeOthers--
+	}
 	return appendMembers(own[:beforeOthers], others, own[beforeOthers:]), PlacedHome
 }
 
+// withOtherZones replaces the last candidates of a zone by the first ones of the other zones, so that
+// a flow finds a slot there if the zone is full.
+func withOtherZones(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool, candidates []Member) []Member {
+	chosen := candidates[:min(len(candidates), maxOwnZoneCandidates)]
+	for _, member := range ChooseCandidates(view, service, flow, origin, isOut) {
+		if len(chosen) < MaxCandidates && member.zone != candidates[0].zone {
+			chosen = append(chosen, member)
+		}
+	}
+	return chosen
+}
+
 func appendMembers(parts ...[]*Member) []Member {
 	candidates := make([]Member, 0, MaxCandidates)
 	for _, part := range parts {
