Report one wait of an endpoint, since it serves flows in order of arrival

Reports had a wait for each class of urgency, from the time when agents were to queue flows by urgency. All were equal. The classes, and the wait that only tests used, are removed; the message was in no release.

--- a/internal/emulate/zones.go
+++ b/internal/emulate/zones.go
@@ -100,9 +100,7 @@
 	if e.SlowFactor > 0 && s.Now >= e.SlowFrom {
 		load.ServiceTime = time.Duration(float64(load.ServiceTime) * e.SlowFactor)
 	}
-	for class := range load.Waits {
-		load.Waits[class] = load.ServiceTime * time.Duration(max(0, load.InFlight-load.Slots+1)) / time.Duration(load.Slots)
-	}
+	load.Wait = load.ServiceTime * time.Duration(max(0, load.InFlight-load.Slots+1)) / time.Duration(load.Slots)
 	return load
 }
 
--- a/internal/flow/reports.go
+++ b/internal/flow/reports.go
@@ -18,7 +18,7 @@
 	ReportUnreadable ReportOutcome = "unreadable"
 	// ReportUnknownAgent means that the view has no live agent with the address in the report.
 	ReportUnknownAgent ReportOutcome = "unknown-agent"
-	// ReportImplausible means that the report has no slots, no waits, or values out of range.
+	// ReportImplausible means that the report has no slots, or values out of range.
 	ReportImplausible ReportOutcome = "implausible"
 	// ReportUnrequested means that the report answers a request that this process has not made,
 	// or made too long ago.
@@ -59,15 +59,7 @@
 // isPlausible reports whether the values of a report are in their ranges. A wait out of range
 // must not be limited and used, since it would stand for a refusal.
 func isPlausible(message *wire.EndpointLoad) bool {
-	if message.Slots == 0 || len(message.WaitMs) == 0 {
-		return false
-	}
-	for _, wait := range message.WaitMs {
-		if time.Duration(wait)*time.Millisecond > maxLoadTime {
-			return false
-		}
-	}
-	return message.Slots <= maxLoadCount && message.InFlight <= maxLoadCount &&
+	return message.Slots > 0 && time.Duration(message.WaitMs)*time.Millisecond <= maxLoadTime && message.Slots <= maxLoadCount && message.InFlight <= maxLoadCount &&
 		time.Duration(message.ServiceTimeMs)*time.Millisecond <= maxLoadTime
 }
 
--- a/internal/flow/zoneshares.go
+++ b/internal/flow/zoneshares.go
@@ -102,7 +102,7 @@
 		inFlight += weight * float64(r.Load.InFlight)
 		if r.Load.InFlight >= r.Load.Slots {
 			full += weight
-			wait += weight * float64(r.Load.Waits[Urgencies-1])
+			wait += weight * float64(r.Load.Wait)
 		}
 		if r.Load.ServiceTime > 0 {
 			timed += weight
--- a/internal/machine/opaque/agent/load.go
+++ b/internal/machine/opaque/agent/load.go
@@ -47,13 +47,13 @@
 	if load.ServiceTime = a.table.ServiceTime(now); load.ServiceTime == 0 {
 		load.ServiceTime = estimateServiceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
 	}
-	load.Waits = estimateWaits(load.Slots, load.InFlight, load.ServiceTime)
+	load.Wait = estimateWait(load.Slots, load.InFlight, load.ServiceTime)
 	return load
 }
 
-// estimateServiceTime estimates the time for which a request occupies a slot. The response time contains
-// the time in the endpoint's queue: by Little's law, inFlight requests leave per response time,
-// and slots of them per service time.
+// estimateServiceTime estimates the time for which a request occupies a slot. The response time
+// contains the time in the endpoint's queue: by Little's law, inFlight requests leave per response
+// time, and slots of them per service time.
 func estimateServiceTime(slots, inFlight int, responseTime time.Duration) time.Duration {
 	if inFlight <= slots {
 		return responseTime
@@ -61,17 +61,13 @@
 	return responseTime * time.Duration(slots) / time.Duration(inFlight)
 }
 
-// estimateWaits estimates the time until a flow that arrives now gets a slot. The endpoint serves
-// flows in the order of arrival, so it is the same for all urgency classes.
-func estimateWaits(slots, inFlight int, serviceTime time.Duration) (waits [flow.Urgencies]time.Duration) {
+// estimateWait estimates the time until a flow that arrives now gets a slot. The endpoint serves
+// flows in the order of arrival.
+func estimateWait(slots, inFlight int, serviceTime time.Duration) time.Duration {
 	if slots <= 0 || inFlight < slots {
-		return waits
+		return 0
 	}
-	wait := serviceTime * time.Duration(inFlight-slots+1) / time.Duration(slots)
-	for class := range waits {
-		waits[class] = wait
-	}
-	return waits
+	return serviceTime * time.Duration(inFlight-slots+1) / time.Duration(slots)
 }
 
 // reportOffer reports the load to the balancer of a flow that the endpoint has not taken, or that
