Take a flow for late by the endpoint's response time again

Cause: with the service time fewer flows count as late in an overload, endpoints' queues grow, and callers send more copies over the balancers' links.

--- a/internal/flow/gate.go
+++ b/internal/flow/gate.go
@@ -90,14 +90,10 @@
 	Elapsed time.Duration
 }
 
-// isLate reports whether the answer would miss the objective even without a wait.
+// isLate reports whether the answer would miss the objective at the endpoint's recent response time,
+// which includes waits in its queue.
 func (r *AdmissionRequest) isLate() bool {
-	response := r.ResponseTime
-	if r.ServiceTime > 0 {
-		// The response time includes waits for slots.
-		response = min(response, r.ServiceTime)
-	}
-	return r.Objective > 0 && r.Elapsed+response > r.Objective
+	return r.Objective > 0 && r.Elapsed+r.ResponseTime > r.Objective
 }
 
 // isSlow reports whether a flow would probably miss its objective at an endpoint with
