Encode addresses in messages in one place, and say plainly when a full link drops a SYN

Cause: reports of load had their own encoding of an agent's address, beside those of probes and of the roster. A full link suppressed its reset by marking the SYN late. Two comments spoke of refusals by reports and of classes of waits, which are gone, and Table.ServiceTime had a parameter that it did not use.

Change: routing.AddrPortNumber and NumberAddrPort serve all three; the balancer refuses only when the link is saturated. No decision changes.

Tests: flow, routing, roster, the balancer and the whole path pass.

--- a/internal/flow/reports.go
+++ b/internal/flow/reports.go
@@ -25,23 +25,14 @@
 	ReportUnrequested ReportOutcome = "unrequested"
 )
 
-// ReportNumber returns the address of an agent as reports contain it.
-func ReportNumber(agent netip.AddrPort) uint64 {
-	return uint64(routing.AddressNumber(agent.Addr()))<<16 | uint64(agent.Port())
-}
-
-// reportAgent is the inverse of ReportNumber. It returns an invalid address for a number that
-// is none.
-func reportAgent(number uint64) netip.AddrPort {
-	if number >= 1<<48 {
+// ReportSender returns the agent that a report names, an invalid address if it names none.
+func ReportSender(message *wire.EndpointLoad) netip.AddrPort {
+	if message.Agent >= 1<<48 {
 		return netip.AddrPort{}
 	}
-	return netip.AddrPortFrom(routing.NumberAddress(uint32(number>>16)), uint16(number))
+	return routing.NumberAddrPort(message.Agent)
 }
 
-// ReportSender returns the agent that a report names.
-func ReportSender(message *wire.EndpointLoad) netip.AddrPort { return reportAgent(message.Agent) }
-
 // RecordReport keeps a report that its agent sent at a time, or later, if the report is plausible
 // and the view has its agent as a live one, which bounds the store.
 func (l *Loads) RecordReport(at time.Duration, message *wire.EndpointLoad, view *View) ReportOutcome {
@@ -56,10 +47,11 @@
 	return ReportRecorded
 }
 
-// isPlausible reports whether the values of a report are in their ranges. A wait out of range
-// must not be limited and used, since it would stand for a refusal.
+// isPlausible reports whether the values of a report are in their ranges. Those that are not come from
+// a faulty sender, so that limited values would say nothing about its endpoint.
 func isPlausible(message *wire.EndpointLoad) bool {
-	return message.Slots > 0 && time.Duration(message.WaitMs)*time.Millisecond <= maxLoadTime && message.Slots <= maxLoadCount && message.InFlight <= maxLoadCount &&
+	return message.Slots > 0 && message.Slots <= maxLoadCount && message.InFlight <= maxLoadCount &&
+		time.Duration(message.WaitMs)*time.Millisecond <= maxLoadTime &&
 		time.Duration(message.ServiceTimeMs)*time.Millisecond <= maxLoadTime
 }
 
--- a/internal/flow/reports_test.go
+++ b/internal/flow/reports_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -29,7 +30,7 @@
 	load := Load{IsReady: true, Slots: 3, InFlight: 9, ServiceTime: 40 * time.Millisecond}
 	load.Wait = wait
 	message := load.Message()
-	message.Agent = ReportNumber(loadAgent(number))
+	message.Agent = routing.AddrPortNumber(loadAgent(number))
 	return message
 }
 
@@ -39,7 +40,7 @@
 		change  func(*wire.EndpointLoad)
 		outcome ReportOutcome
 	}{
-		"unknown agent":       {func(m *wire.EndpointLoad) { m.Agent = ReportNumber(loadAgent(9)) }, ReportUnknownAgent},
+		"unknown agent":       {func(m *wire.EndpointLoad) { m.Agent = routing.AddrPortNumber(loadAgent(9)) }, ReportUnknownAgent},
 		"agent out of range":  {func(m *wire.EndpointLoad) { m.Agent |= 1 << 48 }, ReportUnknownAgent},
 		"no slots":            {func(m *wire.EndpointLoad) { m.Slots = 0 }, ReportImplausible},
 		"huge wait":           {func(m *wire.EndpointLoad) { m.WaitMs = math.MaxUint32 }, ReportImplausible},
@@ -70,8 +71,8 @@
 		fullReport(0, 70*time.Millisecond), fullReport(1, time.Hour), fullReport(9, time.Second),
 		{Agent: math.MaxUint64, Slots: 1, WaitMs: 1},
 		{Sequence: math.MaxUint64},
-		{Agent: ReportNumber(loadAgent(0)), Slots: math.MaxUint32, InFlight: math.MaxUint32, ServiceTimeMs: math.MaxUint32, WaitMs: math.MaxUint32},
-		{Agent: ReportNumber(loadAgent(1)), Slots: 1, WaitMs: math.MaxUint32, Ready: true},
+		{Agent: routing.AddrPortNumber(loadAgent(0)), Slots: math.MaxUint32, InFlight: math.MaxUint32, ServiceTimeMs: math.MaxUint32, WaitMs: math.MaxUint32},
+		{Agent: routing.AddrPortNumber(loadAgent(1)), Slots: 1, WaitMs: math.MaxUint32, Ready: true},
 	} {
 		data, _ := proto.Marshal(message)
 		f.Add(data, uint32(50))
--- a/internal/flow/servicetime.go
+++ b/internal/flow/servicetime.go
@@ -140,7 +140,7 @@
 
 // ServiceTime returns the median time that the endpoint needs for a request without waiting for
 // a slot, 0 if it is not known. Unlike the ResponseTime it does not decay with time.
-func (t *Table) ServiceTime(_ time.Duration) time.Duration { return t.serviceTime.Median() }
+func (t *Table) ServiceTime() time.Duration { return t.serviceTime.Median() }
 
 // RecentServiceTime returns the median of the last few requests; see ServiceTime.Recent.
 func (t *Table) RecentServiceTime() time.Duration { return t.serviceTime.Recent() }
--- a/internal/flow/servicetime_test.go
+++ b/internal/flow/servicetime_test.go
@@ -112,7 +112,7 @@
 		}
 	}
 	serve(20, 10*ms)
-	g.Expect(table.ServiceTime(now)).To(BeZero(), "no slots are known")
+	g.Expect(table.ServiceTime()).To(BeZero(), "no slots are known")
 	table.SetMeasuredSlots(1)
 	answer := request(1000)
 	for port := range uint16(20) {
@@ -126,7 +126,7 @@
 	g.Expect(table.LongestWait(now)).To(BeZero(), "the endpoint has just answered, so it is not stuck")
 	g.Expect(table.serviceTime.count).To(Equal(1), "only the first request found a free slot")
 	serve(20, 10*ms)
-	g.Expect(table.ServiceTime(now)).To(Equal(10 * ms))
+	g.Expect(table.ServiceTime()).To(Equal(10 * ms))
 	answer = request(3000)
 	table.DropServiceTime()
 	answer(500 * ms)
--- a/internal/flow/zoneshares.go
+++ b/internal/flow/zoneshares.go
@@ -63,7 +63,7 @@
 	// another.
 	Slots, Free, InFlight float64
 	// FullShare is the share of endpoints without a free slot, from 0 to 1, and Wait the mean
-	// time that a flow of the least urgent class waits at one of these.
+	// time that a flow waits at one of these.
 	FullShare float64
 	Wait      time.Duration
 	// ServiceTime is the mean over the endpoints whose service time is known, 0 if none is.
--- a/internal/machine/opaque/agent/load.go
+++ b/internal/machine/opaque/agent/load.go
@@ -44,7 +44,7 @@
 		return load
 	}
 	load.Slots = endpoint.Slots
-	if load.ServiceTime = a.table.ServiceTime(now); load.ServiceTime == 0 {
+	if load.ServiceTime = a.table.ServiceTime(); load.ServiceTime == 0 {
 		load.ServiceTime = estimateServiceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
 	}
 	load.Wait = estimateWait(load.Slots, load.InFlight, load.ServiceTime)
@@ -94,7 +94,7 @@
 func (a *Agent) sendLoad(now time.Duration, sequence uint64, to netip.AddrPort, outcome string) {
 	load := a.load(now)
 	message := load.Message()
-	message.Agent, message.Sequence = flow.ReportNumber(a.node.Address()), sequence
+	message.Agent, message.Sequence = a.key(), sequence
 	a.node.SendMessage(opaque.KindLoad, message, to)
 	a.reports.sent.WithLabelValues(outcome).Inc()
 }
--- a/internal/machine/opaque/agent/servicetime.go
+++ b/internal/machine/opaque/agent/servicetime.go
@@ -40,11 +40,11 @@
 		slots = endpoint.Slots
 	}
 	a.table.SetMeasuredSlots(slots)
-	a.serviceTime.gauge.Set(a.table.ServiceTime(now).Seconds())
+	a.serviceTime.gauge.Set(a.table.ServiceTime().Seconds())
 	reported := a.table.ReportedServiceTime()
 	if reported != a.serviceTime.reported {
 		a.instance.Decisions.Decision("service-time").Uint32("reported_ms", reported).Uint32("before_ms", a.serviceTime.reported).
-			Dur("median_ms", a.table.ServiceTime(now)).Int("slots", slots).Msg("")
+			Dur("median_ms", a.table.ServiceTime()).Int("slots", slots).Msg("")
 		a.serviceTime.reported = reported
 	}
 	return reported
--- a/internal/machine/opaque/balancer/balancer.go
+++ b/internal/machine/opaque/balancer/balancer.go
@@ -171,9 +171,11 @@
 	if decision, wait := b.link.decide(b.node, route); decision != flow.LinkFree {
 		b.instance.Decisions.Decision("link-full").Str("flow", key.String()).Int("attempt", h.Attempt).
 			Int("less_urgent", route.LessUrgent).Dur("wait_ms", wait).Bool("saturated", decision == flow.LinkSaturated).Msg("")
-		// A caller that is reset tries again at once; the next transmission of its SYN comes later.
-		isLate = isLate || decision == flow.LinkBusy
-		w.refuse(h, key, state, isLate, outcomeLinkFull)
+		// While the link may soon have room, the SYN is dropped: a caller that is reset tries again at
+		// once, and the next transmission comes later.
+		if decision == flow.LinkSaturated {
+			w.refuse(h, key, state, isLate, outcomeLinkFull)
+		}
 		return outcomeLinkFull
 	}
 	hash := key.Hash()
--- a/internal/machine/opaque/balancer/loads_test.go
+++ b/internal/machine/opaque/balancer/loads_test.go
@@ -14,6 +14,7 @@
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/machine"
 	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
 )
@@ -75,7 +76,7 @@
 		return message.Sequence, l.requests[message.Sequence].at
 	}
 	answer := func(sequence uint64, number int) *wire.EndpointLoad {
-		return &wire.EndpointLoad{Agent: flow.ReportNumber(testAgent(number)), Sequence: sequence, Slots: 3, WaitMs: 7, Ready: true}
+		return &wire.EndpointLoad{Agent: routing.AddrPortNumber(testAgent(number)), Sequence: sequence, Slots: 3, WaitMs: 7, Ready: true}
 	}
 	first, at := request()
 	g.Expect(l.record(at+time.Millisecond, answer(first, 1), view)).To(Equal(flow.ReportUnrequested))
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -284,7 +284,7 @@
 // sendProbe sends a probe whose sequence number encodes the agent's address, because
 // the answer may come from another address if ports are forwarded.
 func (n *Node) sendProbe(probe *wire.Poll, agent netip.AddrPort) {
-	probe.Sequence = uint64(routing.AddressNumber(agent.Addr()))<<16 | uint64(agent.Port())
+	probe.Sequence = routing.AddrPortNumber(agent)
 	n.SendMessage(KindProbe, probe, agent)
 }
 
@@ -298,7 +298,7 @@
 	}
 	n.updateReachability((*flow.Reachability).RecordAgentAnswer)
 	if n.handlers.ProbeAnswered != nil {
-		n.handlers.ProbeAnswered(netip.AddrPortFrom(routing.NumberAddress(uint32(answer.Sequence>>16)), uint16(answer.Sequence)))
+		n.handlers.ProbeAnswered(routing.NumberAddrPort(answer.Sequence))
 	}
 	if n.poller != nil {
 		n.poller.handlePeerAnswer(answer, from)
--- a/internal/machine/opaque/pathtest/loads_test.go
+++ b/internal/machine/opaque/pathtest/loads_test.go
@@ -11,6 +11,7 @@
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/keyring"
 	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/settings"
 	"sassafrasturn.example/internal/wire"
 )
@@ -106,7 +107,7 @@
 		}
 		tc.sleep(10 * time.Millisecond)
 		tc.g.Expect(l.reports).To(ConsistOf(HaveField("Sequence", uint64(1)), HaveField("Sequence", uint64(2))))
-		tc.g.Expect(l.reports[0].Agent).To(Equal(flow.ReportNumber(address)))
+		tc.g.Expect(l.reports[0].Agent).To(Equal(routing.AddrPortNumber(address)))
 	})
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -60,7 +60,7 @@
 
 // KeyOfAddress returns the key of an agent's link address.
 func KeyOfAddress(address netip.AddrPort) Key {
-	return newKey(routing.AddressNumber(address.Addr()), uint32(address.Port()))
+	return Key(routing.AddrPortNumber(address))
 }
 
 func newKey(address, port uint32) Key { return Key(uint64(address)<<16 | uint64(uint16(port))) }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -101,6 +101,17 @@
 	return netip.AddrFrom4([4]byte{byte(number >> 24), byte(number >> 16), byte(number >> 8), byte(number)})
 }
 
+// AddrPortNumber returns an IPv4 address and a port as the integer used in messages: the address in
+// the upper bits, the port in the lower 16.
+func AddrPortNumber(address netip.AddrPort) uint64 {
+	return uint64(AddressNumber(address.Addr()))<<16 | uint64(address.Port())
+}
+
+// NumberAddrPort is the inverse of AddrPortNumber. Bits beyond those of an address are ignored.
+func NumberAddrPort(number uint64) netip.AddrPort {
+	return netip.AddrPortFrom(NumberAddress(uint32(number>>16)), uint16(number))
+}
+
 func dialedAddress(route *wire.Route) netip.AddrPort {
 	return netip.AddrPortFrom(NumberAddress(route.Address), uint16(route.Port))
 }
