Place flows by speed only where a route states an objective and a timeout

Callers of any installation had new flows reordered by measured speed as soon as some of four measured agents were slow, also where no route states an objective, though the other decisions under load are off there.

Cause: agents reported the service time of their endpoint regardless of the routes. Change: routing.Service.HasDeadline is set if a route that leads to the service states both. Agents report 0 without it, which counts as not known, so no agent is slow and no record changes. The agent's copy of the reported value is gone; the record has it.

Result: TestServiceTimeIsReportedOnlyForRoutesWithADeadline failed before with a reported time of 2 ms. The other tests of speeds now state a deadline, and pass.

--- a/internal/machine/opaque/agent/servicetime.go
+++ b/internal/machine/opaque/agent/servicetime.go
@@ -12,8 +12,6 @@
 type serviceTime struct {
 	// measured is the start of the endpoint that the measurement is of, nil for none.
 	measured *flow.Endpoint
-	// reported is the value of the latest record in milliseconds.
-	reported uint32
 	gauge    prometheus.Gauge
 }
 
@@ -25,9 +23,11 @@
 	return serviceTime{gauge: gauge}
 }
 
-// refreshServiceTime returns the endpoint's service time for the record, 0 if it is not known. It
-// drops the measurement when another start of the endpoint has begun, and measures only while
-// one start runs that is not cold: which of two starts has answered a request is not known.
+// refreshServiceTime returns the endpoint's service time for the record, in milliseconds. It is 0 if
+// it is not known, or if no route to the service states an objective and a timeout, without which new
+// flows are not placed by speed. It drops the measurement when another start of the endpoint has
+// begun, and measures only while one start runs that is not cold: which of two starts has answered a
+// request is not known.
 func (a *Agent) refreshServiceTime(now time.Duration) uint32 {
 	endpoint := a.lifecycle.Endpoint()
 	if endpoint != nil && !endpoint.IsSameStart(a.serviceTime.measured) {
@@ -41,11 +41,15 @@
 	}
 	a.table.SetMeasuredSlots(slots)
 	a.serviceTime.gauge.Set(a.table.ServiceTime().Seconds())
-	reported := a.table.ReportedServiceTime()
-	if reported != a.serviceTime.reported {
-		a.instance.Decisions.Decision("service-time").Uint32("reported_ms", reported).Uint32("before_ms", a.serviceTime.reported).
+	reported := uint32(0)
+	if endpoint != nil {
+		if service, ok := a.node.State().Table.Service(endpoint.Service); ok && service.HasDeadline {
+			reported = a.table.ReportedServiceTime()
+		}
+	}
+	if before := a.record.ServiceTimeMs; reported != before {
+		a.instance.Decisions.Decision("service-time").Uint32("reported_ms", reported).Uint32("before_ms", before).
 			Dur("median_ms", a.table.ServiceTime()).Int("slots", slots).Msg("")
-		a.serviceTime.reported = reported
 	}
 	return reported
 }
--- a/internal/machine/opaque/pathtest/speed_test.go
+++ b/internal/machine/opaque/pathtest/speed_test.go
@@ -31,6 +31,14 @@
 	return 0
 }
 
+// runMeasured runs a test on nine sites whose service has a route with an objective and a timeout.
+func runMeasured(t *testing.T, run func(tc *testCluster)) {
+	runInCluster(t, false, 4, 9, func(tc *testCluster) {
+		tc.stateDeadline(2)
+		run(tc)
+	})
+}
+
 // openFlowsBySite opens count flows to each site and returns them by the ID of their endpoint.
 func (tc *testCluster) openFlowsBySite(count int) map[string][]*callerFlow {
 	flows := make(map[string][]*callerFlow)
@@ -110,7 +118,7 @@
 // balancer, also one of another zone, or after all balancers have lost what they cached, find the
 // flow's agent along the order, which speeds do not change, with their first transmission.
 func TestFlowsReorderedBySpeedAreFoundByOtherBalancers(t *testing.T) {
-	runInCluster(t, false, 4, 9, func(tc *testCluster) {
+	runMeasured(t, func(tc *testCluster) {
 		tc.measureSpeeds()
 		openedBefore := tc.openedAt(tc.sites[:2])
 		forwards := tc.countForwards()
@@ -156,7 +164,7 @@
 // The service time of an endpoint does not apply to its next start, which may run on another
 // machine or with other settings. Flows of other endpoints stay, and the new start is measured.
 func TestServiceTimeIsDroppedWithTheStartOfItsEndpoint(t *testing.T) {
-	runInCluster(t, false, 4, 9, func(tc *testCluster) {
+	runMeasured(t, func(tc *testCluster) {
 		tc.measureSpeeds()
 		kept := tc.openFlows(20)
 		s := tc.sites[0]
@@ -190,7 +198,7 @@
 
 // An agent that restarts knows nothing of its endpoint's speed, and counts as normal.
 func TestServiceTimeIsUnknownAfterARestartOfTheAgent(t *testing.T) {
-	runInCluster(t, false, 4, 9, func(tc *testCluster) {
+	runMeasured(t, func(tc *testCluster) {
 		tc.measureSpeeds()
 		flows := tc.openFlows(20)
 		tc.sites[0].restartAgent(100 * time.Millisecond)
@@ -206,7 +214,7 @@
 // An endpoint is replaced so soon after the start of its agent that it is not certain whether it
 // has ended, so its flows stay in the agent's table. Its service time must not.
 func TestServiceTimeIsDroppedWhenTheEndOfTheEndpointIsNotCertain(t *testing.T) {
-	runInCluster(t, false, 4, 9, func(tc *testCluster) {
+	runMeasured(t, func(tc *testCluster) {
 		s := tc.sites[0]
 		f := tc.openFlowsBySite(1)[s.endpoint.id][0]
 		s.restartAgent(0)
@@ -224,3 +232,19 @@
 		tc.g.Expect(tc.serviceTimeOf(s)).To(BeZero())
 	})
 }
+
+// Without a route that states an objective and a timeout, agents report no service time and no agent
+// counts as slow. Once a route states them, what was measured before is reported.
+func TestServiceTimeIsReportedOnlyForRoutesWithADeadline(t *testing.T) {
+	runInCluster(t, false, 4, 9, func(tc *testCluster) {
+		f := tc.openFlowsBySite(1)[tc.sites[0].endpoint.id][0]
+		for range samplesToReport {
+			tc.g.Expect(f.request()).NotTo(BeEmpty())
+		}
+		tc.sleep(2 * time.Second)
+		tc.g.Expect(tc.serviceTimeOf(tc.sites[0])).To(BeZero())
+		tc.stateDeadline(2)
+		tc.sleep(time.Second)
+		tc.g.Expect(tc.serviceTimeOf(tc.sites[0])).NotTo(BeZero())
+	})
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -58,6 +58,8 @@
 	// MostUrgent and LeastUrgent are the lowest and the highest priority of the routes that lead
 	// to the service.
 	MostUrgent, LeastUrgent int
+	// HasDeadline is set if one of these routes states an objective and a timeout.
+	HasDeadline bool
 }
 
 // IsLeastUrgent reports whether other flows of the service are more urgent than those of a route,
@@ -136,13 +138,13 @@
 			t.routes[dialedAddress(route)] = converted
 		}
 	}
-	t.rankPriorities()
+	t.summarizeRoutes()
 	return t
 }
 
-// rankPriorities sets LessUrgent of all routes that accept new flows, and the range of priorities
-// of all services.
-func (t *Table) rankPriorities() {
+// summarizeRoutes sets LessUrgent of all routes that accept new flows, and what services state about
+// the routes that lead to them.
+func (t *Table) summarizeRoutes() {
 	var priorities []int
 	ranked := make(map[string]bool)
 	for _, route := range t.routes {
@@ -157,6 +159,7 @@
 				service.MostUrgent, service.LeastUrgent = route.Priority, route.Priority
 			}
 			service.MostUrgent, service.LeastUrgent = min(service.MostUrgent, route.Priority), max(service.LeastUrgent, route.Priority)
+			service.HasDeadline = service.HasDeadline || route.HasDeadline()
 			t.services[to.Name] = service
 		}
 	}
