Pass the answer of an agent to the decision on zones

Cause: the balancer read the load of an answer back from the store of all reports, after the lock had been released, so that a report without a request could take its place. Those come from busy agents only, and would bias the figures of a zone. Change: the handler of answers gets the load from the answer itself. Result: no second lookup and no lock; the tests of leaving the zone pass.

--- a/internal/machine/opaque/balancer/loads.go
+++ b/internal/machine/opaque/balancer/loads.go
@@ -32,10 +32,10 @@
 	requests     map[uint64]loadRequest
 	lastSequence uint64
 	sweptAt      time.Duration
-	// handleRoundTrip, if set, is called without the lock with the time from a request to its
-	// answer. It is set before the node runs.
-	handleRoundTrip func(agent netip.AddrPort, roundTrip time.Duration)
-	received        *prometheus.CounterVec
+	// handleAnswer, if set, is called without the lock with the answer to a request and the time
+	// between them. It is set before the node runs.
+	handleAnswer func(agent netip.AddrPort, load flow.Load, roundTrip time.Duration)
+	received     *prometheus.CounterVec
 }
 
 type loadRequest struct {
@@ -83,8 +83,8 @@
 	}
 	outcome := l.reports.RecordReport(at, message, view)
 	l.mu.Unlock()
-	if isAnswer && outcome == flow.ReportRecorded && l.handleRoundTrip != nil {
-		l.handleRoundTrip(agent, now-at)
+	if isAnswer && outcome == flow.ReportRecorded && l.handleAnswer != nil {
+		l.handleAnswer(agent, flow.LoadOf(message), now-at)
 	}
 	return outcome
 }
@@ -103,8 +103,8 @@
 	}
 }
 
-// requestLoad requests a report of an agent. The answer is recorded in loads.reports, and its
-// round trip passed to loads.handleRoundTrip. It returns false if too many requests await their
+// requestLoad requests a report of an agent. The answer is recorded in loads.reports and
+// passed to loads.handleAnswer. It returns false if too many requests await their
 // answers.
 func (b *Balancer) requestLoad(agent netip.AddrPort) bool {
 	l := b.loads
--- a/internal/machine/opaque/balancer/loads_test.go
+++ b/internal/machine/opaque/balancer/loads_test.go
@@ -67,7 +67,9 @@
 	b, socket := newTestBalancer(t)
 	l, view := b.loads, testView(2)
 	var roundTrips []time.Duration
-	l.handleRoundTrip = func(_ netip.AddrPort, roundTrip time.Duration) { roundTrips = append(roundTrips, roundTrip) }
+	l.handleAnswer = func(_ netip.AddrPort, _ flow.Load, roundTrip time.Duration) {
+		roundTrips = append(roundTrips, roundTrip)
+	}
 	request := func() (sequence uint64, at time.Duration) {
 		g.Expect(b.requestLoad(testAgent(0))).To(BeTrue())
 		datagram, message := socket.sent[len(socket.sent)-1], new(wire.EndpointLoad)
--- a/internal/machine/opaque/balancer/zones.go
+++ b/internal/machine/opaque/balancer/zones.go
@@ -76,7 +76,7 @@
 		z.flows[reason], z.bytes[reason] = flows.WithLabelValues(string(reason)), bytes.WithLabelValues(string(reason))
 	}
 	z.services.Store(&map[string]*serviceZones{})
-	b.loads.handleRoundTrip = z.handleAnswer
+	b.loads.handleAnswer = z.handleAnswer
 	return z
 }
 
@@ -120,14 +120,8 @@
 }
 
 // handleAnswer keeps the load that an agent has reported on request.
-func (z *zoneShares) handleAnswer(agent netip.AddrPort, roundTrip time.Duration) {
-	now, loads := z.balancer.node.Now(), z.balancer.loads
-	loads.mu.Lock()
-	load, _, ok := loads.reports.Get(now, agent)
-	loads.mu.Unlock()
-	if !ok {
-		return
-	}
+func (z *zoneShares) handleAnswer(agent netip.AddrPort, load flow.Load, roundTrip time.Duration) {
+	now := z.balancer.node.Now()
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	z.answers[agent] = loadAnswer{load: load, at: now - roundTrip, roundTrip: roundTrip}
