--- a/internal/flow/zoneshares.go
+++ b/internal/flow/zoneshares.go
@@ -446,9 +446,8 @@
 // of the zone with the most room among those where it gains, and the last one is of its own zone,
 // where it may wait. If there is no such zone, all are of its own zone, but for one unless the others
 // are known to be full: agents also refuse flows for other reasons than a lack of slots. A flow that
-// leaves is offered to agents of
-// its new zone, and then to those of its own, or of the remaining zones where its own has none.
-// Agents are ranked by speed as in ChooseCandidates. It returns no agents if those of the zones have
+// leaves is offered to agents of its new zone, and then to those of its own, or of the remaining
+// zones where its own has none. Agents are ranked by speed as in ChooseCandidates. It returns no agents if those of the zones have
 // gone since the decision.
 func ChooseZoneCandidates(view *View, service string, flow uint64, origin ZoneTag, isOut func(zone string) bool, split *ZoneSplit) ([]Member, PlacementReason) {
 	second, leaves := split.Pick(flow)
