State the estimate of a wait and the sample of a zone once

Cause: the simulation of zones had its own copy of how an agent estimates the wait at its endpoint and of how many agents of a zone are asked. A change of one would not have changed the other, and the tests would have shown the former decision. Both placements repeated the rule for ranking by speed. Change: EstimateWait, EstimateServiceTime, ZoneSample and ranksBySpeed are in internal/flow and used by all.

--- a/internal/emulate/zones.go
+++ b/internal/emulate/zones.go
@@ -97,10 +97,10 @@
 func (p *ZoneOffering) loadOf(s *Simulation, endpoint int) flow.Load {
 	e := &s.Endpoints[endpoint]
 	load := flow.Load{IsReady: true, Slots: e.Slots, InFlight: s.InFlight[endpoint], ServiceTime: s.load.MeanWork}
-	if e.SlowFactor > 0 && s.Now >= e.SlowFrom {
+	if e.isSlow(s.Now) {
 		load.ServiceTime = time.Duration(float64(load.ServiceTime) * e.SlowFactor)
 	}
-	load.Wait = load.ServiceTime * time.Duration(max(0, load.InFlight-load.Slots+1)) / time.Duration(load.Slots)
+	load.Wait = flow.EstimateWait(load.Slots, load.InFlight, load.ServiceTime)
 	return load
 }
 
@@ -134,7 +134,6 @@
 }
 
 func (p *ZoneOffering) request(s *Simulation, b *zoneBalancer, agents map[string][]netip.AddrPort) {
-	const agentsPerZone = 2
 	for _, zone := range zoneNames(s) {
 		members := agents[zone]
 		b.reports[zone] = slices.DeleteFunc(b.reports[zone], func(r timedReport) bool { return s.Now-r.at > flow.MaxZoneReportAge })
@@ -142,7 +141,7 @@
 			continue
 		}
 		p.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-		for _, agent := range members[:min(agentsPerZone, len(members))] {
+		for _, agent := range members[:min(flow.ZoneSample, len(members))] {
 			b.reports[zone] = append(b.reports[zone], timedReport{p.loadOf(s, p.index[agent]), s.Now})
 		}
 	}
--- a/internal/flow/load.go
+++ b/internal/flow/load.go
@@ -48,6 +48,25 @@
 	return min(time.Duration(number)*time.Millisecond, maxLoadTime)
 }
 
+// EstimateServiceTime estimates the time for which a request occupies a slot. The response time
+// contains the time in the endpoint's queue: by Little's law, inFlight requests leave per response
+// time, and slots of them per service time.
+func EstimateServiceTime(slots, inFlight int, responseTime time.Duration) time.Duration {
+	if inFlight <= slots {
+		return responseTime
+	}
+	return responseTime * time.Duration(slots) / time.Duration(inFlight)
+}
+
+// EstimateWait estimates the time until a flow that arrives now gets a slot. The endpoint serves
+// flows in the order of arrival.
+func EstimateWait(slots, inFlight int, serviceTime time.Duration) time.Duration {
+	if slots <= 0 || inFlight < slots {
+		return 0
+	}
+	return serviceTime * time.Duration(inFlight-slots+1) / time.Duration(slots)
+}
+
 // Loads holds the latest report of each agent. It is not safe for concurrent use.
 type Loads struct {
 	byAgent map[netip.AddrPort]*loadReport
--- a/internal/flow/order.go
+++ b/internal/flow/order.go
@@ -375,7 +375,7 @@
 	ownZone, otherZones := rendezvous.NewTopK(ownSpace[:], ownScores[:]), rendezvous.NewTopK(otherSpace[:], otherScores[:])
 	var bestOfZones [maxRankedZones]zoneBest
 	var slow slowBest
-	isBySpeed := view.speeds[service].Slow > 0 && !isRemeasuring(flow)
+	isBySpeed := view.ranksBySpeed(service, flow)
 	members := view.byService[service]
 	for i := range members {
 		member := &members[i]
--- a/internal/flow/speed.go
+++ b/internal/flow/speed.go
@@ -111,6 +111,11 @@
 	return float64(serviceTime) > slowRatio*float64(s.Fast) && serviceTime-s.Fast >= minSlowExcess
 }
 
+// ranksBySpeed reports whether the candidates of a flow to a service are ranked by speed.
+func (v *View) ranksBySpeed(service string, flow uint64) bool {
+	return v.speeds[service].Slow > 0 && !isRemeasuring(flow)
+}
+
 // isRemeasuring reports whether a flow ignores speeds.
 func isRemeasuring(flow uint64) bool {
 	return rendezvous.Score(flow, remeasureTag)%remeasureShare == 0
--- a/internal/flow/zoneshares.go
+++ b/internal/flow/zoneshares.go
@@ -77,6 +77,8 @@
 	MaxZoneReportAge = time.Second
 	// ZoneStepInterval is the time between two steps of ZoneShares.
 	ZoneStepInterval = 250 * time.Millisecond
+	// ZoneSample is how many agents of each zone a balancer asks for their load in each step.
+	ZoneSample = 2
 	// minZoneReports is how many reports the figures of a zone need, since the load of one
 	// agent says little about a zone.
 	minZoneReports = 2
@@ -460,7 +462,7 @@
 	ownZone, otherZone := rendezvous.NewTopK(ownSpace[:], ownScores[:]), rendezvous.NewTopK(otherSpace[:], otherScores[:])
 	var ownSlow, otherSlow slowBest
 	var away zoneBest
-	isBySpeed := view.speeds[service].Slow > 0 && !isRemeasuring(flow)
+	isBySpeed := view.ranksBySpeed(service, flow)
 	members := view.byService[service]
 	for i := range members {
 		member := &members[i]
--- a/internal/machine/opaque/agent/load.go
+++ b/internal/machine/opaque/agent/load.go
@@ -45,31 +45,12 @@
 	}
 	load.Slots = endpoint.Slots
 	if load.ServiceTime = a.table.ServiceTime(); load.ServiceTime == 0 {
-		load.ServiceTime = estimateServiceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
+		load.ServiceTime = flow.EstimateServiceTime(load.Slots, load.InFlight, a.table.ResponseTime(now))
 	}
-	load.Wait = estimateWait(load.Slots, load.InFlight, load.ServiceTime)
+	load.Wait = flow.EstimateWait(load.Slots, load.InFlight, load.ServiceTime)
 	return load
 }
 
-// estimateServiceTime estimates the time for which a request occupies a slot. The response time
-// contains the time in the endpoint's queue: by Little's law, inFlight requests leave per response
-// time, and slots of them per service time.
-func estimateServiceTime(slots, inFlight int, responseTime time.Duration) time.Duration {
-	if inFlight <= slots {
-		return responseTime
-	}
-	return responseTime * time.Duration(slots) / time.Duration(inFlight)
-}
-
-// estimateWait estimates the time until a flow that arrives now gets a slot. The endpoint serves
-// flows in the order of arrival.
-func estimateWait(slots, inFlight int, serviceTime time.Duration) time.Duration {
-	if slots <= 0 || inFlight < slots {
-		return 0
-	}
-	return serviceTime * time.Duration(inFlight-slots+1) / time.Duration(slots)
-}
-
 // reportOffer reports the load to the balancer of a flow that the endpoint has not taken, or that
 // has to wait for a slot, if the flow's route states an objective and a timeout. The caller holds
 // the lock.
--- a/internal/machine/opaque/balancer/zones.go
+++ b/internal/machine/opaque/balancer/zones.go
@@ -53,8 +53,6 @@
 const (
 	// zoneIdleTime is how long a service keeps its shares without a new flow.
 	zoneIdleTime = 10 * time.Second
-	// agentsPerZone is how many agents of each zone are asked for their load in each step.
-	agentsPerZone = 2
 	// loggedChange is the change of a share that leads to a log line.
 	loggedChange = 0.1
 )
@@ -190,7 +188,7 @@
 	z.logChange(service, s, split, zones)
 	for _, members := range agents {
 		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-		for _, agent := range members[:min(agentsPerZone, len(members))] {
+		for _, agent := range members[:min(flow.ZoneSample, len(members))] {
 			z.balancer.requestLoad(agent)
 		}
 	}
--- a/internal/machine/opaque/pathtest/speed_test.go
+++ b/internal/machine/opaque/pathtest/speed_test.go
@@ -82,14 +82,12 @@
 	for _, s := range tc.sites {
 		agents[netip.AddrPortFrom(s.address, linkPort)] = true
 	}
-	tc.network.mu.Lock()
-	defer tc.network.mu.Unlock()
-	tc.network.policy = func(data []byte, from, to netip.AddrPort, delay time.Duration) (time.Duration, bool) {
+	tc.setPolicy(func(data []byte, from, to netip.AddrPort, delay time.Duration) (time.Duration, bool) {
 		if agents[from] && agents[to] && len(data) > 0 && opaque.Kind(data[0]) == opaque.KindOffer {
 			*count++
 		}
 		return delay, false
-	}
+	})
 	return count
 }
 
