--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -23,6 +23,8 @@
 	mu       sync.Mutex
 	flows    map[uint16]*clientFlow
 	nextPort uint16
+	// sentAt is when the first SYN of a flow was sent.
+	sentAt map[flowKey]time.Time
 
 	opened, answered, failed, broken atomic.Int64
 }
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callers{address: address, port: port, route: route, conn: conn, record: record, flows: make(map[uint16]*clientFlow), nextPort: 20000}
+	c := &callers{address: address, port: port, route: route, conn: conn, record: record, flows: make(map[uint16]*clientFlow), nextPort: 20000, sentAt: make(map[flowKey]time.Time)}
 	go c.receive()
 	return c, nil
 }
@@ -79,6 +81,7 @@
 	c.nextPort++
 	f := &clientFlow{key: flowKey{netip.AddrPortFrom(c.address, c.nextPort), c.route}, packets: make(chan packet, 64)}
 	c.flows[c.nextPort] = f
+	c.sentAt[f.key] = time.Now()
 	return f
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,7 +21,7 @@
 )
 
 func main() {
-	name := flag.String("case", "", "the case to play: stale-takeover")
+	name := flag.String("case", "", "the case to play: stale-takeover, brief-evacuation")
 	program := flag.String("program", "target/sassafrasturnd", "the project's program")
 	path := flag.String("record", "record.txt", "the file to write the record to")
 	keep := flag.Bool("keep", false, "keep the temporary folder with settings and logs")
@@ -31,7 +31,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitNotRun)
 	}
-	play, ok := map[string]func(d *deployment, isTroubled bool) (broken int64, err error){"stale-takeover": playStaleTakeover}[*name]
+	play, ok := map[string]func(d *deployment, isTroubled bool) (broken int64, err error){
+		"stale-takeover": playStaleTakeover, "brief-evacuation": playBriefEvacuation,
+	}[*name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "there is no case %q\n", *name)
 		os.Exit(exitNotRun)
--- a/review/standin-2/platform.go
+++ b/review/standin-2/platform.go
@@ -271,7 +271,7 @@
 }
 
 // desiredState returns a desired state with one route to each of some services.
-func desiredState(version int, routes map[netip.AddrPort]string, services []string) []byte {
+func desiredState(version int, coldPerSecond float64, routes map[netip.AddrPort]string, services []string) []byte {
 	type route struct {
 		Name      string `json:"name"`
 		Host      string `json:"host"`
@@ -302,13 +302,38 @@
 	}
 	var known []service
 	for _, name := range services {
-		known = append(known, service{name, "/health", 2000, "h1", false, 2, 0})
+		known = append(known, service{name, "/health", 2000, "h1", false, coldTime.Seconds(), coldPerSecond})
 	}
 	state["routes"], state["services"] = list, known
 	body, _ := json.Marshal(state)
 	return body
 }
 
+// coldTime is cold-start-s of the desired states.
+const coldTime = 2 * time.Second
+
+// evacuate requests or withdraws the evacuation of a zone at one core machine after the other
+// until it is acknowledged.
+func (d *deployment) evacuate(zone string, isOut bool, timeout time.Duration) error {
+	call := map[bool]string{true: "/Evacuations.Start/", false: "/Evacuations.End/"}[isOut] + zone
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(timeout); time.Now().Before(end); {
+		for _, m := range d.core {
+			response, err := client.Post("http://"+m.at(d.ports.control).String()+call, "", nil)
+			if err != nil {
+				continue
+			}
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				d.record.printf("operator: %s acknowledged by way of %s", call, m.name)
+				return nil
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("%s was not acknowledged in %s", call, timeout)
+}
+
 // replace sends a desired state to one core machine after the other until it is acknowledged.
 func (d *deployment) replace(body []byte, timeout time.Duration) error {
 	client := &http.Client{Timeout: time.Second}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -24,6 +24,23 @@
 	mu    sync.Mutex
 	flows map[flowKey]*serverFlow
 	beat  uint64
+	// coldUntil is when the server is cold no longer.
+	coldUntil time.Time
+	taken     []takenFlow
+}
+
+// takenFlow is a new flow that a server has taken.
+type takenFlow struct {
+	key    flowKey
+	at     time.Time
+	isCold bool
+}
+
+// turnCold makes the server cold for a time, which its next heartbeat tells.
+func (s *server) turnCold(lasts time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = time.Now().Add(lasts)
 }
 
 type serverFlow struct {
@@ -64,7 +81,7 @@
 		s.beat++
 		body, _ := json.Marshal(map[string]any{
 			"service": s.service, "addr": s.app.String(), "zone": s.zone, "version": "v1", "slots": 50,
-			"state": "ready", "cold-left-ms": 0, "seq": s.beat, "born": s.born,
+			"state": "ready", "cold-left-ms": max(0, time.Until(s.coldUntil).Milliseconds()), "seq": s.beat, "born": s.born,
 		})
 		s.mu.Unlock()
 		response, err := client.Post("http://"+s.control+"/Instances.Heartbeat/"+s.id, "application/json", bytes.NewReader(body))
@@ -102,6 +119,7 @@
 			first := rand.Uint32()
 			f = &serverFlow{first: first, next: first + 1, expected: p.seq + 1}
 			s.flows[key] = f
+			s.taken = append(s.taken, takenFlow{key: key, at: time.Now(), isCold: time.Now().Before(s.coldUntil)})
 		}
 		s.send((&packet{src: p.dst, dst: p.src, seq: f.first, ack: p.seq + 1, flags: flagSYN | flagACK}).marshal())
 		return
--- a/review/standin-2/staletakeover.go
+++ b/review/standin-2/staletakeover.go
@@ -11,7 +11,8 @@
 // Figures of the case stale-takeover.
 const (
 	agentsPerRoll = 6
-	callersOpen   = 120
+	rolls         = 3
+	callersOpen   = 180
 	flowLifeMin   = 6 * time.Second
 	flowLifeMax   = 18 * time.Second
 	rollGap       = 1200 * time.Millisecond
@@ -20,7 +21,7 @@
 	startTimeout  = 12 * time.Second
 )
 
-// playStaleTakeover restarts the agents gracefully in two rolls at once, again and again, while
+// playStaleTakeover restarts the agents gracefully in three rolls at once, again and again, while
 // the settings name other seeds in turn. All of it is planned work. It counts the open flows whose
 // clients get a reset that the flow's server did not send.
 func playStaleTakeover(d *deployment, isTroubled bool) (broken int64, err error) {
@@ -30,7 +31,7 @@
 	for number, zone := range []int{0, 1} {
 		d.add("edge", zone, number, "")
 	}
-	for number := range 2 * agentsPerRoll {
+	for number := range rolls * agentsPerRoll {
 		zone := number % len(d.zones)
 		d.add("side", zone, number, "orders")
 	}
@@ -40,7 +41,7 @@
 		return 0, err
 	}
 	route := netip.AddrPortFrom(d.address(200, 1), 443)
-	if err := d.replace(desiredState(1, map[netip.AddrPort]string{route: "orders"}, []string{"orders"}), startTimeout); err != nil {
+	if err := d.replace(desiredState(1, 0, map[netip.AddrPort]string{route: "orders"}, []string{"orders"}), startTimeout); err != nil {
 		return 0, err
 	}
 	if err := d.awaitReady(startTimeout); err != nil {
@@ -78,11 +79,12 @@
 				return 0, err
 			}
 		}
-		for number, m := range d.side[:agentsPerRoll] {
-			other := d.side[agentsPerRoll+number]
-			d.record.printf("plan: %s and %s are restarted", m.name, other.name)
-			go func() { rolled <- m.roll() }()
-			go func() { rolled <- other.roll() }()
+		for number := range agentsPerRoll {
+			for roll := range rolls {
+				m := d.side[roll*agentsPerRoll+number]
+				d.record.printf("plan: %s is restarted", m.name)
+				go func() { rolled <- m.roll() }()
+			}
 			time.Sleep(rollGap)
 			select {
 			case err := <-rolled:
