--- a/review/8/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/sassafrasturnd ] && [ -x target/review-2/cases ] || exit 2
-exec target/review-2/cases -case stale-takeover -record review/8/record.txt
+exec target/review-2/cases -case stale-takeover -record review/7/record.txt
