--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -113,32 +113,51 @@
 func (c *callers) runFlow(life time.Duration) {
 	f := c.open()
 	defer c.close(f)
+	sent, answered := 0, 0
+	end := func(how string) {
+		c.record.printf("flow %s at server %s: %d requests sent, %d answered, %s", f.key.client, c.ownerOf(f.key), sent, answered, how)
+	}
 	seq := rand.Uint32()
 	p := &packet{src: f.key.client, dst: f.key.route, seq: seq, flags: flagSYN}
 	answer, ok := c.exchange(f, p, []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond}, func(a *packet) bool { return a.has(flagSYN) && a.has(flagACK) })
 	if !ok {
 		c.failed.Add(1)
+		end("not opened")
 		time.Sleep(retryDelay)
 		return
 	}
 	c.opened.Add(1)
 	seq++
 	next := answer.seq + 1
-	for end := time.Now().Add(life); time.Now().Before(end); {
+	for until := time.Now().Add(life); time.Now().Before(until); {
 		data := []byte(fmt.Sprintf("request of %s at %d", f.key.client, time.Now().UnixNano()))
 		request := &packet{src: f.key.client, dst: f.key.route, seq: seq, ack: next, flags: flagACK, data: data}
 		seq += uint32(len(data))
+		sent++
 		answer, ok := c.exchange(f, request, retransmissions, func(a *packet) bool { return len(a.data) > 0 && a.seq == next })
 		if !ok {
 			c.failed.Add(1)
+			end("failed")
 			return
 		}
+		answered++
 		c.answered.Add(1)
 		next += uint32(len(answer.data))
 		c.send(&packet{src: f.key.client, dst: f.key.route, seq: seq, ack: next, flags: flagACK})
 		time.Sleep(200*time.Millisecond + rand.N(600*time.Millisecond))
 	}
 	c.exchange(f, &packet{src: f.key.client, dst: f.key.route, seq: seq, ack: next, flags: flagACK | flagFIN}, retransmissions, func(a *packet) bool { return a.has(flagFIN) })
+	end("closed")
+}
+
+// ownerOf returns the ID of the server at which a flow has been opened.
+func (c *callers) ownerOf(key flowKey) string {
+	for _, s := range c.servers {
+		if s.hasOpened(key) {
+			return s.id
+		}
+	}
+	return "none"
 }
 
 var retransmissions = []time.Duration{
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -45,6 +45,9 @@
 	}
 	isTroubled := os.Getenv("TROUBLE") != "0"
 	broken, err := play(d, isTroubled)
+	for _, s := range d.servers {
+		record.printf("%s", s.summary())
+	}
 	if *keep {
 		fmt.Println(d.folder)
 		for _, m := range d.machines() {
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -27,6 +27,8 @@
 	// coldUntil is when the server is cold no longer.
 	coldUntil time.Time
 	taken     []takenFlow
+	// ran is the number of requests that the server has run.
+	ran int
 }
 
 // takenFlow is a new flow that a server has taken.
@@ -143,6 +145,7 @@
 	}
 	switch {
 	case len(p.data) > 0 && p.seq == f.expected:
+		s.ran++
 		f.expected += uint32(len(p.data))
 		answer := &packet{src: p.dst, dst: p.src, seq: f.next, ack: f.expected, flags: flagACK, data: []byte(fmt.Sprintf("%s answers %s", s.id, p.data))}
 		f.next += uint32(len(answer.data))
@@ -170,3 +173,18 @@
 	}
 	return f.openedAt, true
 }
+
+// hasOpened reports whether a flow has been opened at the server.
+func (s *server) hasOpened(key flowKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.flows[key]
+	return f != nil && f.isOpen
+}
+
+// summary tells what the server has taken and run.
+func (s *server) summary() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("server %s took the SYNs of %d flows and ran %d requests", s.id, len(s.taken), s.ran)
+}
