--- a/review/standin-2/staletakeover.go
+++ b/review/standin-2/staletakeover.go
@@ -16,9 +16,10 @@
 	flowLifeMin   = 6 * time.Second
 	flowLifeMax   = 18 * time.Second
 	rollGap       = 1200 * time.Millisecond
-	playTime      = 92 * time.Second
-	closingTime   = 8 * time.Second
-	startTimeout  = 12 * time.Second
+	// playEnd is when the last restart begins at the latest, from the start of the run.
+	playEnd      = 98 * time.Second
+	closingTime  = 8 * time.Second
+	startTimeout = 12 * time.Second
 )
 
 // playStaleTakeover restarts the agents gracefully in three rolls at once, again and again, while
@@ -70,7 +71,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	rolled := make(chan error, 1000)
-	end := time.Now().Add(playTime)
+	end := d.record.started.Add(playEnd)
 	for round := 0; isTroubled && time.Now().Before(end); round++ {
 		if round > 0 {
 			seeds := [][]*machine{first, second}[round%2]
