--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -90,15 +90,18 @@
 	}
 }
 
-// logStatusChange logs a change of the role, leader, term or number of members
-// that this instance observes in its group.
+// logStatusChange logs a change of the role, leader, term or members that this instance
+// observes in its group.
 func (c *Control) logStatusChange(before, after *consensus.Status) {
-	if before.Role == after.Role && before.Leader == after.Leader && before.Term == after.Term &&
-		len(before.Group.GetMembers()) == len(after.Group.GetMembers()) {
+	if before.Role == after.Role && before.Leader == after.Leader && before.Term == after.Term && before.Group == after.Group {
 		return
 	}
+	var members []string
+	for _, member := range after.Group.GetMembers() {
+		members = append(members, DescribeMember(member))
+	}
 	c.instance.Log.Info().Stringer("role", after.Role).Uint64("leader", after.Leader).Uint64("term", after.Term).
-		Uint64("committed", after.Commit).Int("members", len(after.Group.GetMembers())).Msg("control group changed")
+		Uint64("committed", after.Commit).Strs("members", members).Msg("control group changed")
 }
 
 // Run joins or forms the control group and takes part in consensus until ctx is
