--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -89,6 +89,8 @@
 	// Nothing then depends on the answers before a restart, and a restarted member may
 	// vote immediately.
 	GrantsNoLease bool
+	// Zone is the availability zone of the instance, empty if it is unknown.
+	Zone string
 }
 
 // Stored is the persistent state of a member. The zero value is that of an empty disk.
@@ -150,8 +152,10 @@
 	// leaderCommit the highest commit index that any leader has sent to it.
 	leaderLastSeen time.Duration
 	leaderCommit   uint64
-	// electedAt is when this member last became leader.
+	// electedAt is when this member last became leader, and observed what it sees of the zones
+	// since.
 	electedAt time.Duration
+	observed  observation
 
 	heartbeatAt      time.Duration
 	peers            map[uint64]*peer
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -1,17 +1,26 @@
 package consensus
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sassafrasturn.example/internal/wire"
 )
 
-// ReplacementTimeout is how long a member may be silent before an instance that waits
-// to join replaces it: long enough for an election and the restart of a process, short
-// enough that a group that has lost a member is complete again before it may lose the
-// next one.
-const ReplacementTimeout = 2500 * time.Millisecond
+const (
+	// ReplacementTimeout is how long a member may be silent before an instance that waits
+	// to join replaces it: long enough for an election and the restart of a process, short
+	// enough that a group that has lost a member is complete again before it may lose the
+	// next one.
+	ReplacementTimeout = 2500 * time.Millisecond
+	// LossTimeout is how long a member may be silent before it counts as lost for good, and
+	// not as cut off with its zone. It is then replaced by an instance of any zone. It is
+	// longer than cuts that heal by themselves usually last.
+	LossTimeout = time.Minute
+)
 
 // ChangeIdentity gives the instance another ID and disk identity, with which it has no
 // vote and is not a member of the group until a leader adds it. Its log stays, like that
@@ -21,6 +30,9 @@
 	c.becomeFollower(c.term, 0)
 }
 
+// SetZone sets the availability zone of the instance.
+func (c *Core) SetZone(zone string) { c.config.Zone = zone }
+
 // ConfirmLeadership makes a leader send appends to all members immediately. Once a
 // majority has answered, LastContact of Status is at least the time of this call.
 func (c *Core) ConfirmLeadership(now time.Duration) {
@@ -39,33 +51,93 @@
 	return silent
 }
 
+// Reconfiguration is what a leader has decided about its group.
+type Reconfiguration struct {
+	// Added is the member that the leader has proposed to add, or nil.
+	Added *wire.ControlMember
+	// Kept are the silent voters that no waiting instance may replace yet, because too many
+	// voters would be in its zone.
+	Kept []*wire.ControlMember
+	// Imbalance is the number of voters that should be in another zone, so that a majority of the
+	// instances has a majority of the voters whichever zone is cut off.
+	Imbalance int
+}
+
 // Reconfigure makes a leader propose the next change of the group, if one is due: to add
-// one of the instances that wait to join, where the group has fewer voters than wanted
-// or has lost a member, or to remove a silent learner. It returns the member that it
-// proposed to add, or nil.
-func (c *Core) Reconfigure(now time.Duration, joiners []*wire.ControlMember, voters int) *wire.ControlMember {
+// one of the instances that wait to join, where the group has fewer voters than wanted,
+// has lost a member or has too many voters in one zone, or to remove a silent learner. It
+// returns nil if the group cannot change now.
+func (c *Core) Reconfigure(now time.Duration, joiners []*wire.ControlMember, voters int) *Reconfiguration {
 	c.advanceClock(now)
 	if !c.canChangeGroup() {
 		return nil
 	}
-	change := planReconfiguration(c.log.group(), c.silentTimes(), joiners, voters)
+	if group := c.withReportedZones(); group != nil {
+		c.proposeGroup(group)
+		return nil
+	}
+	if group := c.observeMajority(joiners); group != nil {
+		c.proposeGroup(group)
+		return nil
+	}
+	change := planReconfiguration(groupState{
+		group: c.log.group(), leader: c.config.ID, silent: c.silentTimes(), joiners: joiners, voters: voters,
+	})
+	decided := &Reconfiguration{Kept: change.kept, Imbalance: change.imbalance}
 	if change.remove != 0 {
 		c.proposeGroup(withoutMember(c.log.group(), change.remove))
-		return nil
+		return decided
 	}
 	if change.add == nil {
-		return nil
+		return decided
+	}
+	if _, _, err := c.ProposeAdd(now, change.add); err == nil {
+		decided.Added = change.add
 	}
-	if _, _, err := c.ProposeAdd(now, change.add); err != nil {
+	return decided
+}
+
+// withReportedZones returns the group with the zones that its members report, or nil if it has
+// them already. Members that an earlier release has added have none.
+func (c *Core) withReportedZones() *wire.ControlGroup {
+	next := proto.CloneOf(c.log.group())
+	isChanged := false
+	for _, member := range next.Members {
+		zone := c.config.Zone
+		if !c.isSelf(member) {
+			zone = c.peers[member.Id].zone
+		}
+		if zone != "" && zone != member.Zone {
+			member.Zone = zone
+			isChanged = true
+		}
+	}
+	if !isChanged {
 		return nil
 	}
-	return change.add
+	return next
+}
+
+// groupState is what a change of the group is decided by.
+type groupState struct {
+	group *wire.ControlGroup
+	// leader is the ID of the deciding member.
+	leader uint64
+	// silent is for how long each other member has not answered.
+	silent map[uint64]time.Duration
+	// joiners are the instances that wait to join, by ID.
+	joiners []*wire.ControlMember
+	// voters is the wanted number of voters.
+	voters int
 }
 
 // reconfiguration is one change of the group. The zero value is no change.
 type reconfiguration struct {
 	add    *wire.ControlMember
 	remove uint64
+	// kept and imbalance are those of Reconfiguration.
+	kept      []*wire.ControlMember
+	imbalance int
 }
 
 // planReconfiguration decides the next change of the group:
@@ -74,54 +146,114 @@
 //   - an instance at the address of a member, with another disk, replaces that member,
 //     whose disk is lost;
 //   - a group with too few voters adds an instance;
-//   - an instance replaces a voter that has been silent for ReplacementTimeout.
+//   - an instance replaces a voter that has been silent for ReplacementTimeout, unless that
+//     leaves more voters in a wrong zone and the voter may still return;
+//   - an instance replaces a voter in a wrong zone.
 //
-// No instance is added to a complete group. Instances that request to join it wait.
-func planReconfiguration(group *wire.ControlGroup, silent map[uint64]time.Duration, joiners []*wire.ControlMember, voters int) reconfiguration {
-	hasLearner := false
-	for _, member := range group.GetMembers() {
-		if member.Voter {
-			continue
-		}
-		if silent[member.Id] > ReplacementTimeout {
+// Instances in a zone where voters are missing come first. No other instance is added to a
+// complete group. Instances that request to join it wait.
+func planReconfiguration(s groupState) reconfiguration {
+	for _, member := range s.group.GetMembers() {
+		if !member.Voter && s.silent[member.Id] > ReplacementTimeout {
 			return reconfiguration{remove: member.Id}
 		}
-		hasLearner = true
 	}
-	waiting := slices.DeleteFunc(slices.Clone(joiners), func(j *wire.ControlMember) bool {
-		return j.Id <= group.GetHighestId() || findMember(group, j.Id) != nil
+	placed := newPlacement(s.group)
+	plan := reconfiguration{imbalance: placed.imbalance()}
+	waiting := slices.DeleteFunc(slices.Clone(s.joiners), func(j *wire.ControlMember) bool {
+		return j.Id <= s.group.GetHighestId() || findMember(s.group, j.Id) != nil
 	})
-	if hasLearner || len(waiting) == 0 {
-		return reconfiguration{}
+	if isChanging(s.group) || len(waiting) == 0 {
+		return plan
 	}
 	for _, joiner := range waiting {
-		for _, member := range group.Members {
+		for _, member := range s.group.Members {
 			if member.Address == joiner.Address && member.Disk != joiner.Disk {
-				return reconfiguration{add: asReplacement(joiner, member.Id)}
+				plan.add = asReplacement(joiner, member.Id)
+				return plan
 			}
 		}
 	}
-	if countVoters(group) < voters {
-		return reconfiguration{add: waiting[0]}
+	if countVoters(s.group) < s.voters {
+		plan.add = slices.MinFunc(waiting, func(a, b *wire.ControlMember) int {
+			return cmp.Compare(placed.imbalanceAfter(a, nil), placed.imbalanceAfter(b, nil))
+		})
+		return plan
 	}
-	if silentVoter := longestSilent(group, silent); silentVoter != 0 {
-		return reconfiguration{add: asReplacement(waiting[0], silentVoter)}
+	if best := s.bestReplacement(&placed, waiting); best != nil {
+		plan.add = asReplacement(best.joiner, best.voter.Id)
+		return plan
 	}
-	return reconfiguration{}
+	for _, member := range s.group.Members {
+		if member.Voter && s.silent[member.Id] > ReplacementTimeout {
+			plan.kept = append(plan.kept, member)
+		}
+	}
+	return plan
 }
 
-func asReplacement(joiner *wire.ControlMember, id uint64) *wire.ControlMember {
-	return &wire.ControlMember{Id: joiner.Id, Address: joiner.Address, Disk: joiner.Disk, Replaces: id}
+// replacement is a voter that a joiner may replace.
+type replacement struct {
+	voter, joiner *wire.ControlMember
+	// silence is for how long the voter has not answered, 0 if it is not silent.
+	silence time.Duration
+	// imbalance is that of the group after the replacement.
+	imbalance int
+	isLeader  bool
 }
 
-// longestSilent returns the ID of the voter that has been silent for the longest time,
-// or 0 if none has been silent for longer than ReplacementTimeout.
-func longestSilent(group *wire.ControlGroup, silent map[uint64]time.Duration) uint64 {
-	id, longest := uint64(0), ReplacementTimeout
-	for _, member := range group.Members {
-		if silence, ok := silent[member.Id]; ok && member.Voter && silence > longest {
-			id, longest = member.Id, silence
+// bestReplacement returns the replacement to make next, or nil if there is none. Voters that
+// answer are replaced only once it is known where the majority of the instances runs.
+func (s *groupState) bestReplacement(placed *placement, waiting []*wire.ControlMember) *replacement {
+	var possible []replacement
+	current, isMajorityKnown := placed.imbalance(), s.group.MajorityZone != nil
+	for _, voter := range s.group.Members {
+		silence := s.silent[voter.Id]
+		if silence <= ReplacementTimeout {
+			silence = 0
 		}
+		for _, joiner := range waiting {
+			imbalance := placed.imbalanceAfter(joiner, voter)
+			isSilentOne := silence > 0 && imbalance <= current || silence > LossTimeout
+			isMisplacedOne := isMajorityKnown && imbalance < current
+			if isSilentOne || isMisplacedOne {
+				possible = append(possible, replacement{voter, joiner, silence, imbalance, voter.Id == s.leader})
+			}
+		}
+	}
+	if len(possible) == 0 {
+		return nil
 	}
-	return id
+	best := slices.MinFunc(possible, compareReplacements)
+	return &best
+}
+
+// compareReplacements orders silent voters before others, and then by the imbalance that is
+// left. A voter in the zone of the joiner, the one that is silent for longer, one that does not
+// lead, and the joiner with the lower ID come first.
+func compareReplacements(a, b replacement) int {
+	return cmp.Or(
+		compareBool(a.silence == 0, b.silence == 0), cmp.Compare(a.imbalance, b.imbalance),
+		compareBool(a.changesZone(), b.changesZone()), cmp.Compare(b.silence, a.silence),
+		compareBool(a.isLeader, b.isLeader), cmp.Compare(a.joiner.Id, b.joiner.Id),
+	)
+}
+
+func (r *replacement) changesZone() bool { return zoneOf(r.voter) != zoneOf(r.joiner) }
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+func asReplacement(joiner *wire.ControlMember, id uint64) *wire.ControlMember {
+	replacement := proto.CloneOf(joiner)
+	replacement.Replaces = id
+	return replacement
 }
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -21,6 +21,9 @@
 	snapshotAt time.Duration
 	// contact is when the newest append that the peer has answered was sent.
 	contact time.Duration
+	// zone is the availability zone that the peer has reported, empty if it has not: the group
+	// has that zone then.
+	zone string
 }
 
 // neverSeen is the time of last contact of a member without any contact yet. Half of the
@@ -84,7 +87,7 @@
 func (c *Core) handleAppend(m *wire.ConsensusMessage) {
 	c.recordLeaderContact(m.From)
 	c.leaderCommit = max(c.leaderCommit, m.Commit)
-	answer := &wire.ConsensusMessage{Kind: wire.ConsensusMessage_KIND_APPEND_ANSWER, Term: c.term, SentAt: m.SentAt}
+	answer := &wire.ConsensusMessage{Kind: wire.ConsensusMessage_KIND_APPEND_ANSWER, Term: c.term, SentAt: m.SentAt, Zone: c.unknownZone()}
 	if m.Index < c.commit {
 		// All leaders have the committed entries.
 		answer.Index = c.commit
@@ -103,6 +106,15 @@
 	c.answer(m, answer)
 }
 
+// unknownZone returns the zone of this member if the group has another one for it.
+func (c *Core) unknownZone() string {
+	own := findMember(c.log.group(), c.config.ID)
+	if own == nil || own.Zone == c.config.Zone {
+		return ""
+	}
+	return c.config.Zone
+}
+
 // mergeEntries appends the new entries and truncates the log where it differs from the
 // leader's.
 func (c *Core) mergeEntries(entries []*wire.LogEntry) {
@@ -149,6 +161,7 @@
 		return
 	}
 	p.contact = max(p.contact, min(time.Duration(m.SentAt), c.now))
+	p.zone = m.Zone
 	if m.Rejected {
 		c.backtrack(p, m)
 		return
--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,11 @@
 	discovery *discovery
 
 	isDraining atomic.Bool
+
+	// imbalance is the newest consensus.Reconfiguration.Imbalance, and kept are the IDs of the
+	// silent members that were last logged as not replaced. Only the loop uses kept.
+	imbalance atomic.Int64
+	kept      []uint64
 }
 
 const (
@@ -59,10 +65,12 @@
 	if err != nil {
 		return nil, err
 	}
+	c.replica.setZone(instance.Settings.Zone)
+	c.replica.outputs.reconfigured = c.recordReconfiguration
 	c.loop = newLoop(c.replica, started, c.updateMemberAddress)
 	c.loop.onStatusChange = c.logStatusChange
 	c.loop.onDiskState = c.logDiskState
-	registerMetrics(instance.Metrics, c.loop)
+	registerMetrics(instance.Metrics, c.loop, &c.imbalance)
 	if instance.Settings.Mode == settings.ModeOpaque {
 		c.replica.targetVoters = instance.Settings.Opaque.Voters
 		if c.discovery, err = newDiscovery(c); err != nil {
@@ -104,6 +112,22 @@
 		Uint64("committed", after.Commit).Strs("members", members).Msg("control group changed")
 }
 
+// recordReconfiguration logs the silent members that the leader does not replace yet.
+func (c *Control) recordReconfiguration(decided *consensus.Reconfiguration) {
+	c.imbalance.Store(int64(decided.Imbalance))
+	var ids []uint64
+	for _, member := range decided.Kept {
+		ids = append(ids, member.Id)
+		if !slices.Contains(c.kept, member.Id) {
+			c.instance.Log.Warn().Str("member", DescribeMember(member)).Dur("loss_timeout_ms", consensus.LossTimeout).
+				Msg("silent control member not replaced yet: too many voters would be in one zone")
+		}
+	}
+	if len(ids) > 0 {
+		c.kept = ids
+	}
+}
+
 // Run joins or forms the control group and takes part in consensus until ctx is
 // cancelled. In the opaque mode it also serves discovery, and in other modes it
 // registers zones. An error means that the instance must stop.
@@ -241,6 +265,9 @@
 		state = "learner"
 	}
 	line := fmt.Sprintf("%d@%s %s", member.Id, member.Address, state)
+	if member.Zone != "" {
+		line += " in " + member.Zone
+	}
 	if member.Replaces != 0 {
 		line += fmt.Sprintf(", replaces %d", member.Replaces)
 	}
--- a/internal/machine/control/join.go
+++ b/internal/machine/control/join.go
@@ -100,7 +100,7 @@
 			return nil
 		}
 		seen[identity.Id] = true
-		members = append(members, &wire.ControlMember{Id: identity.Id, Address: peer.String(), Disk: identity.Disk, Voter: true})
+		members = append(members, &wire.ControlMember{Id: identity.Id, Address: peer.String(), Disk: identity.Disk, Voter: true, Zone: identity.Zone})
 	}
 	return members
 }
@@ -157,7 +157,7 @@
 
 func (c *Control) requestJoin(ctx context.Context, leader netip.AddrPort) {
 	own := c.loop.identity.Load()
-	join := &wire.JoinControl{Id: own.Id, Disk: own.Disk, Address: c.instance.Settings.Link.Address().String()}
+	join := &wire.JoinControl{Id: own.Id, Disk: own.Disk, Address: c.instance.Settings.Link.Address().String(), Zone: c.instance.Settings.Zone}
 	request := &wire.ConsensusRequest{From: own.Id, Body: &wire.ConsensusRequest_Join{Join: join}}
 	ctx, cancel := context.WithTimeout(ctx, joinRequestTimeout)
 	defer cancel()
--- a/internal/machine/control/metrics.go
+++ b/internal/machine/control/metrics.go
@@ -1,13 +1,16 @@
 package control
 
 import (
+	"sync/atomic"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"sassafrasturn.example/internal/consensus"
 )
 
-// registerMetrics registers gauges of the consensus status of the loop's replica.
-func registerMetrics(registry *prometheus.Registry, l *loop) {
+// registerMetrics registers gauges of the consensus status of the loop's replica, and of the
+// imbalance of the group.
+func registerMetrics(registry *prometheus.Registry, l *loop, imbalance *atomic.Int64) {
 	gauge := func(name, help string, value func(*consensus.Status) float64) {
 		opts := prometheus.GaugeOpts{Name: "sassafrasturn_control_" + name, Help: help}
 		registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return value(l.status.Load()) }))
@@ -27,6 +30,12 @@
 	gauge("members", "Members of the control group, learners included.", func(s *consensus.Status) float64 {
 		return float64(len(s.Group.GetMembers()))
 	})
+	gauge("misplaced_voters", "On the leader: voters that should be in another availability zone, so that a majority of the instances has a majority of the voters whichever zone is cut off.", func(s *consensus.Status) float64 {
+		if s.Role != consensus.Leader {
+			return 0
+		}
+		return float64(imbalance.Load())
+	})
 }
 
 // registerHandoverMetrics registers the metrics about the flows of agents that stop.
--- a/internal/machine/control/model_test.go
+++ b/internal/machine/control/model_test.go
@@ -78,6 +78,8 @@
 type modelMessage struct {
 	at int
 	m  *wire.ConsensusMessage
+	// from is the sender, in the model of a group that forms itself.
+	from *selfNode
 }
 
 type submission struct {
--- a/internal/machine/control/reconfigure.go
+++ b/internal/machine/control/reconfigure.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sassafrasturn.example/internal/catalog"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -34,7 +35,7 @@
 		return
 	}
 	r.joiners[join.Address] = joiner{
-		member:      &wire.ControlMember{Id: join.Id, Address: join.Address, Disk: join.Disk},
+		member:      &wire.ControlMember{Id: join.Id, Address: join.Address, Disk: join.Disk, Zone: join.Zone},
 		requestedAt: now,
 	}
 }
@@ -45,7 +46,7 @@
 	address, err := netip.ParseAddrPort(join.Address)
 	hasAddress := err == nil && address.Addr().Is4() && !address.Addr().IsUnspecified() && address.Port() != 0
 	highest := max(maxFirstID, r.core.Status(now).Group.GetHighestId())
-	return hasAddress && join.Disk != 0 && join.Id >= 1 && join.Id <= highest+idSpread
+	return hasAddress && join.Disk != 0 && join.Id >= 1 && join.Id <= highest+idSpread && len(join.Zone) <= catalog.MaxZoneNameBytes
 }
 
 // reconfigure removes expired join requests and lets the leader propose a change of the
@@ -66,7 +67,16 @@
 	// IDs are not used again: after one with a higher ID has been added, the others would
 	// have to change theirs first.
 	slices.SortFunc(waiting, func(a, b *wire.ControlMember) int { return cmp.Compare(a.Id, b.Id) })
-	r.core.Reconfigure(now, waiting, r.targetVoters)
+	decided := r.core.Reconfigure(now, waiting, r.targetVoters)
+	if decided != nil && r.outputs.reconfigured != nil {
+		r.outputs.reconfigured(decided)
+	}
+}
+
+// setZone sets the availability zone of the instance.
+func (r *replica) setZone(zone string) {
+	r.zone = zone
+	r.core.SetZone(zone)
 }
 
 // changeIdentity stores a new identity for the instance. With it the instance can join a
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -41,6 +41,8 @@
 type outputs struct {
 	send    func(*wire.ConsensusMessage)
 	publish func([]*wire.Record)
+	// reconfigured receives what a leader has decided about its group. It may be nil.
+	reconfigured func(*consensus.Reconfiguration)
 }
 
 // replica is one control instance's copy of the replicated state: consensus core,
@@ -85,6 +87,8 @@
 	joiners       map[string]joiner
 	targetVoters  int
 	reconfigureAt time.Duration
+	// zone is the availability zone of the instance.
+	zone string
 }
 
 // Committed is the committed state of the opaque mode that this instance has applied.
@@ -187,7 +191,7 @@
 		return err
 	}
 	r.catalog = c
-	config := consensus.Config{ID: r.identity.Id, Disk: r.identity.Disk, Rand: r.rand, GrantsNoLease: r.isSelfNumbered}
+	config := consensus.Config{ID: r.identity.Id, Disk: r.identity.Disk, Rand: r.rand, GrantsNoLease: r.isSelfNumbered, Zone: r.zone}
 	r.core = consensus.New(config, stored, now)
 	return nil
 }
--- a/internal/machine/control/serve.go
+++ b/internal/machine/control/serve.go
@@ -173,6 +173,7 @@
 		Group:    status.Group,
 		MayFound: c.instance.Settings.Opaque.MayBootstrap && status.Group.GetNumber() == 0,
 		Leads:    status.Role == consensus.Leader && status.IsGroupCommitted && c.loop.isCurrent(),
+		Zone:     c.instance.Settings.Zone,
 	}
 }
 
