Log whose flows an agent takes over

It has the incarnation of the start that has handed them over now, and "flows handed over" that of the agent.

--- a/internal/flow/takeover.go
+++ b/internal/flow/takeover.go
@@ -235,6 +235,15 @@
 // IsRefused reports whether an instance has answered that the flows are another start's.
 func (t *Takeover) IsRefused() bool { return t.spent > 0 }
 
+// Source returns the incarnation of the start that has handed over the flows, 0 if no instance
+// offers any.
+func (t *Takeover) Source() uint64 {
+	if t.holder == nil {
+		return 0
+	}
+	return t.holder.found.Source
+}
+
 // Flows returns the flows, for how long the endpoint may have others, and which control instance
 // had them. It returns false if the takeover is not complete.
 func (t *Takeover) Flows() (flows []*wire.FlowState, adopt time.Duration, holder netip.AddrPort, ok bool) {
--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -107,7 +107,8 @@
 			Dur("took_ms", a.node.Now()-now).Msg("flows not handed over: no control instance has confirmed them")
 		return
 	}
-	a.instance.Log.Info().Int("flows", len(flows)).Dur("adopt_ms", adopt).Strs("control", texts(copies)).Int("refused", sender.Refused()).
+	a.instance.Log.Info().Int("flows", len(flows)).Uint64("incarnation", a.node.Incarnation()).Dur("adopt_ms", adopt).
+		Strs("control", texts(copies)).Int("refused", sender.Refused()).
 		Dur("took_ms", a.node.Now()-now).Msg("flows handed over")
 }
 
@@ -165,7 +166,8 @@
 		outcome = "unanswered"
 	}
 	a.handovers.outcomes.WithLabelValues(outcome).Inc()
-	entry := a.instance.Log.Info().Int("flows", len(flows)).Bool("found", isFound).Str("outcome", outcome).Dur("adopt_ms", adopt).
+	entry := a.instance.Log.Info().Int("flows", len(flows)).Bool("found", isFound).Str("outcome", outcome).
+		Uint64("incarnation", a.node.Incarnation()).Uint64("source", takeover.Source()).Dur("adopt_ms", adopt).
 		Strs("unanswered", texts(unanswered)).Int("packets_waiting", waiting).Dur("uptime_ms", now)
 	if isFound {
 		entry = entry.Stringer("control", holder)
