--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -175,9 +176,14 @@
 	}
 }
 
+// NeverHeard is the time since which an instance hears of all starts if it does not.
+const NeverHeard = time.Duration(math.MaxInt64)
+
 // Take returns the part of an agent's flows that its next start requests, without Found if there
-// are none for it, or not all. The answer has Refused if they are another start's.
-func (h *Handovers) Take(now time.Duration, request *wire.Handover) *wire.Handover {
+// are none for it, or not all. The answer has Refused if they are another start's. heardSince is
+// since when the control instance has heard of all starts without a gap: it confirms only a copy
+// that is not older.
+func (h *Handovers) Take(now time.Duration, request *wire.Handover, heardSince time.Duration) *wire.Handover {
 	answer := &wire.Handover{Agent: request.Agent, Incarnation: request.Incarnation, Offset: request.Offset}
 	kept := h.current(now, request.Agent)
 	if kept == nil || request.Incarnation <= kept.Incarnation {
@@ -195,6 +201,7 @@
 	end := min(int(request.Offset)+HandoverFlows, len(kept.Flows))
 	answer.Found, answer.Total, answer.AdoptMs = true, kept.Total, kept.AdoptMs
 	answer.Flows = kept.Flows[request.Offset:end]
+	answer.Confirmed = kept.changedAt >= heardSince
 	return answer
 }
 
--- a/internal/flow/handover_test.go
+++ b/internal/flow/handover_test.go
@@ -73,7 +73,7 @@
 // take fetches all flows for a start, and reports whether there are any for it.
 func take(h *Handovers, now time.Duration, agent, incarnation uint64) (flows []*wire.FlowState, isFound bool) {
 	for {
-		answer := h.Take(now, &wire.Handover{Agent: agent, Incarnation: incarnation, Offset: uint32(len(flows))})
+		answer := h.Take(now, &wire.Handover{Agent: agent, Incarnation: incarnation, Offset: uint32(len(flows))}, 0)
 		if !answer.Found {
 			return nil, false
 		}
@@ -157,7 +157,7 @@
 	f.Fuzz(func(t *testing.T, agent, incarnation uint64, offset, total uint32, count int) {
 		h := NewHandovers()
 		h.Record(0, &wire.Handover{Agent: agent, Incarnation: incarnation, Offset: offset, Total: total, Flows: flowStates(min(max(count, 0), 50))})
-		h.Take(0, &wire.Handover{Agent: agent, Incarnation: incarnation + 1, Offset: offset})
+		h.Take(0, &wire.Handover{Agent: agent, Incarnation: incarnation + 1, Offset: offset}, 0)
 		NewTable().Import(0, []*wire.FlowState{{CallerAddress: offset, CallerPort: total, IdleMs: total}})
 		if h.flows > maxHandoverFlows || h.flows < 0 {
 			t.Errorf("%d flows", h.flows)
--- a/internal/flow/handoversend_test.go
+++ b/internal/flow/handoversend_test.go
@@ -20,7 +20,9 @@
 	latency           time.Duration
 	loss, duplication float64
 	stores            []*Handovers
-	events            []handoverEvent
+	// heardSince is since when the instances hear of all starts.
+	heardSince time.Duration
+	events     []handoverEvent
 }
 
 type handoverEvent struct {
@@ -111,19 +113,40 @@
 
 // takeOver searches for the flows of an agent's previous start.
 func (n *handoverNet) takeOver(agent, incarnation uint64) *Takeover {
-	takeover := NewTakeover(n.now)
-	for !takeover.IsDone(n.now, true) {
-		requests, wait := takeover.Next(n.now, n.control())
-		for _, r := range requests {
-			message := &wire.Handover{Agent: agent, Incarnation: incarnation, Offset: uint32(r.Offset)}
-			n.request(r.To, func(h *Handovers) *wire.Handover { return h.Take(n.now, message) },
-				func(answer *wire.Handover) { takeover.HandleAnswer(n.now, r.To, answer) })
+	return n.takeOverFrom(agent, incarnation, nil, 0)
+}
+
+// takeOverFrom does so for a start that knows the seeds only, until a time has passed.
+func (n *handoverNet) takeOverFrom(agent, incarnation uint64, seeds []netip.AddrPort, seedsOnly time.Duration) *Takeover {
+	begin, takeover := n.now, NewTakeover(n.now)
+	for isKnown := false; !takeover.IsDone(n.now, isKnown); {
+		known := seeds
+		if isKnown = n.now-begin >= seedsOnly; isKnown {
+			known = n.control()
 		}
-		n.step(wait)
+		n.exchange(takeover, agent, incarnation, known)
 	}
 	return takeover
 }
 
+// announce lets a start tell the instances that it runs for a time after its takeover.
+func (n *handoverNet) announce(takeover *Takeover, agent, incarnation uint64, duration time.Duration) {
+	takeover.End()
+	for end := n.now + duration; n.now < end && !takeover.IsAnnounced(n.now); {
+		n.exchange(takeover, agent, incarnation, n.control())
+	}
+}
+
+func (n *handoverNet) exchange(takeover *Takeover, agent, incarnation uint64, known []netip.AddrPort) {
+	requests, wait := takeover.Next(n.now, known)
+	for _, r := range requests {
+		message := &wire.Handover{Agent: agent, Incarnation: incarnation, Offset: uint32(r.Offset)}
+		n.request(r.To, func(h *Handovers) *wire.Handover { return h.Take(n.now, message, n.heardSince) },
+			func(answer *wire.Handover) { takeover.HandleAnswer(n.now, r.To, answer) })
+	}
+	n.step(wait)
+}
+
 // expectAll asserts that a takeover has got all flows, in order.
 func expectAll(g Gomega, takeover *Takeover, flows []*wire.FlowState) {
 	taken, _, _, ok := takeover.Flows()
@@ -211,6 +234,124 @@
 	g.Expect(takeover.IsRefused()).To(BeTrue())
 }
 
+// A start takes the flows from a seed before it knows the other instance that has them, and hands over
+// to others. The next start knows only that other instance at first (review 7).
+func TestOldCopyAtAnotherSeedIsNotTaken(t *testing.T) {
+	for _, isAnnounced := range []bool{false, true} {
+		for _, seedsOnly := range []time.Duration{0, 5 * time.Millisecond, 50 * time.Millisecond} {
+			g, n := NewWithT(t), newHandoverNet(1, 5)
+			n.handOver(1, 100, flowStates(10), stopTime)
+			first := n.takeOverFrom(1, 200, []netip.AddrPort{controlNumber(0)}, seedsOnly)
+			expectCertain(g, first, 100)
+			if isAnnounced {
+				n.announce(first, 1, 200, time.Second)
+			}
+			older := n.stores[:2]
+			n.stores = append([]*Handovers{nil, nil}, n.stores[2:]...)
+			flows := flowStates(12)
+			n.handOver(1, 200, flows, n.now+stopTime)
+			n.stores[0], n.stores[1] = older[0], older[1]
+			second := n.takeOverFrom(1, 300, []netip.AddrPort{controlNumber(1)}, seedsOnly)
+			expectCertain(g, second, 200)
+			expectAll(g, second, flows)
+		}
+	}
+}
+
+func expectCertain(g Gomega, takeover *Takeover, source uint64) {
+	g.Expect(takeover.IsCertain()).To(BeTrue())
+	g.Expect(takeover.Source()).To(Equal(source))
+}
+
+// An instance with an old copy that was out of reach hears of the start as soon as it is back, and
+// gives the copy to no later one, whatever has become of the others.
+func TestStartIsAnnouncedToInstancesThatReturn(t *testing.T) {
+	g, n := NewWithT(t), newHandoverNet(1, 3)
+	n.handOver(1, 100, flowStates(10), stopTime)
+	unaware := n.stores[1]
+	n.stores[1] = nil
+	first := n.takeOver(1, 200)
+	n.events = append(n.events, handoverEvent{at: n.now + 3*time.Second, run: func() { n.stores[1] = unaware }})
+	n.announce(first, 1, 200, 5*time.Second)
+	n.stores[0], n.stores[2] = NewHandovers(), NewHandovers()
+	second := n.takeOver(1, 300)
+	g.Expect(second.IsRefused()).To(BeTrue())
+	_, _, _, ok := second.Flows()
+	g.Expect(ok).To(BeFalse())
+}
+
+// No instance knows of the start in between. A copy is certain only if its instance would.
+func TestCopyOfAnInstanceThatMissedStartsIsNotCertain(t *testing.T) {
+	g, n := NewWithT(t), newHandoverNet(1, 3)
+	n.handOver(1, 100, flowStates(10), stopTime)
+	unaware := n.stores[1]
+	n.stores[1] = nil
+	n.takeOver(1, 200)
+	n.now += time.Second
+	n.stores[0], n.stores[1] = NewHandovers(), unaware
+	n.heardSince = n.now
+	second := n.takeOver(1, 300)
+	g.Expect(second.IsCertain()).To(BeFalse())
+	flows, _, _, ok := second.Flows()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(flows).To(HaveLen(10))
+}
+
+// A start has only some seeds at first, instances restart or are out of reach, datagrams are lost,
+// and some starts are killed. Whatever a start is certain of is what the start before it had.
+func TestCertainCopyIsThatOfTheStartBefore(t *testing.T) {
+	certain, uncertain := 0, 0
+	for seed := range uint64(400) {
+		g, n := NewWithT(t), newHandoverNet(seed, 3+int(seed%4))
+		n.loss, n.duplication = 0.1, 0.1
+		cutAway := make(map[int]*Handovers)
+		var handedOver uint64
+		for incarnation := uint64(100); incarnation < 1000; incarnation += 100 {
+			for i, store := range n.stores {
+				switch fault := n.rng.IntN(12); {
+				case store == nil && fault < 6:
+					n.stores[i] = cutAway[i]
+				case store != nil && fault == 0:
+					n.stores[i] = NewHandovers()
+				case store != nil && fault == 1 && len(cutAway) == 0:
+					cutAway[i], n.stores[i] = store, nil
+				}
+				if n.stores[i] != nil && cutAway[i] != nil {
+					delete(cutAway, i)
+					// What it has missed in the meantime, it does not hear of any more.
+					n.heardSince = n.now
+				}
+			}
+			var seeds []netip.AddrPort
+			for _, i := range n.rng.Perm(len(n.stores))[:2] {
+				seeds = append(seeds, controlNumber(i))
+			}
+			takeover := n.takeOverFrom(1, incarnation, seeds, time.Duration(n.rng.IntN(20))*time.Millisecond)
+			if takeover.IsCertain() {
+				g.Expect(takeover.Source()).To(Equal(handedOver), "seed %d, start %d", seed, incarnation)
+				certain++
+			} else {
+				uncertain++
+			}
+			n.announce(takeover, 1, incarnation, time.Duration(n.rng.Int64N(int64(6*time.Second))))
+			// Half of those that are in reach hear of the start by gossip.
+			for _, store := range n.stores {
+				if store != nil && n.rng.IntN(2) == 0 {
+					store.RecordStart(1, incarnation)
+				}
+			}
+			handedOver = 0
+			if n.rng.IntN(6) > 0 {
+				n.handOver(1, incarnation, flowStates(n.rng.IntN(60)), n.now+stopTime)
+				handedOver = incarnation
+			}
+			n.now += time.Duration(n.rng.Int64N(int64(time.Second)))
+		}
+	}
+	t.Logf("%d certain, %d not", certain, uncertain)
+	NewWithT(t).Expect(certain).To(BeNumerically(">", uncertain))
+}
+
 // Late and doubled parts do not bring back flows that a start has taken, nor an older copy.
 func TestLatePartsMakeNoCopy(t *testing.T) {
 	g, h := NewWithT(t), NewHandovers()
--- a/internal/flow/takeover.go
+++ b/internal/flow/takeover.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"sassafrasturn.example/internal/wire"
@@ -19,12 +20,19 @@
 	// minTakeoverRetry is several round trips within a region. Packets of unknown flows wait
 	// for the last part, so HandoverRetry would be too long for a near control instance.
 	minTakeoverRetry = 20 * time.Millisecond
+	// maxAnnouncementInterval is the longest time between messages to an instance that does not
+	// answer after the search, and announcementCheck the one between checks for instances that
+	// have become known.
+	maxAnnouncementInterval = time.Second
+	announcementCheck       = 200 * time.Millisecond
 )
 
 // Takeover decides from which control instance the next start of an agent fetches the flows of the
 // previous one: from the first that has a complete copy, and from another one if that fails. A copy
 // is not used once an instance has answered that its flows are another start's, or that it has
-// those of a newer one. It is not safe for concurrent use.
+// those of a newer one. So the takeover does not end before the others have had the time to answer,
+// and goes on to tell each of them which start runs, so that none gives an old copy to a later one.
+// It is not safe for concurrent use.
 type Takeover struct {
 	startedAt time.Duration
 	instances []*takeoverInstance
@@ -40,6 +48,8 @@
 	// spent is the highest incarnation whose flows were for another start.
 	spent      uint64
 	isComplete bool
+	// isEnded is set by End.
+	isEnded bool
 }
 
 type takeoverInstance struct {
@@ -47,8 +57,9 @@
 	// hasAnswered is set by an answer of any kind, and found by one that offers flows.
 	hasAnswered bool
 	found       *wire.Handover
-	// askedAt is when the instance was first asked, and askAt when it is asked again.
-	askedAt, askAt time.Duration
+	// askedAt is when the instance was first asked, and askAt when it is asked again. askInterval
+	// is the time between the two.
+	askedAt, askAt, askInterval time.Duration
 	// retry is the time after which a part that it was asked for is taken for lost.
 	retry time.Duration
 }
@@ -68,24 +79,31 @@
 func (t *Takeover) Next(now time.Duration, control []netip.AddrPort) (requests []TakeoverRequest, wait time.Duration) {
 	for _, address := range control {
 		if t.instance(address) == nil {
-			t.instances = append(t.instances, &takeoverInstance{address: address, askedAt: now, askAt: now})
+			t.instances = append(t.instances, &takeoverInstance{address: address, askedAt: now, askAt: now, askInterval: HandoverRetry})
 		}
 	}
-	if t.holder != nil && now-t.progressAt >= maxTakeoverStall {
+	isFetching := t.holder != nil && !t.isComplete && !t.isEnded
+	if isFetching && now-t.progressAt >= maxTakeoverStall {
 		t.dropHolder(now)
+		isFetching = t.holder != nil
+	}
+	if wait = HandoverRetry; t.isEnded {
+		wait = announcementCheck
 	}
-	wait = HandoverRetry
 	for _, i := range t.instances {
 		if i.hasAnswered {
 			continue
 		}
 		if now >= i.askAt {
 			requests = append(requests, TakeoverRequest{To: i.address})
-			i.askAt = now + HandoverRetry
+			if t.isEnded {
+				i.askInterval = min(2*i.askInterval, maxAnnouncementInterval)
+			}
+			i.askAt = now + i.askInterval
 		}
 		wait = min(wait, i.askAt-now)
 	}
-	if t.holder != nil {
+	if isFetching {
 		requests = t.appendRequests(requests, now)
 		for number, part := range t.parts {
 			if part == nil && t.retryAt[number] > now {
@@ -127,13 +145,16 @@
 // HandleAnswer handles the answer of a control instance.
 func (t *Takeover) HandleAnswer(now time.Duration, from netip.AddrPort, answer *wire.Handover) {
 	i := t.instance(from)
-	if i == nil || t.isComplete || answer.Total > maxHandoverFlows {
+	if i == nil || answer.Total > maxHandoverFlows {
 		return
 	}
 	if !i.hasAnswered {
 		i.hasAnswered, i.retry = true, HandoverRetry
 		i.recordRoundTrip(now - i.askedAt)
 	}
+	if t.isEnded {
+		return
+	}
 	if answer.Refused {
 		t.spent = max(t.spent, answer.Source)
 	}
@@ -166,7 +187,7 @@
 	if best == t.holder {
 		return
 	}
-	t.holder, t.parts, t.retryAt, t.received, t.progressAt = best, nil, nil, 0, now
+	t.holder, t.parts, t.retryAt, t.received, t.progressAt, t.isComplete = best, nil, nil, 0, now, false
 	if best != nil {
 		parts := partsOf(int(best.found.Total))
 		t.parts, t.retryAt = make([][]*wire.FlowState, parts), make([]time.Duration, parts)
@@ -187,7 +208,7 @@
 	total := int(t.holder.found.Total)
 	number := int(answer.Offset) / HandoverFlows
 	size := min(HandoverFlows, total-int(answer.Offset))
-	isPart := int(answer.Offset)%HandoverFlows == 0 && number < len(t.parts) && len(answer.Flows) == size
+	isPart := answer.Found && int(answer.Offset)%HandoverFlows == 0 && number < len(t.parts) && len(answer.Flows) == size
 	if !isPart || len(t.parts) != partsOf(total) || t.parts[number] != nil {
 		return
 	}
@@ -207,20 +228,46 @@
 	t.chooseHolder(now)
 }
 
-// IsDone reports whether the takeover ends: it is complete, all control instances have answered
-// without offering flows, or the time is over. isControlKnown is set if the control instances that
-// Next was given are all of them.
+// IsDone reports whether the takeover ends: it has a copy that is certain, all control instances
+// have answered, or the time is over. isControlKnown is set if the control instances that Next was
+// given are all of them.
 func (t *Takeover) IsDone(now time.Duration, isControlKnown bool) bool {
-	if t.isComplete {
-		return true
-	}
-	if t.holder != nil {
+	hasAllAnswers := isControlKnown && len(t.instances) > 0 && len(t.Unanswered()) == 0
+	switch {
+	case t.isComplete:
+		isOver := now-t.startedAt >= takeoverSearchTime
+		return hasAllAnswers || isOver || isControlKnown && t.IsCertain() && t.hadTimeToAnswer(now)
+	case t.holder != nil:
 		total := int(t.holder.found.Total)
 		return now-t.startedAt >= min(takeoverSearchTime+2*HandoverRetry*time.Duration(handoverRounds(total)), maxTakeoverTime)
 	}
-	return now-t.startedAt >= takeoverSearchTime || isControlKnown && len(t.instances) > 0 && len(t.Unanswered()) == 0
+	return hasAllAnswers || now-t.startedAt >= takeoverSearchTime
 }
 
+// hadTimeToAnswer reports whether each control instance was first asked a round trip ago, or has
+// answered.
+func (t *Takeover) hadTimeToAnswer(now time.Duration) bool {
+	return !slices.ContainsFunc(t.instances, func(i *takeoverInstance) bool {
+		return !i.hasAnswered && now-i.askedAt < HandoverRetry
+	})
+}
+
+// IsCertain reports whether the copy is complete and is that of the start before this one: an
+// instance that has it would have heard of one in between. Others that know of none prove nothing,
+// since they may have restarted.
+func (t *Takeover) IsCertain() bool {
+	return t.isComplete && slices.ContainsFunc(t.instances, func(i *takeoverInstance) bool {
+		return i.found != nil && i.found.Source == t.holder.found.Source && i.found.Confirmed
+	})
+}
+
+// End ends the search. Next then returns requests only for instances that have not answered, ever
+// less often, to tell them which start runs.
+func (t *Takeover) End() { t.isEnded = true }
+
+// IsAnnounced reports whether all copies that were made before this start have become too old.
+func (t *Takeover) IsAnnounced(now time.Duration) bool { return now-t.startedAt >= HandoverTTL }
+
 // Unanswered returns the control instances that have not answered.
 func (t *Takeover) Unanswered() []netip.AddrPort {
 	var unanswered []netip.AddrPort
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -50,8 +50,10 @@
 	roster *roster.Roster
 	// contacts tracks from which other control instances this one receives gossip.
 	contacts *roster.Contacts
-	// wasComplete is whether the contacts were complete at the last check.
-	wasComplete bool
+	// wasComplete is whether the contacts were complete at the last check, and completeSince
+	// since when.
+	wasComplete   bool
+	completeSince time.Duration
 	// leader is the leader's address as reported by other control instances, leaderTerm
 	// its term, and leaderAt the time of the report. An instance uses them while it is
 	// not a member or its disk has failed.
@@ -240,7 +242,11 @@
 		return
 	}
 	d.handovers.RecordStart(handover.Agent, newest)
-	d.node.SendMessage(opaque.KindTakeoverAnswer, d.handovers.Take(now, handover), from)
+	heardSince := flow.NeverHeard
+	if d.hasAllContacts(now) {
+		heardSince = d.completeSince
+	}
+	d.node.SendMessage(opaque.KindTakeoverAnswer, d.handovers.Take(now, handover, heardSince), from)
 }
 
 // parseGossip decodes a gossip message and the link address of its sender. That
@@ -341,6 +347,7 @@
 	}
 	d.wasComplete = isComplete
 	if isComplete {
+		d.completeSince = now
 		d.roster.Resume(now)
 		d.control.instance.Log.Info().Int("agents", d.roster.LiveCount()).Msg("receiving gossip of the other control instances")
 	} else {
@@ -453,6 +460,10 @@
 		d.nextResyncAt[from] = now + resyncInterval
 		d.requestRecords(from)
 	}
+	for _, record := range gossip.Changed {
+		key := roster.KeyOf(record)
+		d.handovers.RecordStart(uint64(key), d.roster.Incarnation(key))
+	}
 	if d.roster.Revision() != before && d.control.isLeader() {
 		// The agents may have to be registered.
 		d.signalChange()
--- a/internal/machine/control/handover_test.go
+++ b/internal/machine/control/handover_test.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
@@ -49,6 +52,48 @@
 	}
 }
 
+// The next start but one polls and asks an instance that knows the start in between by gossip only.
+func TestCopyIsNotForAStartAfterOneThatGossipReports(t *testing.T) {
+	g := NewWithT(t)
+	c, socket := newTestControl(t, journaltest.New(rand.New(rand.NewPCG(1, 1))))
+	agent := func(incarnation uint64) *wire.AgentRecord {
+		return &wire.AgentRecord{Address: 7, Port: 7000, Zone: "zone-a", Service: "orders", Incarnation: incarnation}
+	}
+	key := uint64(7)<<16 | 7000
+	part := &wire.Handover{Agent: key, Incarnation: 100, Total: 1, Flows: []*wire.FlowState{{CallerPort: 1}}}
+	g.Expect(socket.exchange(t, c, opaque.KindHandover, part).Offset).To(Equal(uint32(1)))
+	c.discovery.handleGossip(&wire.Gossip{Changed: []*wire.AgentRecord{agent(200)}}, nodeAddress)
+	c.discovery.answerPoll(&wire.Poll{Self: agent(300)})
+	answer := socket.exchange(t, c, opaque.KindTakeover, &wire.Handover{Agent: key, Incarnation: 300})
+	g.Expect(answer.Found).To(BeFalse())
+	g.Expect(answer.Refused).To(BeTrue())
+}
+
+// An instance that has lost contact with others since it got the flows may have missed a start.
+func TestCopyIsConfirmedOnlyWithContactToAllOthers(t *testing.T) {
+	for _, hasLostContact := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			c, socket := newTestControl(t, journaltest.New(rand.New(rand.NewPCG(1, 1))))
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			go func() { _ = c.loop.run(ctx) }()
+			socket.awaitFresh(t, c)
+			part := &wire.Handover{Agent: 1, Incarnation: 100, Total: 1, Flows: []*wire.FlowState{{CallerPort: 1}}}
+			g.Expect(socket.exchange(t, c, opaque.KindHandover, part).Offset).To(Equal(uint32(1)))
+			time.Sleep(time.Millisecond)
+			if hasLostContact {
+				c.discovery.mu.Lock()
+				c.discovery.wasComplete = false
+				c.discovery.mu.Unlock()
+			}
+			answer := socket.exchange(t, c, opaque.KindTakeover, &wire.Handover{Agent: 1, Incarnation: 200})
+			g.Expect(answer.Found).To(BeTrue())
+			g.Expect(answer.Confirmed).To(Equal(!hasLostContact))
+		})
+	}
+}
+
 // An agent with more flows than there is room for is told so with its first part.
 func TestFlowsWithoutRoomAreRefused(t *testing.T) {
 	c, socket := newTestControl(t, journaltest.New(rand.New(rand.NewPCG(1, 1))))
--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -20,6 +20,8 @@
 	// stopMargin is the time that a process takes to end after its roles have drained, with a
 	// margin.
 	stopMargin = 300 * time.Millisecond
+	// controlCheckInterval separates the checks whether a poll has named all control instances.
+	controlCheckInterval = 3 * time.Millisecond
 )
 
 // handoverAnswer is a control instance's answer to a part of a handover, or to a request for one.
@@ -40,7 +42,7 @@
 	h := handovers{
 		sent: make(chan handoverAnswer, maxHandoverAnswers), taken: make(chan handoverAnswer, maxHandoverAnswers),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sassafrasturn_takeovers_total", Help: "Searches at the start for the flows of the previous start, by outcome: found, none, refused, unanswered.",
+			Name: "sassafrasturn_takeovers_total", Help: "Searches at the start for the flows of the previous start, by outcome: found, uncertain, none, refused, unanswered.",
 		}, []string{"outcome"}),
 	}
 	registry.MustRegister(h.outcomes)
@@ -142,10 +144,14 @@
 }
 
 // takeOver fetches the flows that the previous start of this agent has handed over. Without them,
-// the agent adopts the flows of its endpoint.
+// the agent adopts the flows of its endpoint. If it is not certain that no other start was in
+// between, it adopts those that are not among them.
 func (a *Agent) takeOver(ctx context.Context) {
 	takeover := a.fetchFlows(ctx)
 	flows, adopt, holder, isFound := takeover.Flows()
+	if !takeover.IsCertain() {
+		adopt = a.instance.Settings.Opaque.MaxFlowLifetime
+	}
 	a.mu.Lock()
 	now := a.node.Now()
 	if isFound && !a.lifecycle.IsDown() {
@@ -153,27 +159,36 @@
 		a.adoptUntil = now + adopt
 	}
 	a.awaitsFlows = false
-	waiting := a.deferred.Len()
+	waiting, adoptLeft := a.deferred.Len(), max(0, a.adoptUntil-now)
 	a.mu.Unlock()
 	unanswered := takeover.Unanswered()
-	outcome := "none"
-	switch {
-	case isFound:
-		outcome = "found"
-	case takeover.IsRefused():
-		outcome = "refused"
-	case len(unanswered) > 0:
-		outcome = "unanswered"
-	}
+	outcome := takeoverOutcome(takeover)
 	a.handovers.outcomes.WithLabelValues(outcome).Inc()
 	entry := a.instance.Log.Info().Int("flows", len(flows)).Bool("found", isFound).Str("outcome", outcome).
-		Uint64("incarnation", a.node.Incarnation()).Uint64("source", takeover.Source()).Dur("adopt_ms", adopt).
+		Uint64("incarnation", a.node.Incarnation()).Uint64("source", takeover.Source()).Dur("adopt_ms", adoptLeft).
 		Strs("unanswered", texts(unanswered)).Int("packets_waiting", waiting).Dur("uptime_ms", now)
 	if isFound {
 		entry = entry.Stringer("control", holder)
 	}
 	entry.Msg("flows taken over")
 	a.releaseDeferred()
+	a.announceStart(ctx, takeover)
+}
+
+// takeoverOutcome returns the outcome of a takeover for the log and the metrics.
+func takeoverOutcome(takeover *flow.Takeover) string {
+	_, _, _, isFound := takeover.Flows()
+	switch {
+	case takeover.IsCertain():
+		return "found"
+	case isFound:
+		return "uncertain"
+	case takeover.IsRefused():
+		return "refused"
+	case len(takeover.Unanswered()) > 0:
+		return "unanswered"
+	}
+	return "none"
 }
 
 // fetchFlows searches the control instances for the flows that one of them keeps for this start,
@@ -182,32 +197,50 @@
 	startedAt, incarnation := a.node.Now(), a.node.Incarnation()
 	takeover := flow.NewTakeover(startedAt)
 	for ctx.Err() == nil {
-		// With the answer to the first poll, all control instances become known. Before that, the
-		// incarnation rises if it has to, and answers to the one before count for nothing.
-		isControlKnown := a.node.SyncedAt() > 0
+		// Before all control instances become known, the incarnation rises if it has to, and answers
+		// to the one before count for nothing.
+		isControlKnown := a.node.IsControlKnown()
 		if current := a.node.Incarnation(); current != incarnation {
 			takeover, incarnation = flow.NewTakeover(startedAt), current
 		}
-		requests, wait := takeover.Next(a.node.Now(), a.node.Control())
-		for _, request := range requests {
-			a.requestFlows(incarnation, request)
-		}
-		answer, ok := awaitAnswer(ctx, a.handovers.taken, wait)
-		if ok && answer.message.Incarnation == incarnation {
-			takeover.HandleAnswer(a.node.Now(), answer.from, answer.message)
-		}
+		a.exchangeFlows(ctx, takeover, incarnation)
 		if takeover.IsDone(a.node.Now(), isControlKnown) {
 			break
 		}
 	}
-	// Instances that have not answered may have a copy. They must know which start runs, so that
-	// they give it to no later one.
-	for _, address := range takeover.Unanswered() {
-		a.requestFlows(a.node.Incarnation(), flow.TakeoverRequest{To: address})
-	}
 	return takeover
 }
 
+// announceStart tells the control instances that have not answered yet, and those that become
+// known later, that this start runs. They may have a copy, which they must give to no later start.
+func (a *Agent) announceStart(ctx context.Context, takeover *flow.Takeover) {
+	takeover.End()
+	incarnation := a.node.Incarnation()
+	for ctx.Err() == nil && !takeover.IsAnnounced(a.node.Now()) {
+		if current := a.node.Incarnation(); current != incarnation {
+			takeover, incarnation = flow.NewTakeover(a.node.Now()), current
+			takeover.End()
+		}
+		a.exchangeFlows(ctx, takeover, incarnation)
+	}
+}
+
+// exchangeFlows sends the requests that are due and handles the next answer.
+func (a *Agent) exchangeFlows(ctx context.Context, takeover *flow.Takeover, incarnation uint64) {
+	isControlKnown := a.node.IsControlKnown()
+	requests, wait := takeover.Next(a.node.Now(), a.node.Control())
+	if !isControlKnown {
+		wait = min(wait, controlCheckInterval)
+	}
+	for _, request := range requests {
+		a.requestFlows(incarnation, request)
+	}
+	answer, ok := awaitAnswer(ctx, a.handovers.taken, wait)
+	if ok && answer.message.Incarnation == incarnation {
+		takeover.HandleAnswer(a.node.Now(), answer.from, answer.message)
+	}
+}
+
 func (a *Agent) requestFlows(incarnation uint64, request flow.TakeoverRequest) {
 	a.node.SendMessage(opaque.KindTakeover, &wire.Handover{Agent: a.key(), Incarnation: incarnation, Offset: uint32(request.Offset)}, request.To)
 }
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -421,6 +421,10 @@
 // first.
 func (n *Node) Control() []netip.AddrPort { return *n.poller.knownControl.Load() }
 
+// IsControlKnown reports whether a usable answer to a poll has named all control instances. By then
+// Incarnation has risen if it has to.
+func (n *Node) IsControlKnown() bool { return n.poller.isControlKnown.Load() }
+
 // Incarnation returns the incarnation that an agent reports in its polls. It is higher than that
 // of the instance if the wall clock went back between two starts.
 func (n *Node) Incarnation() uint64 {
--- a/internal/machine/opaque/pathtest/overlap_test.go
+++ b/internal/machine/opaque/pathtest/overlap_test.go
@@ -252,6 +252,45 @@
 	}
 }
 
+// An agent is restarted twice while the seeds change. Its last start must not take the flows that were
+// kept for the one before, and reset those opened since (review 7).
+func TestFlowsSurviveTwoRestartsWhileTheSeedsChange(t *testing.T) {
+	runInCluster(t, false, 2, 3, func(tc *testCluster) {
+		tc.addControl(5)
+		log := tc.recordLog()
+		recordLog, seeds := tc.configure, tc.controlAddresses()
+		tc.configure = func(instance *machine.Instance) {
+			recordLog(instance)
+			instance.Settings.Cluster.Peers = seeds
+		}
+		s, flows := tc.openAtBusiest(12)
+		roll := func(holders, nextSeeds []int, late opaque.Kind) {
+			// Only the holders get the flows, and messages of one kind are overtaken by the others.
+			tc.setPolicy(func(data []byte, _, to netip.AddrPort, delay time.Duration) (time.Duration, bool) {
+				if opaque.Kind(data[0]) == late {
+					delay += 5 * time.Millisecond
+				}
+				isHolder := slices.ContainsFunc(holders, func(i int) bool { return tc.allControl()[i].address == to })
+				return delay, opaque.Kind(data[0]) == opaque.KindHandover && !isHolder
+			})
+			seeds = nil
+			for _, i := range nextSeeds {
+				seeds = append(seeds, tc.allControl()[i].address)
+			}
+			s.rollAgent(600 * time.Millisecond)
+			tc.sleep(2 * heartbeat)
+		}
+		roll([]int{0, 1}, []int{0, 3, 4}, opaque.KindPollAnswer)
+		opened := flowsAt(s, tc.openFlows(12))
+		tc.g.Expect(opened).NotTo(BeEmpty())
+		flows = append(flows, opened...)
+		roll([]int{2, 5}, []int{1, 3, 4}, opaque.KindTakeover)
+		tc.setPolicy(nil)
+		tc.expectTakenOver(log, 2, flows)
+		tc.expectNoResets(flows, time.Second)
+	})
+}
+
 // The wall clock of an agent's machine is set back before each start, so that its incarnation is lower
 // than the one before until control has answered. The polls of the agent that stops and of its next
 // start must not pass for those of another start.
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -209,6 +209,8 @@
 	// rosters counts the rosters so far.
 	rosters   uint64
 	handovers *flow.Handovers
+	// missedAt is when the instance last missed a message about flows because it was down.
+	missedAt time.Duration
 	// sealer is nil on an insecure cluster.
 	sealer *envelope.Sealer
 }
@@ -310,6 +312,7 @@
 	defer c.cluster.mu.Unlock()
 	message := new(wire.Handover)
 	if c.isDown || proto.Unmarshal(data, message) != nil {
+		c.missedAt = time.Since(c.start)
 		return true
 	}
 	now, newest := time.Since(c.start), c.leader.roster.Incarnation(roster.Key(message.Agent))
@@ -319,7 +322,7 @@
 		c.handovers.RecordStart(message.Agent, newest)
 	} else {
 		c.handovers.RecordStart(message.Agent, newest)
-		answerKind, answer = opaque.KindTakeoverAnswer, c.handovers.Take(now, message)
+		answerKind, answer = opaque.KindTakeoverAnswer, c.handovers.Take(now, message, c.missedAt)
 	}
 	encoded, _ := proto.Marshal(answer)
 	_, _ = c.socket.WriteToUDPAddrPort(c.seal(append([]byte{byte(answerKind)}, encoded...)), from)
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -66,6 +66,8 @@
 	// for other goroutines.
 	control      []netip.AddrPort
 	knownControl atomic.Pointer[[]netip.AddrPort]
+	// isControlKnown is the value of Node.IsControlKnown.
+	isControlKnown atomic.Bool
 	// isControlReachable is set if the last round got a usable answer.
 	isControlReachable bool
 	// polledAt is the time at which the newest poll was sent.
@@ -320,6 +322,7 @@
 		p.minIncarnation.Store(next)
 		isMore = true
 	}
+	p.isControlKnown.Store(true)
 	if p.fetch.version > message.RoutingVersion {
 		// Control has everything that is committed, so there is no such table.
 		p.fetch = fetch{}
