--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -292,6 +292,18 @@
 	return names
 }
 
+// ZonesBack returns the log index of the last change of each zone that is in service, when it was
+// taken back or registered.
+func (c *Catalog) ZonesBack() map[string]uint64 {
+	indexes := make(map[string]uint64)
+	for name, z := range c.zones {
+		if !z.isOut {
+			indexes[name] = z.index
+		}
+	}
+	return indexes
+}
+
 func (c *Catalog) applySetZone(index uint64, set *wire.SetZone) *wire.CommandResult {
 	if set.Register {
 		if refused := c.applyRegisterZone(index, &wire.RegisterZone{Name: set.Name}); refused.Outcome != wire.CommandResult_OUTCOME_ACCEPTED {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -310,6 +310,10 @@
 	g.Expect(set(3, "a", false, true).Outcome).To(Equal(wire.CommandResult_OUTCOME_ACCEPTED))
 	g.Expect(c.ZonesOut()).To(BeEmpty())
 	g.Expect(c.ZoneIndex()).To(Equal(uint64(3)))
+	g.Expect(c.ZonesBack()).To(Equal(map[string]uint64{"a": 3}))
+	set(4, "a", false, true)
+	set(5, "b", true, true)
+	g.Expect(c.ZonesBack()).To(Equal(map[string]uint64{"a": 3}))
 }
 
 func TestRegisteredAgentsSurviveASnapshot(t *testing.T) {
--- a/internal/machine/control/discovery.go
+++ b/internal/machine/control/discovery.go
@@ -71,6 +71,10 @@
 	// added.
 	waiting      waitingNodes
 	waitingAdded chan struct{}
+	// pollers are the nodes that have polled lately, to be told of changes of zones. zonesChanged
+	// holds a token after one.
+	pollers      pollers
+	zonesChanged chan struct{}
 	// handovers are the flows of agents that stop.
 	handovers *flow.Handovers
 	// refusedHandovers counts the parts that were refused.
@@ -84,6 +88,7 @@
 		control: c, changed: make(chan struct{}, 1),
 		contacts: roster.NewContacts(rand.Uint64()), wasComplete: true,
 		waiting: make(waitingNodes), waitingAdded: make(chan struct{}, 1),
+		pollers: make(pollers), zonesChanged: make(chan struct{}, 1),
 		nextResyncAt: make(map[netip.AddrPort]time.Duration), handovers: flow.NewHandovers(),
 	}
 	node, err := opaque.NewListener(c.instance, opaque.Handlers{Message: d.handleMessage, ProbeAnswered: d.handleProbeAnswer})
@@ -91,6 +96,7 @@
 		return nil, err
 	}
 	d.node = node
+	c.replica.outputs.zonesChanged = d.signalZones
 	d.registerHandoverMetrics(c.instance.Metrics)
 	d.roster = roster.New(rand.Uint64()|1, node.Now())
 	return d, nil
@@ -101,6 +107,7 @@
 	go d.resyncAtStart(ctx)
 	go d.watchAgents(ctx)
 	go d.notifyWaiting(ctx)
+	go d.notifyZones(ctx)
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	for {
@@ -202,6 +209,7 @@
 		if proto.Unmarshal(data, poll) == nil {
 			answer := d.answerPoll(poll)
 			d.node.SendMessage(opaque.KindPollAnswer, answer, from)
+			d.addPoller(from)
 			if !answer.Fresh {
 				d.addWaiting(from)
 			}
@@ -373,6 +381,7 @@
 func (d *discovery) gossip() {
 	now := d.node.Now()
 	d.mu.Lock()
+	d.pollers.sweep(now)
 	d.applyRegistry(now)
 	changed, seen := d.roster.Gossip(now, now-2*gossipInterval)
 	addresses := d.addresses(now)
--- a/internal/machine/control/replica.go
+++ b/internal/machine/control/replica.go
@@ -43,6 +43,8 @@
 	publish func([]*wire.Record)
 	// reconfigured receives what a leader has decided about its group. It may be nil.
 	reconfigured func(*consensus.Reconfiguration)
+	// zonesChanged is called when a change of zones has been applied. It may be nil.
+	zonesChanged func()
 }
 
 // replica is one control instance's copy of the replicated state: consensus core,
@@ -363,17 +365,20 @@
 	if records := r.catalog.Records(r.published); len(records) > 0 {
 		r.outputs.publish(records)
 	}
-	table := r.catalog.Routing()
+	before, table := r.committed.Load(), r.catalog.Routing()
 	r.tables.Record(now, table.GetVersion())
 	agents, agentsIndex := r.catalog.Agents()
 	r.committed.Store(&Committed{
 		Source: table.GetSource(), Agents: agents, AgentsIndex: agentsIndex,
 		Committed: opaque.Committed{
 			RoutingVersion: table.GetVersion(), Table: table.GetTable(),
-			ZoneIndex: r.catalog.ZoneIndex(), ZonesOut: r.catalog.ZonesOut(),
+			ZoneIndex: r.catalog.ZoneIndex(), ZonesOut: r.catalog.ZonesOut(), ZonesBack: r.catalog.ZonesBack(),
 		},
 	})
 	r.published = applied
+	if r.outputs.zonesChanged != nil && r.catalog.ZoneIndex() != before.ZoneIndex {
+		r.outputs.zonesChanged()
+	}
 }
 
 // compact replaces the log by a snapshot when it exceeds its limit of entries or bytes.
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -64,10 +64,11 @@
 	adoptUntil time.Duration
 	// knownFrom is the time from which the agent knows all requests that the endpoint receives.
 	knownFrom time.Duration
-	// isZoneOut is set while the agent's zone is out of service, and zoneReturnedAt is when it was
-	// last taken back.
-	isZoneOut      bool
-	zoneReturnedAt time.Duration
+	// isZoneOut is set while the agent's zone is out of service. zoneReturnIndex is the log index
+	// at which it was last taken back, and zoneReturnedAt when the agent learned of that.
+	isZoneOut       bool
+	zoneReturnIndex uint64
+	zoneReturnedAt  time.Duration
 	// deferred holds packets that other agents may own and that wait for the routing
 	// table by which an earlier hop has forwarded them.
 	deferred *flow.Deferred[opaque.Offer]
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -333,10 +333,12 @@
 // handlePublished handles a new state of the node.
 func (a *Agent) handlePublished() {
 	a.mu.Lock()
-	wasOut := a.isZoneOut
-	a.isZoneOut = a.node.State().IsOut(a.instance.Settings.Zone)
-	if wasOut && !a.isZoneOut {
-		a.zoneReturnedAt = a.node.Now()
+	state, zone, wasOut := a.node.State(), a.instance.Settings.Zone, a.isZoneOut
+	a.isZoneOut = state.IsOut(zone)
+	// The zone may have been out of service between two states.
+	index := state.ReturnIndex(zone)
+	if wasOut && !a.isZoneOut || index > a.zoneReturnIndex {
+		a.zoneReturnIndex, a.zoneReturnedAt = index, a.node.Now()
 	}
 	a.mu.Unlock()
 	a.releaseDeferred()
--- a/internal/machine/opaque/committed.go
+++ b/internal/machine/opaque/committed.go
@@ -1,6 +1,8 @@
 package opaque
 
 import (
+	"maps"
+
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasturn.example/internal/wire"
@@ -20,6 +22,8 @@
 	ZoneIndex uint64
 	// ZonesOut are the names of the zones that are out of service.
 	ZonesOut []string
+	// ZonesBack is the log index at which each zone was last taken back into service.
+	ZonesBack map[string]uint64
 }
 
 const (
@@ -42,6 +46,11 @@
 	if c.ZoneIndex != poll.ZoneIndex {
 		answer.ZonesOut = c.ZonesOut
 	}
+	for name, index := range c.ZonesBack {
+		if index > poll.ZoneIndex {
+			answer.ZonesBack = append(answer.ZonesBack, &wire.ZoneReturn{Name: name, Index: index})
+		}
+	}
 	answer.RoutingVersion = c.RoutingVersion
 	answer.TableBytes = uint32(len(c.Table))
 	if c.RoutingVersion <= poll.RoutingVersion {
@@ -56,6 +65,19 @@
 	answer.Part = c.Table[offset:min(offset+partBytes, len(c.Table))]
 }
 
+// applyZones applies the newer zones of an answer.
+func (c *Committed) applyZones(answer *wire.PollAnswer) {
+	c.ZoneIndex, c.ZonesOut = answer.ZoneIndex, answer.ZonesOut
+	back := maps.Clone(c.ZonesBack)
+	for _, zone := range answer.ZonesBack {
+		if back == nil {
+			back = make(map[string]uint64)
+		}
+		back[zone.Name] = max(back[zone.Name], zone.Index)
+	}
+	c.ZonesBack = back
+}
+
 // isOlderThan reports whether an answer announces a newer routing table or newer zones.
 func (c *Committed) isOlderThan(answer *wire.PollAnswer) bool {
 	return answer.RoutingVersion > c.RoutingVersion || answer.ZoneIndex > c.ZoneIndex
--- a/internal/machine/opaque/node.go
+++ b/internal/machine/opaque/node.go
@@ -53,6 +53,10 @@
 // IsOut reports whether a zone is out of service.
 func (s *State) IsOut(zone string) bool { return slices.Contains(s.committed.ZonesOut, zone) }
 
+// ReturnIndex returns the log index at which a zone was last taken back into service, 0 if it never
+// was.
+func (s *State) ReturnIndex(zone string) uint64 { return s.committed.ZonesBack[zone] }
+
 // Handlers process the datagrams that the socket receives, except poll answers. They
 // run on the socket's single goroutine and must not retain the slices. A nil handler
 // is not called.
@@ -384,6 +388,14 @@
 	n.send(update.marshal(buffer[:]), balancer)
 }
 
+// SendVersions tells a node which routing table and zones this control instance has, so that the
+// node polls at once if it has older ones.
+func (n *Node) SendVersions(routingVersion, zoneIndex uint64, to netip.AddrPort) {
+	var buffer [ownerUpdateBytes]byte
+	update := OwnerUpdate{RoutingVersion: routingVersion, ZoneIndex: zoneIndex}
+	n.send(update.marshal(buffer[:]), to)
+}
+
 // SendReady tells a node that this control instance has a usable answer to its poll.
 func (n *Node) SendReady(to netip.AddrPort) {
 	n.send([]byte{byte(KindReady)}, to)
--- a/internal/machine/opaque/pathtest/cold_test.go
+++ b/internal/machine/opaque/pathtest/cold_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"sassafrasturn.example/internal/wire"
 )
 
 const (
@@ -60,6 +62,23 @@
 	})
 }
 
+// A zone is taken out of service and back between two polls of its agents, which see it in service
+// each time (review 9).
+func TestColdEndpointsOfABrieflyEvacuatedZoneGetNoMoreThanTheyMay(t *testing.T) {
+	runInCluster(t, false, 2, 1, func(tc *testCluster) {
+		tc.control.coldPerSecond = coldPerSecond
+		tc.control.setRoute(2, orders, "orders")
+		s := tc.sites[0]
+		s.endpoint.slots = 1000
+		tc.sleep(2*heartbeat + 20*time.Millisecond)
+		s.endpoint.coldLeft = 5 * time.Second
+		tc.control.zoneIndex = 2
+		tc.control.zonesBack = []*wire.ZoneReturn{{Name: zoneOf(s.number), Index: 2}}
+		tc.sleep(550 * time.Millisecond)
+		tc.g.Expect(tc.openColdFlows(4 * time.Second)).To(BeNumerically(">", 2*coldPerSecond))
+	})
+}
+
 // The agent of a cold endpoint is killed, and does not know what the endpoint has just got.
 func TestColdEndpointOfARestartedAgentGetsNoMoreThanItMay(t *testing.T) {
 	runInCluster(t, false, 2, 1, func(tc *testCluster) {
--- a/internal/machine/opaque/pathtest/world_test.go
+++ b/internal/machine/opaque/pathtest/world_test.go
@@ -191,6 +191,7 @@
 	table     *wire.RoutingTable
 	zoneIndex uint64
 	zonesOut  []string
+	zonesBack []*wire.ZoneReturn
 	// isDown is set while polls are not answered.
 	isDown bool
 	// isRegistering is set if agents are registered in a log that survives restarts,
@@ -382,6 +383,11 @@
 	c.roster.Sweep(now)
 	c.probeSilentAgents(now)
 	answer := &wire.PollAnswer{Sequence: poll.Sequence, Fresh: !c.isBehind, ZoneIndex: c.zoneIndex, ZonesOut: c.zonesOut, RoutingVersion: c.table.Version}
+	for _, zone := range c.zonesBack {
+		if zone.Index > poll.ZoneIndex {
+			answer.ZonesBack = append(answer.ZonesBack, zone)
+		}
+	}
 	for _, address := range c.cluster.controlAddresses() {
 		answer.Control = append(answer.Control, address.String())
 	}
--- a/internal/machine/opaque/poller.go
+++ b/internal/machine/opaque/poller.go
@@ -366,7 +366,7 @@
 }
 
 func (p *poller) applyZones(a answer) {
-	p.committed.ZoneIndex, p.committed.ZonesOut = a.message.ZoneIndex, a.message.ZonesOut
+	p.committed.applyZones(a.message)
 	p.node.instance.Log.Info().Uint64("zone_index", p.committed.ZoneIndex).Strs("out", p.committed.ZonesOut).
 		Stringer("told_by", a.from).Msg("zones changed")
 }
