Wait at the start while files may not grow, as while the disk is full

What operators saw: in one soak run a control instance that started on an empty folder ended with exit code 1, since the write of identity.new failed with "file too large".

Cause: only ENOSPC made an instance wait at its start. A limit on the size of files (EFBIG) or a quota (EDQUOT) stops writes in the same way and is lifted in the same way; an instance that runs waits for any failed write.

Fix: all three make it wait. Test that failed before: TestStartWaitsWhileNoMoreCanBeWritten.

--- a/internal/machine/control/control.go
+++ b/internal/machine/control/control.go
@@ -46,7 +46,7 @@
 )
 
 // New opens the data folder of an instance and restores its control role from it. While
-// the disk is too full for that, it waits, until ctx is cancelled.
+// no more can be written to the disk, it waits, until ctx is cancelled.
 func New(ctx context.Context, instance *machine.Instance) (*Control, error) {
 	c := &Control{instance: instance, changed: make(chan struct{}, 1)}
 	folder, err := openWhenWritable(ctx, c.logDiskState, func() (journal.Folder, error) {
--- a/internal/machine/control/disk.go
+++ b/internal/machine/control/disk.go
@@ -16,7 +16,7 @@
 const diskRetryInterval = 500 * time.Millisecond
 
 // openWhenWritable calls open, which may have to write to the disk, and calls it again
-// while the disk is full. An instance that is started then must not stop for it.
+// while no more can be written. An instance that is started then must not stop for it.
 func openWhenWritable[T any](ctx context.Context, report func(failure error), open func() (T, error)) (T, error) {
 	for isWaiting := false; ; isWaiting = true {
 		opened, err := open()
@@ -24,7 +24,7 @@
 		case err == nil && isWaiting:
 			report(nil)
 			return opened, nil
-		case !errors.Is(err, syscall.ENOSPC):
+		case !isWriteLimit(err):
 			return opened, err
 		case !isWaiting:
 			report(err)
@@ -35,6 +35,12 @@
 	}
 }
 
+// isWriteLimit reports whether an error means that no more can be written for now: the disk is
+// full, or the quota or the limit on the size of files is reached.
+func isWriteLimit(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) || errors.Is(err, syscall.EFBIG)
+}
+
 // awaitDisk handles a failure of the journal. The instance transfers leadership and
 // takes no part in consensus, like one that has stopped, until everything that can
 // be read back from its disk has been stored again. It keeps its state about agents
--- a/internal/machine/control/disk_test.go
+++ b/internal/machine/control/disk_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"io/fs"
 	"math/rand/v2"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -145,6 +147,26 @@
 	}
 }
 
+// An instance ended when the limit on the size of its files, and not the disk, stopped a write at its
+// start (soak seed 1796461884470).
+func TestStartWaitsWhileNoMoreCanBeWritten(t *testing.T) {
+	for _, limit := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EFBIG} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			attempts, reports := 0, 0
+			opened, err := openWhenWritable(t.Context(), func(error) { reports++ }, func() (int, error) {
+				if attempts++; attempts < 4 {
+					return 0, journal.Error.Wrap(&fs.PathError{Op: "write", Path: "identity.new", Err: limit})
+				}
+				return attempts, nil
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(opened).To(Equal(4))
+			g.Expect(reports).To(Equal(2), "when it begins to wait, and when it ends")
+		})
+	}
+}
+
 // An instance whose journal cannot be read back must stop, since it would otherwise
 // continue with an empty one.
 func TestLoopStopsWhenJournalIsDamaged(t *testing.T) {
