--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -45,6 +45,35 @@
 	return states
 }
 
+// ForeignState returns the state of a flow that the endpoint does not have.
+func ForeignState(key Key, idle time.Duration) *wire.FlowState {
+	return &wire.FlowState{
+		CallerAddress: routing.AddressNumber(key.Caller.Addr()), CallerPort: uint32(key.Caller.Port()),
+		DialedAddress: routing.AddressNumber(key.Dialed.Addr()), DialedPort: uint32(key.Dialed.Port()),
+		IdleMs: uint32(idle.Milliseconds()), Foreign: true,
+	}
+}
+
+// SplitForeign separates the flows that the endpoint has from those that it does not have.
+func SplitForeign(states []*wire.FlowState) (own, foreign []*wire.FlowState) {
+	for _, s := range states {
+		if s.Foreign {
+			foreign = append(foreign, s)
+		} else {
+			own = append(own, s)
+		}
+	}
+	return own, foreign
+}
+
+// KeyOfState returns the key of a flow.
+func KeyOfState(s *wire.FlowState) Key {
+	return Key{
+		Caller: netip.AddrPortFrom(routing.NumberAddress(s.CallerAddress), uint16(s.CallerPort)),
+		Dialed: netip.AddrPortFrom(routing.NumberAddress(s.DialedAddress), uint16(s.DialedPort)),
+	}
+}
+
 // IsFull reports whether the endpoint may have flows for which the table had no room.
 func (t *Table) IsFull() bool { return len(t.flows) >= maxFlows }
 
@@ -52,10 +81,7 @@
 // already stay as they are.
 func (t *Table) Import(now time.Duration, states []*wire.FlowState) {
 	for _, s := range states {
-		key := Key{
-			Caller: netip.AddrPortFrom(routing.NumberAddress(s.CallerAddress), uint16(s.CallerPort)),
-			Dialed: netip.AddrPortFrom(routing.NumberAddress(s.DialedAddress), uint16(s.DialedPort)),
-		}
+		key := KeyOfState(s)
 		if t.flows[key] != nil || len(t.flows) >= maxFlows {
 			continue
 		}
--- a/internal/flow/handover_test.go
+++ b/internal/flow/handover_test.go
@@ -42,6 +42,16 @@
 	g.Expect(after.Len()).To(Equal(2))
 }
 
+func TestForeignStatesAreSeparated(t *testing.T) {
+	g := NewWithT(t)
+	states := append(flowStates(2), ForeignState(witnessKey(1), 3*time.Second))
+	own, foreign := SplitForeign(states)
+	g.Expect(own).To(HaveLen(2))
+	g.Expect(foreign).To(HaveLen(1))
+	g.Expect(KeyOfState(foreign[0])).To(Equal(witnessKey(1)))
+	g.Expect(foreign[0].IdleMs).To(Equal(uint32(3000)))
+}
+
 func TestImportedFlowsExpire(t *testing.T) {
 	g := NewWithT(t)
 	before, after := NewTable(), NewTable()
--- a/internal/machine/opaque/agent/bounceableoffers.go
+++ b/internal/machine/opaque/agent/bounceableoffers.go
@@ -1,11 +1,14 @@
 package agent
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
 	"sassafrasturn.example/internal/flow"
 	"sassafrasturn.example/internal/machine/opaque"
+	"sassafrasturn.example/internal/wire"
 )
 
 const (
@@ -16,6 +19,9 @@
 	maxKeptPackets = 800
 	// bounceTimeout is the time within which an endpoint must bounce a packet.
 	bounceTimeout = 2 * time.Second
+	// maxForeignStates bounds the flows that are handed over although the endpoint does not have
+	// them, to half of what an agent usually has.
+	maxForeignStates = 2000
 	// bouncedRetention is how long a flow without packets is remembered that the endpoint
 	// does not have.
 	bouncedRetention = 15 * time.Second
@@ -93,6 +99,23 @@
 	return ok
 }
 
+// export returns the newest of the flows that the endpoint does not have.
+func (b *bounceableOffers) export(now time.Duration) []*wire.FlowState {
+	keys := slices.SortedFunc(maps.Keys(b.bounced), func(x, y flow.Key) int { return cmp.Compare(b.bounced[y], b.bounced[x]) })
+	var states []*wire.FlowState
+	for _, key := range keys[:min(len(keys), maxForeignStates)] {
+		states = append(states, flow.ForeignState(key, now-b.bounced[key]))
+	}
+	return states
+}
+
+// importFrom adds the flows that the endpoint does not have, as the previous start has exported them.
+func (b *bounceableOffers) importFrom(now time.Duration, states []*wire.FlowState) {
+	for _, s := range states {
+		b.setBounced(now-time.Duration(s.IdleMs)*time.Millisecond, flow.KeyOfState(s))
+	}
+}
+
 // sweep removes what is older than bounceTimeout and bouncedRetention.
 func (b *bounceableOffers) sweep(now time.Duration) {
 	for key, entry := range b.offers {
--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -101,15 +102,20 @@
 		adopt = a.instance.Settings.Opaque.MaxFlowLifetime
 	}
 	flows := a.table.Export(now)
+	var foreign []*wire.FlowState
+	if adopt > 0 {
+		// The next start would try their packets on the endpoint again.
+		foreign = a.bounceable.export(now)
+	}
 	a.mu.Unlock()
-	sender := a.sendFlows(ctx, flows, adopt, stopAt-stopMargin-now)
+	sender := a.sendFlows(ctx, slices.Concat(flows, foreign), adopt, stopAt-stopMargin-now)
 	copies := sender.Complete()
 	if len(copies) == 0 {
 		a.instance.Log.Warn().Int("flows", len(flows)).Int("control", len(a.node.Control())).Int("refused", sender.Refused()).
 			Dur("took_ms", a.node.Now()-now).Msg("flows not handed over: no control instance has confirmed them")
 		return
 	}
-	a.instance.Log.Info().Int("flows", len(flows)).Uint64("incarnation", a.node.Incarnation()).Dur("adopt_ms", adopt).
+	a.instance.Log.Info().Int("flows", len(flows)).Int("foreign", len(foreign)).Uint64("incarnation", a.node.Incarnation()).Dur("adopt_ms", adopt).
 		Strs("control", texts(copies)).Int("refused", sender.Refused()).
 		Dur("took_ms", a.node.Now()-now).Msg("flows handed over")
 }
@@ -148,7 +154,8 @@
 // between, it adopts those that are not among them.
 func (a *Agent) takeOver(ctx context.Context) {
 	takeover := a.fetchFlows(ctx)
-	flows, adopt, holder, isFound := takeover.Flows()
+	states, adopt, holder, isFound := takeover.Flows()
+	flows, foreign := flow.SplitForeign(states)
 	if !takeover.IsCertain() {
 		adopt = a.instance.Settings.Opaque.MaxFlowLifetime
 	}
@@ -156,6 +163,7 @@
 	now := a.node.Now()
 	if isFound && !a.lifecycle.IsDown() {
 		a.table.Import(now, flows)
+		a.bounceable.importFrom(now, foreign)
 		a.adoptUntil = now + adopt
 	}
 	a.awaitsFlows = false
@@ -164,7 +172,7 @@
 	unanswered := takeover.Unanswered()
 	outcome := takeoverOutcome(takeover)
 	a.handovers.outcomes.WithLabelValues(outcome).Inc()
-	entry := a.instance.Log.Info().Int("flows", len(flows)).Bool("found", isFound).Str("outcome", outcome).
+	entry := a.instance.Log.Info().Int("flows", len(flows)).Int("foreign", len(foreign)).Bool("found", isFound).Str("outcome", outcome).
 		Uint64("incarnation", a.node.Incarnation()).Uint64("source", takeover.Source()).Dur("adopt_ms", adoptLeft).
 		Strs("unanswered", texts(unanswered)).Int("packets_waiting", waiting).Dur("uptime_ms", now)
 	if isFound {
--- a/internal/machine/opaque/pathtest/overlap_test.go
+++ b/internal/machine/opaque/pathtest/overlap_test.go
@@ -252,6 +252,34 @@
 	}
 }
 
+// Agents that were killed try packets of others' flows. After a planned restart they must not try the
+// same flows again (review 8).
+func TestBouncedFlowsAreNotTriedAgainAfterAPlannedRestart(t *testing.T) {
+	runInCluster(t, false, 2, 3, func(tc *testCluster) {
+		flows := tc.openFlows(40)
+		tc.restartAgents()
+		tc.sleep(2 * heartbeat)
+		tc.addColdBalancer()
+		tc.expectServed(flows)
+		tried := 0
+		for _, s := range tc.sites {
+			tried += len(s.endpoint.unknown)
+		}
+		tc.g.Expect(tried).To(BeNumerically(">", 0))
+		for _, s := range tc.sites {
+			s.rollAgent(100 * time.Millisecond)
+			tc.sleep(heartbeat)
+			tc.addColdBalancer()
+			tc.expectServed(flows)
+		}
+		for _, s := range tc.sites {
+			for key, packets := range s.endpoint.unknown {
+				tc.g.Expect(packets).To(Equal(1), "flow %s at %s", key, s.endpoint.id)
+			}
+		}
+	})
+}
+
 // An agent is restarted twice while the seeds change. Its last start must not take the flows that were
 // kept for the one before, and reset those opened since (review 7).
 func TestFlowsSurviveTwoRestartsWhileTheSeedsChange(t *testing.T) {
