Name the decisions on voters, copies and zones for newcomers, and bound zone returns

Returns of zones that are newer than the newest change, or of more zones than a cluster has, are ignored: they could hide later ones. An agent looks for newly named control instances every 3 ms only while it searches, not while it announces its start. No other change of behaviour.

--- a/internal/consensus/placement.go
+++ b/internal/consensus/placement.go
@@ -14,16 +14,16 @@
 // to join again within that time.
 const observationTime = 5 * time.Second
 
-// majority is a zone in which more than half of the instances run, and how many run there. The
+// zoneMajority is a zone in which more than half of the instances run, and how many run there. The
 // zero value is that there is none.
-type majority struct {
+type zoneMajority struct {
 	zone  string
 	count int
 }
 
-// observation is the majority as a leader sees it, and since when.
+// observation is the majority of the instances as a leader sees it, and since when.
 type observation struct {
-	majority
+	zoneMajority
 	since time.Duration
 }
 
@@ -33,14 +33,14 @@
 // that it does hear of disprove one at once.
 func (c *Core) observeMajority(joiners []*wire.ControlMember) *wire.ControlGroup {
 	group := c.log.group()
-	known := majority{zone: group.GetMajorityZone(), count: int(group.GetMajorityInstances())}
+	known := zoneMajority{zone: group.GetMajorityZone(), count: int(group.GetMajorityInstances())}
 	zones := countZones(group, joiners)
 	if known.zone != "" && zones.others(known.zone) >= max(known.count, zones.count[known.zone]) {
-		return withMajority(group, majority{})
+		return withMajority(group, zoneMajority{})
 	}
 	seen := zones.majority()
-	if seen != c.observed.majority || !c.isQuiet() {
-		c.observed = observation{majority: seen, since: c.now}
+	if seen != c.observed.zoneMajority || !c.isQuiet() {
+		c.observed = observation{zoneMajority: seen, since: c.now}
 	}
 	isKnown := group.MajorityZone != nil && known == seen
 	if isKnown || c.now-max(c.observed.since, c.electedAt) < observationTime {
@@ -49,7 +49,7 @@
 	return withMajority(group, seen)
 }
 
-func withMajority(group *wire.ControlGroup, m majority) *wire.ControlGroup {
+func withMajority(group *wire.ControlGroup, m zoneMajority) *wire.ControlGroup {
 	next := proto.CloneOf(group)
 	next.MajorityZone, next.MajorityInstances = proto.String(m.zone), uint32(m.count)
 	return next
@@ -97,13 +97,13 @@
 func (z *zoneCounts) others(zone string) int { return z.all - z.count[zone] }
 
 // majority returns the zone with more than half of the instances.
-func (z *zoneCounts) majority() majority {
+func (z *zoneCounts) majority() zoneMajority {
 	for zone, count := range z.count {
 		if zone != "" && count > z.others(zone) {
-			return majority{zone: zone, count: count}
+			return zoneMajority{zone: zone, count: count}
 		}
 	}
-	return majority{}
+	return zoneMajority{}
 }
 
 // placement counts the voters by availability zone.
@@ -143,15 +143,15 @@
 // of the instances could commit changes that the others do not learn of, although they have
 // contact with one another.
 func (p *placement) imbalance() int {
-	majority := p.voterCount/2 + 1
+	quorum := p.voterCount/2 + 1
 	wrong := 0
 	if p.majorityZone != "" {
-		wrong = max(0, majority-p.voters[p.majorityZone])
+		wrong = max(0, quorum-p.voters[p.majorityZone])
 	}
 	for zone, voters := range p.voters {
 		if zone != p.majorityZone {
-			// The other zones must be left with a majority.
-			wrong += max(0, voters-(p.voterCount-majority))
+			// The other zones must be left with a quorum.
+			wrong += max(0, voters-(p.voterCount-quorum))
 		}
 	}
 	return wrong
--- a/internal/consensus/reconfigure.go
+++ b/internal/consensus/reconfigure.go
@@ -53,8 +53,6 @@
 
 // Reconfiguration is what a leader has decided about its group.
 type Reconfiguration struct {
-	// Added is the member that the leader has proposed to add, or nil.
-	Added *wire.ControlMember
 	// Kept are the silent voters that no waiting instance may replace yet, because too many
 	// voters would be in its zone.
 	Kept []*wire.ControlMember
@@ -83,18 +81,13 @@
 	change := planReconfiguration(groupState{
 		group: c.log.group(), leader: c.config.ID, silent: c.silentTimes(), joiners: joiners, voters: voters,
 	})
-	decided := &Reconfiguration{Kept: change.kept, Imbalance: change.imbalance}
 	if change.remove != 0 {
 		c.proposeGroup(withoutMember(c.log.group(), change.remove))
-		return decided
+	} else if change.add != nil {
+		// An instance that cannot be added asks again.
+		_, _, _ = c.ProposeAdd(now, change.add)
 	}
-	if change.add == nil {
-		return decided
-	}
-	if _, _, err := c.ProposeAdd(now, change.add); err == nil {
-		decided.Added = change.add
-	}
-	return decided
+	return &Reconfiguration{Kept: change.kept, Imbalance: change.imbalance}
 }
 
 // withReportedZones returns the group with the zones that its members report, or nil if it has
--- a/internal/flow/handoversend_test.go
+++ b/internal/flow/handoversend_test.go
@@ -132,7 +132,7 @@
 // announce lets a start tell the instances that it runs for a time after its takeover.
 func (n *handoverNet) announce(takeover *Takeover, agent, incarnation uint64, duration time.Duration) {
 	takeover.End()
-	for end := n.now + duration; n.now < end && !takeover.IsAnnounced(n.now); {
+	for end := n.now + duration; n.now < end && !takeover.HaveCopiesExpired(n.now); {
 		n.exchange(takeover, agent, incarnation, n.control())
 	}
 }
--- a/internal/flow/takeover.go
+++ b/internal/flow/takeover.go
@@ -87,7 +87,8 @@
 		t.dropHolder(now)
 		isFetching = t.holder != nil
 	}
-	if wait = HandoverRetry; t.isEnded {
+	wait = HandoverRetry
+	if t.isEnded {
 		wait = announcementCheck
 	}
 	for _, i := range t.instances {
@@ -265,8 +266,8 @@
 // less often, to tell them which start runs.
 func (t *Takeover) End() { t.isEnded = true }
 
-// IsAnnounced reports whether all copies that were made before this start have become too old.
-func (t *Takeover) IsAnnounced(now time.Duration) bool { return now-t.startedAt >= HandoverTTL }
+// HaveCopiesExpired reports whether all copies that were made before this start are too old.
+func (t *Takeover) HaveCopiesExpired(now time.Duration) bool { return now-t.startedAt >= HandoverTTL }
 
 // Unanswered returns the control instances that have not answered.
 func (t *Takeover) Unanswered() []netip.AddrPort {
--- a/internal/machine/opaque/agent/handover.go
+++ b/internal/machine/opaque/agent/handover.go
@@ -211,7 +211,11 @@
 		if current := a.node.Incarnation(); current != incarnation {
 			takeover, incarnation = flow.NewTakeover(startedAt), current
 		}
-		a.exchangeFlows(ctx, takeover, incarnation)
+		maxWait := flow.HandoverRetry
+		if !isControlKnown {
+			maxWait = controlCheckInterval
+		}
+		a.exchangeFlows(ctx, takeover, incarnation, maxWait)
 		if takeover.IsDone(a.node.Now(), isControlKnown) {
 			break
 		}
@@ -224,26 +228,23 @@
 func (a *Agent) announceStart(ctx context.Context, takeover *flow.Takeover) {
 	takeover.End()
 	incarnation := a.node.Incarnation()
-	for ctx.Err() == nil && !takeover.IsAnnounced(a.node.Now()) {
+	for ctx.Err() == nil && !takeover.HaveCopiesExpired(a.node.Now()) {
 		if current := a.node.Incarnation(); current != incarnation {
 			takeover, incarnation = flow.NewTakeover(a.node.Now()), current
 			takeover.End()
 		}
-		a.exchangeFlows(ctx, takeover, incarnation)
+		a.exchangeFlows(ctx, takeover, incarnation, time.Second)
 	}
 }
 
-// exchangeFlows sends the requests that are due and handles the next answer.
-func (a *Agent) exchangeFlows(ctx context.Context, takeover *flow.Takeover, incarnation uint64) {
-	isControlKnown := a.node.IsControlKnown()
+// exchangeFlows sends the requests that are due and handles the next answer, for which it waits no
+// longer than maxWait.
+func (a *Agent) exchangeFlows(ctx context.Context, takeover *flow.Takeover, incarnation uint64, maxWait time.Duration) {
 	requests, wait := takeover.Next(a.node.Now(), a.node.Control())
-	if !isControlKnown {
-		wait = min(wait, controlCheckInterval)
-	}
 	for _, request := range requests {
 		a.requestFlows(incarnation, request)
 	}
-	answer, ok := awaitAnswer(ctx, a.handovers.taken, wait)
+	answer, ok := awaitAnswer(ctx, a.handovers.taken, min(wait, maxWait))
 	if ok && answer.message.Incarnation == incarnation {
 		takeover.HandleAnswer(a.node.Now(), answer.from, answer.message)
 	}
--- a/internal/machine/opaque/committed.go
+++ b/internal/machine/opaque/committed.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasturn.example/internal/catalog"
 	"sassafrasturn.example/internal/wire"
 )
 
@@ -65,15 +66,17 @@
 	answer.Part = c.Table[offset:min(offset+partBytes, len(c.Table))]
 }
 
-// applyZones applies the newer zones of an answer.
+// applyZones applies the newer zones of an answer. It ignores returns that are newer than the newest
+// change, and those of more zones than a cluster has.
 func (c *Committed) applyZones(answer *wire.PollAnswer) {
 	c.ZoneIndex, c.ZonesOut = answer.ZoneIndex, answer.ZonesOut
-	back := maps.Clone(c.ZonesBack)
+	back := make(map[string]uint64)
+	maps.Copy(back, c.ZonesBack)
 	for _, zone := range answer.ZonesBack {
-		if back == nil {
-			back = make(map[string]uint64)
+		_, isKnown := back[zone.Name]
+		if zone.Index <= answer.ZoneIndex && (isKnown || len(back) < catalog.MaxZones) {
+			back[zone.Name] = max(back[zone.Name], zone.Index)
 		}
-		back[zone.Name] = max(back[zone.Name], zone.Index)
 	}
 	c.ZonesBack = back
 }
--- a/internal/machine/opaque/malformed_test.go
+++ b/internal/machine/opaque/malformed_test.go
@@ -1,6 +1,7 @@
 package opaque
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"testing"
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"sassafrasturn.example/internal/catalog"
 	"sassafrasturn.example/internal/routing"
 	"sassafrasturn.example/internal/wire"
 )
@@ -94,3 +96,25 @@
 	}
 	g.Expect(applied).To(Equal(2))
 }
+
+// Returns of zones are merged. Those that nobody can have made neither hide later ones nor pile up.
+func TestReturnsOfZonesAreMergedAndBounded(t *testing.T) {
+	g, committed := NewWithT(t), new(Committed)
+	apply := func(index uint64, back ...*wire.ZoneReturn) {
+		committed.applyZones(&wire.PollAnswer{ZoneIndex: index, ZonesBack: back})
+	}
+	apply(5, &wire.ZoneReturn{Name: "a", Index: 4}, &wire.ZoneReturn{Name: "b", Index: math.MaxUint64})
+	before := committed.ZonesBack
+	apply(9, &wire.ZoneReturn{Name: "b", Index: 9}, &wire.ZoneReturn{Name: "a", Index: 3})
+	g.Expect(committed.ZonesBack).To(Equal(map[string]uint64{"a": 4, "b": 9}))
+	g.Expect(before).To(Equal(map[string]uint64{"a": 4}), "the state before is immutable")
+	for i := range uint64(1000) {
+		apply(10+i, &wire.ZoneReturn{Name: fmt.Sprint(i), Index: 10 + i})
+	}
+	g.Expect(len(committed.ZonesBack)).To(BeNumerically("<=", catalog.MaxZones))
+
+	answer := new(wire.PollAnswer)
+	(&Committed{ZoneIndex: 9, ZonesBack: map[string]uint64{"a": 4, "b": 9}}).AddTo(answer, &wire.Poll{ZoneIndex: 4})
+	g.Expect(answer.ZonesBack).To(HaveLen(1))
+	g.Expect(answer.ZonesBack[0].Name).To(Equal("b"))
+}
