--- a/review/standin-3/reuse.go
+++ b/review/standin-3/reuse.go
@@ -14,7 +14,7 @@
 	if err = w.start(2, services); err != nil {
 		return
 	}
-	late, err = newLateProxy(address(w.sides[0].host, portControl+20), address(w.sides[0].host, portControl))
+	late, err = newLateProxy(address(w.sides[0].host, portLate), address(w.sides[0].host, portControl))
 	if err != nil {
 		return
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -59,6 +59,7 @@
 	portControl  = 8166
 	portReady    = 8167
 	portPackets  = 8172
+	portLate     = 8186
 
 	firstClient = 10
 	firstEdge   = 30
@@ -119,7 +120,7 @@
 // isFree reports whether nobody uses the ports in a subnet.
 func isFree(subnet string) bool {
 	for number := 1; number < 100; number++ {
-		for _, port := range []int{portInternal, portMetrics, portServer, portControl, portReady} {
+		for _, port := range []int{portInternal, portMetrics, portServer, portControl, portReady, portLate} {
 			listener, err := net.Listen("tcp4", address(fmt.Sprintf("%s.%d", subnet, number), port))
 			if err != nil {
 				return false
