Review case 11: show it with a frozen node and no late heartbeat too

The same flows go to the wrong server where the node beside it is frozen for 2.4 s while the address changes hands: the last heartbeat of the old server and the first one of the new server wait at the node, and it may handle the latter first.

--- a/review/standin-3/reuse.go
+++ b/review/standin-3/reuse.go
@@ -72,6 +72,9 @@
 		reuseAfter = 2200 * time.Millisecond
 		watched    = 8 * time.Second
 	)
+	if o.trouble == "freeze" {
+		return runFreeze(w, alpha, beta, first)
+	}
 	if o.hasTrouble() {
 		if err := w.awaitAnsweredBeat("alpha-0"); err != nil {
 			return err
