--- a/review/standin-3/reuse.go
+++ b/review/standin-3/reuse.go
@@ -33,8 +33,8 @@
 		}
 	}
 	routes := []route{
-		{name: "to-alpha", host: "198.18.0.1", port: 443, service: "alpha"},
-		{name: "to-beta", host: "198.18.0.2", port: 443, service: "beta"},
+		{name: "to-alpha", host: "127.198.0.1", port: 443, service: "alpha"},
+		{name: "to-beta", host: "127.198.0.2", port: 443, service: "beta"},
 	}
 	status, _ := w.call("POST", "/Config.Replace", desiredState(1, 0, []string{"alpha", "beta"}, routes), 20*time.Second)
 	if status != 200 {
