--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/standin-3"
 export GOTOOLCHAIN=local GOPROXY=off GOFLAGS=-mod=mod GOWORK=off
-exec go build -o ../../target/standin-3 .
+exec go build -buildvcs=false -o ../../target/standin-3 .
