--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -29,6 +29,7 @@
 	"reuse":   runReuse,
 	"quiet":   runQuiet,
 	"partial": runPartial,
+	"drain":   runDrain,
 	"other":   runOther,
 }
 
