--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -1,5 +1,6 @@
 // Command standin-3 has the stand-ins and the checks of the third review: a server, clients with
-// their router, the operator, and one verb for each case that is a script.
+// their router, the operator, one verb for each case that is a script, and "reuse" for a finding
+// that is described in the report.
 package main
 
 import (
