--- a/review/standin-3/other.go
+++ b/review/standin-3/other.go
@@ -4,13 +4,16 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 )
 
-// postOther posts heartbeats of a service that is not named. It tries again soon where nobody answers.
+// postOther posts heartbeats of a service that is not named, from the machine of the server. It tries
+// again soon where nobody answers.
 func postOther(w *world, s *side, number int, stop chan struct{}) {
-	client := &http.Client{Timeout: time.Second}
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(s.host)}}
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DialContext: dialer.DialContext}}
 	born := time.Now().UnixMilli()
 	for seq := 1; ; seq++ {
 		body, _ := json.Marshal(map[string]any{
