--- a/review/standin-3/quiet.go
+++ b/review/standin-3/quiet.go
@@ -23,10 +23,12 @@
 	const (
 		delay        = 2400 * time.Millisecond
 		restartAfter = 150 * time.Millisecond
-		// Flows are opened for openedFor after the restart, and watched until watched after it.
-		openedFor = 1800 * time.Millisecond
-		openEvery = 60 * time.Millisecond
-		watched   = 9 * time.Second
+		// Flows are opened from openedFrom until openedUntil after the restart, between the two
+		// heartbeats that are late, and watched until watched after it.
+		openedFrom  = 600 * time.Millisecond
+		openedUntil = 1800 * time.Millisecond
+		openEvery   = 40 * time.Millisecond
+		watched     = 9 * time.Second
 	)
 	server := "alpha-0"
 	if o.hasTrouble() {
@@ -57,7 +59,8 @@
 	var wait sync.WaitGroup
 	opened, onServer := 0, 0
 	var mu sync.Mutex
-	for time.Since(started) < openedFor {
+	time.Sleep(openedFrom)
+	for time.Since(started) < openedUntil {
 		opened++
 		number := opened
 		wait.Go(func() {
