--- a/cmd/sassafrasturnctl/checkstate_test.go
+++ b/cmd/sassafrasturnctl/checkstate_test.go
@@ -20,7 +20,8 @@
 
 const cleanState = `{"version":7,"routes":[
  {"name":"r-1","host":"198.18.0.1","path-prefix":"/8443/","timeout-ms":1000,"service":"alpha"}],
- "services":[{"name":"alpha"}]}`
+ "services":[{"name":"alpha"}],
+ "limits":{}}`
 
 func runCheck(t *testing.T, ctx context.Context, text string, args ...string) (subcommands.ExitStatus, string) {
 	g := NewWithT(t)
@@ -48,6 +49,12 @@
 	g.Expect(status).To(Equal(subcommands.ExitSuccess))
 	g.Expect(output).To(MatchJSON(`{"file":"state.json","findings":[]}`))
 
+	for _, absent := range []string{``, `"routes":null,`} {
+		status, output = runCheck(t, t.Context(), `{"version":7,`+absent+`"services":[],"limits":{}}`)
+		g.Expect(status).To(Equal(subcommands.ExitFailure))
+		g.Expect(output).To(ContainSubstring("error: routes: platform: routes: found none"))
+	}
+
 	invalid := strings.Replace(cleanState, "/8443/", "/0/", 1)
 	status, output = runCheck(t, t.Context(), invalid)
 	g.Expect(status).To(Equal(subcommands.ExitFailure))
@@ -96,6 +103,12 @@
 	g.Expect([]any{f.Severity, f.Line, f.Entry, f.Field, f.From, f.To}).To(HaveExactElements(
 		BeEquivalentTo("difference"), 2, `route "r-1"`, "timeout-ms", "1000", "2000"))
 
+	// Earlier releases accepted a state without limits.
+	incomplete := strings.Replace(cleanState, ",\n \"limits\":{}", "", 1)
+	body.Store(&incomplete)
+	status, output = runCheck(t, t.Context(), next, against...)
+	g.Expect(status).To(Equal(subcommands.ExitSuccess), output)
+
 	garbage := "no JSON"
 	body.Store(&garbage)
 	status, _ = runCheck(t, t.Context(), next, against...)
--- a/internal/machine/control/operator.go
+++ b/internal/machine/control/operator.go
@@ -121,7 +121,12 @@
 		return ErrInvalid.Wrap(err)
 	}
 	replace := &wire.ReplaceRouting{Version: table.Version, Source: source, Table: data}
-	return c.submitCommand(ctx, &wire.Command{Body: &wire.Command_ReplaceRouting{ReplaceRouting: replace}})
+	if err := c.submitCommand(ctx, &wire.Command{Body: &wire.Command_ReplaceRouting{ReplaceRouting: replace}}); err != nil {
+		return err
+	}
+	c.instance.Log.Info().Uint64("version", table.Version).Int("routes", len(table.Routes)).
+		Int("services", len(table.Services)).Int("source_bytes", len(source)).Msg("routing table accepted")
+	return nil
 }
 
 // SetZone takes a zone out of service or returns it to service. Its errors are those of
