--- a/internal/flow/lifecycle.go
+++ b/internal/flow/lifecycle.go
@@ -27,6 +27,8 @@
 	ChangeNone Change = iota
 	// ChangeUpdated means that the current endpoint has announced its state.
 	ChangeUpdated
+	// ChangeUnnamed means that an announcement states a service that is not named.
+	ChangeUnnamed
 	// ChangeClaimed means that another start than the current one has announced itself.
 	ChangeClaimed
 	// ChangeStarted means that another endpoint than before is current.
@@ -56,10 +58,20 @@
 // replaces the current one only once it has repeated its announcement while the current one
 // was silent, or once the endpoint has lost a flow that it held. An endpoint has also ended
 // when it refuses connections.
+//
+// An announcement of a service that neither the routing table nor the settings name decides
+// nothing, whether it is heard first, alone or often. The services are decided anew when they
+// change: a start that is remembered becomes current if there is none, and one that is current
+// remains so after its service was dropped, since it may have open flows. It only gives way to a
+// claim of a higher standing that is repeated, and ends no flow by that.
+//
 // A Lifecycle is not safe for concurrent use.
 type Lifecycle struct {
 	silenceTimeout time.Duration
-	current        *Endpoint
+	services       Services
+	// unnamed are the starts whose services are not named.
+	unnamed unnamedStarts
+	current *Endpoint
 	// currentSince is when the current endpoint first announced itself. isConfirmed is set
 	// once it has done so again later while no other did, or has replaced another one.
 	currentSince time.Duration
@@ -110,7 +122,20 @@
 // NewLifecycle returns the lifecycle of the endpoint beside an agent that has just started.
 // silenceTimeout is the time after which a live endpoint would have announced itself.
 func NewLifecycle(silenceTimeout time.Duration) *Lifecycle {
-	return &Lifecycle{silenceTimeout: silenceTimeout, nextCheck: silenceTimeout}
+	return &Lifecycle{silenceTimeout: silenceTimeout, nextCheck: silenceTimeout, unnamed: unnamedStarts{silenceTimeout: silenceTimeout}}
+}
+
+// SetServices sets which services are named. It returns ChangeStarted if an endpoint that has
+// announced itself before has become current, otherwise ChangeNone.
+func (l *Lifecycle) SetServices(now time.Duration, services Services) Change {
+	l.services = services
+	// Beside a current endpoint, a start claims the address with its next announcement.
+	latest := l.unnamed.takeNamed(now, &l.services)
+	if l.current != nil || latest == nil || l.isOutdated(latest) {
+		return ChangeNone
+	}
+	l.setCurrent(latest.LastSeen, latest)
+	return ChangeStarted
 }
 
 // Endpoint returns the current endpoint, nil if none has announced itself.
@@ -134,6 +159,9 @@
 	case l.current != nil && startOf(l.current) == startOf(&announced):
 		l.heardAt = now
 		return l.update(now, &announced), nil
+	case l.services.standingOf(&announced) == standingUnnamed:
+		l.unnamed.record(&announced)
+		return ChangeUnnamed, nil
 	case l.current == nil && !l.isOutdated(&announced):
 		l.setCurrent(now, &announced)
 		return ChangeStarted, nil
@@ -145,7 +173,7 @@
 		}
 		return ChangeClaimed, nil
 	}
-	if l.isConfirmed && !l.claim.hasFlows {
+	if l.isConfirmed && !l.claim.hasFlows && !l.isOutranked() {
 		ended = l.current
 	}
 	l.replace(now)
@@ -166,10 +194,12 @@
 }
 
 // recordClaim records an announcement of another start than the current one. It returns false
-// if a later one has been received.
+// if a later one, or one of a higher standing, has been received.
 func (l *Lifecycle) recordClaim(now time.Duration, announced *Endpoint) bool {
 	isNew := l.claim == nil || startOf(l.claim.endpoint) != startOf(announced) || !l.isClaimRecent(now)
 	switch {
+	case isNew && l.isClaimOutranking(now, announced):
+		return false
 	case isNew && l.hasLaterClaim(now) && l.isOutdated(announced):
 		return false
 	case isNew:
@@ -183,10 +213,17 @@
 	return true
 }
 
+// isClaimOutranking reports whether a start of a higher standing than the announced one claims the
+// address.
+func (l *Lifecycle) isClaimOutranking(now time.Duration, announced *Endpoint) bool {
+	return l.claim != nil && l.isClaimRecent(now) && l.services.standingOf(announced) < l.services.standingOf(l.claim.endpoint)
+}
+
 // hasLaterClaim reports whether a start claims the address that may have replaced the current
-// one.
+// one. One of a lower standing may not, unless the current one falls silent.
 func (l *Lifecycle) hasLaterClaim(now time.Duration) bool {
-	return l.current != nil && l.claim != nil && l.isClaimRecent(now) && !l.isOutdated(l.claim.endpoint)
+	return l.current != nil && l.claim != nil && l.isClaimRecent(now) && !l.isOutdated(l.claim.endpoint) &&
+		l.services.standingOf(l.claim.endpoint) >= l.services.standingOf(l.current)
 }
 
 // isClaimDisputed reports whether the current endpoint has shown since the claim that it runs.
@@ -197,29 +234,41 @@
 	return now-l.claim.endpoint.LastSeen <= l.silenceTimeout
 }
 
+// isOutranked reports whether the start that claims the address has a higher standing than the
+// current one.
+func (l *Lifecycle) isOutranked() bool {
+	return l.current != nil && l.services.standingOf(l.current) < l.services.standingOf(l.claim.endpoint)
+}
+
 // isClaimConfirmed reports whether the start that claims the address is current: it goes on
-// announcing itself while the current one, if any, is silent. One that seems outdated, for
-// example because the wall clock was set back before it started, must do so for longer.
+// announcing itself while the current one, if any, is silent or outranked. One that seems outdated,
+// for example because the wall clock was set back before it started, must do so for longer.
 func (l *Lifecycle) isClaimConfirmed(now time.Duration) bool {
 	if l.current == nil {
 		return now-l.claim.since > l.silenceTimeout/2
 	}
 	claimed := now - max(l.claim.since, l.heardAt)
-	isSilent := now-l.heardAt > l.silenceTimeout
+	isUndisputed := now-l.heardAt > l.silenceTimeout
+	if l.isOutranked() {
+		claimed, isUndisputed = now-l.claim.since, true
+	}
 	isOutdated := l.isOutdated(l.claim.endpoint)
-	return isSilent && (claimed > l.silenceTimeout || !isOutdated && claimed > l.silenceTimeout/2)
+	return isUndisputed && (claimed > l.silenceTimeout || !isOutdated && claimed > l.silenceTimeout/2)
 }
 
 // replace makes the start that claims the address the current endpoint.
 func (l *Lifecycle) replace(now time.Duration) {
-	l.addFormer(l.current)
+	// One that is only outranked may run, and be named again.
+	if !l.isOutranked() {
+		l.addFormer(l.current)
+	}
 	l.setCurrent(now, l.claim.endpoint)
 	l.isConfirmed = true
 }
 
 // Admission returns the state of the endpoint that new flows are decided by, nil if none has
-// announced itself. While a later start claims the address, either may run there, and the
-// stricter state of both applies.
+// announced itself. While a later start of no lower standing claims the address, either may run
+// there, and the stricter state of both applies.
 func (l *Lifecycle) Admission(now time.Duration) *Endpoint {
 	if !l.hasLaterClaim(now) {
 		return l.current
@@ -300,6 +349,7 @@
 // exits. startedAt is 0 if the endpoint did not state it. Leave reports whether the endpoint is
 // the current one.
 func (l *Lifecycle) Leave(now time.Duration, id string, startedAt int64) bool {
+	l.unnamed.setLeaving(id, startedAt)
 	if l.current == nil {
 		l.nextCheck = now
 		return false
@@ -341,6 +391,7 @@
 		return ChangeNone
 	}
 	if presence == PresenceDown {
+		l.unnamed.forgetBefore(startedAt)
 		l.addFormer(l.current)
 		if l.claim != nil {
 			l.addFormer(l.claim.endpoint)
--- a/internal/machine/opaque/agent/agent.go
+++ b/internal/machine/opaque/agent/agent.go
@@ -117,6 +117,7 @@
 	}
 	a.gate.SilenceTimeout = max(a.gate.SilenceTimeout, s.Opaque.HeartbeatInterval+heartbeatSlack)
 	a.lifecycle = flow.NewLifecycle(a.gate.SilenceTimeout)
+	a.lifecycle.SetServices(0, flow.Services{Configured: s.Opaque.Service})
 	a.record = wire.AgentRecord{
 		Address: routing.AddressNumber(s.Link.Address().Addr()), Port: uint32(s.Link.Address().Port()),
 		// The service is reported from the start, because the endpoint may have flows
@@ -313,7 +314,7 @@
 			Name: "sassafrasturn_packets_returned_total", Help: "Packets sent to an agent that another one with an older view had left out.",
 		}),
 		announcements: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "sassafrasturn_announcements_total", Help: "Announcements of endpoints, by effect: updated, started, claimed by another one, ignored.",
+			Name: "sassafrasturn_announcements_total", Help: "Announcements of endpoints, by effect: updated, started, claimed by another one, of an unnamed service, ignored.",
 		}, []string{"effect"}),
 	}
 	registry.MustRegister(m.flows, m.inFlight, m.offers, m.hops, m.dropped, m.resets, m.returned, m.announcements)
--- a/internal/machine/opaque/agent/announce.go
+++ b/internal/machine/opaque/agent/announce.go
@@ -51,6 +51,8 @@
 	switch change {
 	case flow.ChangeNone:
 		a.logOther(previous, &announcement, "ignoring delayed announcement of another endpoint")
+	case flow.ChangeUnnamed:
+		a.logOther(previous, &announcement, "setting aside announcement of a service that is not named")
 	case flow.ChangeClaimed:
 		a.logOther(previous, &announcement, "another endpoint claims the address of the current one")
 		a.probeEndpoint()
@@ -60,15 +62,39 @@
 	a.clearEnded(ended)
 	isShown := change == flow.ChangeUpdated && previous.IsDraining != announcement.IsDraining
 	if change == flow.ChangeStarted || isShown {
-		a.instance.Log.Info().Str("endpoint", announcement.ID).Str("service", announcement.Service).
-			Uint64("sequence", announcement.Sequence).Int64("born", announcement.StartedAt).Dur("uptime_ms", now).
-			Bool("draining", announcement.IsDraining).Dur("cold_left_ms", announcement.ColdLeft).Msg("endpoint announced")
+		a.logAnnounced()
 	}
 	before := a.record.Sequence
 	a.refreshRecord()
 	return a.record.Sequence != before
 }
 
+// logAnnounced logs the state of the current endpoint.
+func (a *Agent) logAnnounced() {
+	now, e := a.node.Now(), a.lifecycle.Endpoint()
+	a.instance.Log.Info().Str("endpoint", e.ID).Str("service", e.Service).
+		Uint64("sequence", e.Sequence).Int64("born", e.StartedAt).Dur("uptime_ms", now).
+		Bool("draining", e.IsDraining).Dur("cold_left_ms", max(0, e.ColdUntil-now)).Msg("endpoint announced")
+}
+
+// applyServices decides anew which endpoint is current, by the services that the routing
+// table names, and reports whether the agent's record changed. The caller holds the lock.
+func (a *Agent) applyServices() (isChanged bool) {
+	table := a.node.State().Table
+	if table.Version == 0 {
+		return false
+	}
+	change := a.lifecycle.SetServices(a.node.Now(), flow.Services{Configured: a.instance.Settings.Opaque.Service, Table: table})
+	if change != flow.ChangeStarted {
+		return false
+	}
+	a.metrics.announcements.WithLabelValues(nameOf(change)).Inc()
+	a.logAnnounced()
+	before := a.record.Sequence
+	a.refreshRecord()
+	return a.record.Sequence != before
+}
+
 // nameOf returns the label of the effect of an announcement.
 func nameOf(change flow.Change) string {
 	switch change {
@@ -78,6 +104,8 @@
 		return "claimed"
 	case flow.ChangeStarted:
 		return "started"
+	case flow.ChangeUnnamed:
+		return "unnamed"
 	}
 	return "ignored"
 }
--- a/internal/machine/opaque/agent/packets.go
+++ b/internal/machine/opaque/agent/packets.go
@@ -340,7 +340,17 @@
 	if wasOut && !a.isZoneOut || index > a.zoneReturnIndex {
 		a.zoneReturnIndex, a.zoneReturnedAt = index, a.node.Now()
 	}
+	wasDown := a.lifecycle.IsDown()
+	isChanged := a.applyServices()
+	wasDown = wasDown && !a.lifecycle.IsDown()
 	a.mu.Unlock()
+	if wasDown {
+		// No check was due while no endpoint ran.
+		a.scheduleCheck()
+	}
+	if isChanged {
+		a.node.Refresh()
+	}
 	a.releaseDeferred()
 }
 
--- a/internal/machine/opaque/pathtest/model_test.go
+++ b/internal/machine/opaque/pathtest/model_test.go
@@ -906,6 +906,28 @@
 	}
 }
 
+// announceUnnamed sends an agent heartbeats of a service that is not named for some time, also
+// after restarts.
+func (m *model) announceUnnamed() {
+	s := m.anySite()
+	form := unnamedForms[m.rng.IntN(len(unnamedForms))]
+	interval, until := m.between(100*time.Millisecond, time.Second), time.Now().Add(m.between(time.Second, 20*time.Second))
+	m.tracef("another writer announces %s at agent %s every %s: %s", unnamedService, s.address, interval, form.name)
+	sequence := uint64(0)
+	var announce func()
+	announce = func() {
+		sequence++
+		odd := s.endpoint.announcement()
+		odd.Service, odd.Sequence = unnamedService, sequence
+		form.change(&odd)
+		s.deliver(odd)
+		if time.Now().Before(until) && !m.isOver {
+			m.after(interval, announce)
+		}
+	}
+	announce()
+}
+
 func (m *model) cutLink() {
 	machines := []netip.Addr{controlAddress.Addr()}
 	for _, s := range m.sites {
@@ -1125,6 +1147,12 @@
 	runModels(t, shortRoll, breakByReset, another, another, another)
 }
 
+// TestModelWithAnotherWriterOfAnUnnamedService is TestModel with writers that go on.
+func TestModelWithAnotherWriterOfAnUnnamedService(t *testing.T) {
+	another := eventKind{"another writer goes on announcing a service that is not named", (*model).announceUnnamed}
+	runModels(t, shortRoll, breakByReset, another, another, another)
+}
+
 func runModels(t *testing.T, maxRoll time.Duration, onlyBreak string, more ...eventKind) {
 	seeds := uint64(modelSeeds)
 	if testing.Short() {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -77,6 +77,8 @@
 	// do.
 	routes, dropped map[netip.AddrPort]*Route
 	services        map[string]Service
+	// retained are the former services of routes.
+	retained map[string]bool
 }
 
 // Empty returns the table used until the first routing table is received.
@@ -126,11 +128,15 @@
 		routes:      make(map[netip.AddrPort]*Route, len(table.Routes)),
 		dropped:     make(map[netip.AddrPort]*Route),
 		services:    make(map[string]Service, len(table.Services)),
+		retained:    make(map[string]bool),
 	}
 	for _, service := range table.Services {
 		t.services[service.Service] = Service{ColdPerSecond: service.ColdPerSecond, MaxFlows: int(service.MaxFlows)}
 	}
 	for _, route := range table.Routes {
+		for _, name := range route.Former {
+			t.retained[name] = true
+		}
 		converted := newRoute(route)
 		if len(converted.Services) == 0 {
 			t.dropped[dialedAddress(route)] = converted
@@ -212,6 +218,16 @@
 	return service, ok
 }
 
+// Names reports whether the table names a service.
+func (t *Table) Names(service string) bool {
+	_, ok := t.services[service]
+	return ok
+}
+
+// Retains reports whether a service was one of a route under an earlier table, and may have open
+// flows.
+func (t *Table) Retains(service string) bool { return t.retained[service] }
+
 // Routes returns the number of routes that accept new flows.
 func (t *Table) Routes() int {
 	return len(t.routes)
