Let flows that are handed over replace late copies of their SYNs

Cause: a delayed copy of the flow's SYN reaches the restarted agent before it has got the flows of its previous start, and is taken as a new flow. Table.Import kept it instead of the flow that was handed over. It has no sequence numbers of the endpoint, so no packet of the open flow matches it, and the packets go on to other agents until the last one resets the flow.

Tests that failed before: TestImportedFlowReplacesALateCopyOfItsSYN and TestFlowsSurviveLateCopiesOfTheirSYNsDuringATakeover, in which copies arrive during a takeover that takes 100 ms.

Fix: an imported flow replaces one that the endpoint has not answered.

Why it works: a flow that was handed over has been answered by the endpoint, so an entry of it without an answer can only be of a copy.

--- a/internal/flow/handover.go
+++ b/internal/flow/handover.go
@@ -77,11 +77,15 @@
 // IsFull reports whether the endpoint may have flows for which the table had no room.
 func (t *Table) IsFull() bool { return len(t.flows) >= maxFlows }
 
-// Import adds flows that the previous start of the agent has exported. Flows that the table has
-// already stay as they are.
+// Import adds flows that the previous start of the agent has exported. Flows that the endpoint has
+// answered since stay as they are. One that was only offered to it is replaced: the SYN was a late
+// copy, which the endpoint need not answer.
 func (t *Table) Import(now time.Duration, states []*wire.FlowState) {
 	for _, s := range states {
 		key := KeyOfState(s)
+		if offered := t.flows[key]; offered != nil && !offered.isOpen && !offered.hasFirstSeq {
+			t.remove(offered)
+		}
 		if t.flows[key] != nil || len(t.flows) >= maxFlows {
 			continue
 		}
--- a/internal/flow/handover_test.go
+++ b/internal/flow/handover_test.go
@@ -42,6 +42,17 @@
 	g.Expect(after.Len()).To(Equal(2))
 }
 
+// A late copy of a SYN reaches an agent before it has got the flows of its previous start.
+func TestImportedFlowReplacesALateCopyOfItsSYN(t *testing.T) {
+	g := NewWithT(t)
+	before, after := NewTable(), NewTable()
+	key := answeredFlow(before, 1, 1000, true)
+	after.Offer(time.Second, key)
+	after.Import(time.Second, before.Export(time.Second))
+	g.Expect(after.HandleCallerPacket(time.Second, &Header{Source: key.Caller, Destination: key.Dialed, IsACK: true, Ack: 1001})).NotTo(BeNil())
+	g.Expect(after.InFlight()).To(BeZero())
+}
+
 func TestForeignStatesAreSeparated(t *testing.T) {
 	g := NewWithT(t)
 	states := append(flowStates(2), ForeignState(witnessKey(1), 3*time.Second))
--- a/internal/machine/opaque/pathtest/handover_test.go
+++ b/internal/machine/opaque/pathtest/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -51,6 +52,32 @@
 	})
 }
 
+// Late copies of the SYNs arrive before a restarted agent has got the flows, and the endpoint does
+// not answer them.
+func TestFlowsSurviveLateCopiesOfTheirSYNsDuringATakeover(t *testing.T) {
+	runInCluster(t, false, 1, 3, func(tc *testCluster) {
+		s, flows := tc.openAtBusiest(30)
+		s.endpoint.ignoresSYNs = true
+		tc.setPolicy(func(data []byte, _, _ netip.AddrPort, delay time.Duration) (time.Duration, bool) {
+			if isHandoverKind(data) {
+				delay += 100 * time.Millisecond
+			}
+			return delay, false
+		})
+		s.rollAgent(300 * time.Millisecond)
+		tc.sleep(20 * time.Millisecond)
+		s.endpoint.announce()
+		opened := len(s.endpoint.opened)
+		for _, f := range flows {
+			tc.offerTo(s, f.key, 0)
+		}
+		tc.sleep(500 * time.Millisecond)
+		tc.g.Expect(s.endpoint.opened).To(HaveLen(opened))
+		tc.expectNoResets(flows, 2500*time.Millisecond)
+		tc.expectServed(flows)
+	})
+}
+
 // Packets of others arrive before an agent has got the flows of its previous start.
 func TestPacketsReachNoOtherEndpointWhileAnAgentTakesOver(t *testing.T) {
 	runInCluster(t, false, 2, 6, func(tc *testCluster) {
