--- a/internal/flow/lifecycle.go
+++ b/internal/flow/lifecycle.go
@@ -47,6 +47,9 @@
 	// maxLeaveTime is how long an endpoint may live after it has announced its end. One that
 	// announces itself after that time stays.
 	maxLeaveTime = 5 * time.Second
+	// maxDelay is how long announcements of an endpoint that has ended may go on to arrive. One
+	// that announces itself for longer beside another start runs.
+	maxDelay = 10 * time.Second
 	// maxFormerEndpoints is how many earlier endpoints are remembered.
 	maxFormerEndpoints = 8
 )
@@ -103,6 +106,9 @@
 	endpoint *Endpoint
 	// since is when it first announced itself.
 	since time.Duration
+	// heardBefore is when the current endpoint had announced itself last before the claim. What
+	// it has announced since may be late.
+	heardBefore time.Duration
 	// hasFlows is set once the endpoint has sent a packet of a flow of the current one.
 	hasFlows bool
 }
@@ -173,11 +179,12 @@
 		}
 		return ChangeClaimed, nil
 	}
-	if l.isConfirmed && !l.claim.hasFlows && !l.isOutranked() {
-		ended = l.current
+	isEnded := l.isConfirmed && !l.claim.hasFlows && !l.isOutranked()
+	before := l.replace(now)
+	if !isEnded {
+		before = nil
 	}
-	l.replace(now)
-	return ChangeStarted, ended
+	return ChangeStarted, before
 }
 
 // update applies an announcement of the current endpoint.
@@ -203,7 +210,7 @@
 	case isNew && l.hasLaterClaim(now) && l.isOutdated(announced):
 		return false
 	case isNew:
-		l.claim = &claim{endpoint: announced, since: now}
+		l.claim = &claim{endpoint: announced, since: now, heardBefore: l.heardBeforeClaim(now, announced)}
 	case announced.Sequence <= l.claim.endpoint.Sequence:
 		return false
 	default:
@@ -213,6 +220,18 @@
 	return true
 }
 
+// heardBeforeClaim returns when the current endpoint had announced itself last before a claim and
+// before those that the claim follows.
+func (l *Lifecycle) heardBeforeClaim(now time.Duration, announced *Endpoint) time.Duration {
+	switch {
+	case l.current == nil:
+		return 0
+	case l.claim != nil && (startOf(l.claim.endpoint) == startOf(announced) || l.hasLaterClaim(now)):
+		return min(l.claim.heardBefore, l.current.LastSeen)
+	}
+	return l.current.LastSeen
+}
+
 // isClaimOutranking reports whether a start of a higher standing than the announced one claims the
 // address.
 func (l *Lifecycle) isClaimOutranking(now time.Duration, announced *Endpoint) bool {
@@ -227,7 +246,9 @@
 }
 
 // isClaimDisputed reports whether the current endpoint has shown since the claim that it runs.
-func (l *Lifecycle) isClaimDisputed() bool { return l.claim.hasFlows || l.heardAt > l.claim.since }
+func (l *Lifecycle) isClaimDisputed() bool {
+	return l.claim.hasFlows || l.heardAt-l.claim.since > maxDelay
+}
 
 // isClaimRecent reports whether the start that claims the address has not been silent.
 func (l *Lifecycle) isClaimRecent(now time.Duration) bool {
@@ -256,19 +277,26 @@
 	return isUndisputed && (claimed > l.silenceTimeout || !isOutdated && claimed > l.silenceTimeout/2)
 }
 
-// replace makes the start that claims the address the current endpoint.
-func (l *Lifecycle) replace(now time.Duration) {
+// replace makes the start that claims the address the current endpoint. It returns the one
+// before, if any, as it was last heard before the claim.
+func (l *Lifecycle) replace(now time.Duration) (before *Endpoint) {
 	// One that is only outranked may run, and be named again.
 	if !l.isOutranked() {
 		l.addFormer(l.current)
 	}
+	if l.current != nil {
+		copied := *l.current
+		copied.LastSeen = min(copied.LastSeen, l.claim.heardBefore)
+		before = &copied
+	}
 	l.setCurrent(now, l.claim.endpoint)
 	l.isConfirmed = true
+	return before
 }
 
 // Admission returns the state of the endpoint that new flows are decided by, nil if none has
 // announced itself. While a later start of no lower standing claims the address, either may run
-// there, and the stricter state of both applies.
+// there, and the stricter state of both applies: announcements of the current one may be late.
 func (l *Lifecycle) Admission(now time.Duration) *Endpoint {
 	if !l.hasLaterClaim(now) {
 		return l.current
@@ -296,7 +324,7 @@
 // isOfCurrent reports whether a flow that was accepted at openedAt is certainly of the current
 // endpoint. One that has replaced it may have accepted flows before its first announcement.
 func (l *Lifecycle) isOfCurrent(openedAt time.Duration) bool {
-	return l.current != nil && openedAt < l.current.LastSeen
+	return l.current != nil && openedAt < l.current.LastSeen && (l.claim == nil || openedAt < l.claim.heardBefore)
 }
 
 // RecordLostFlow records that the endpoint no longer has a flow that it accepted at openedAt
@@ -306,9 +334,7 @@
 	if !l.hasLaterClaim(now) || l.isClaimDisputed() || !l.isOfCurrent(openedAt) {
 		return nil
 	}
-	ended = l.current
-	l.replace(now)
-	return ended
+	return l.replace(now)
 }
 
 // isStale reports whether a later announcement of the current endpoint has been received. If
--- a/internal/flow/lifecycle_test.go
+++ b/internal/flow/lifecycle_test.go
@@ -337,7 +337,7 @@
 		ID: "e", Service: "orders", Slots: 2, StartedAt: 5000, Sequence: 1, ColdUntil: 9 * time.Second, IsDraining: true, LastSeen: 500 * ms,
 	}))
 	l.Announce(time.Second, endpoint("e", "orders", 5000, 2, time.Second))
-	g.Expect(l.Admission(1100 * ms).IsDraining).To(BeFalse())
+	g.Expect(l.Admission(1100*ms).IsDraining).To(BeTrue(), "the announcement may be late")
 	g.Expect(l.Admission(1100 * ms).Slots).To(Equal(2))
 	g.Expect(l.Admission(3*time.Second)).To(Equal(l.Endpoint()), "the other start has been silent")
 	l.Announce(3*time.Second, endpoint("g", "drawings", 7000, 1, 3*time.Second))
@@ -348,3 +348,55 @@
 	g.Expect(l.Admission(3300 * ms).IsLeaving).To(BeTrue())
 	g.Expect(l.Endpoint().IsLeaving).To(BeFalse())
 }
+
+// A packet of a flow that the current start had before the claim, or announcements for longer than
+// any are late, show that it runs. A flow accepted since may be of the other start.
+func TestAdmissionIsNotStrictOnceTheCurrentStartHasShownThatItRuns(t *testing.T) {
+	const ms = time.Millisecond
+	begin := func() *Lifecycle {
+		l := NewLifecycle(silence)
+		l.Announce(0, announced("e", 5000, 1, 0))
+		l.Announce(1000*ms, announced("e", 5000, 2, 1000*ms))
+		claimant := announced("f", 6000, 1, 1500*ms)
+		claimant.IsDraining = true
+		l.Announce(1500*ms, claimant)
+		l.Announce(2000*ms, announced("e", 5000, 3, 2000*ms))
+		return l
+	}
+	g := NewWithT(t)
+	l := begin()
+	l.RecordEndpointPacket(1800 * ms)
+	g.Expect(l.Admission(2100 * ms).IsDraining).To(BeTrue())
+	l.RecordEndpointPacket(500 * ms)
+	g.Expect(l.Admission(2100 * ms).IsDraining).To(BeFalse())
+
+	l = begin()
+	for second := 3 * time.Second; second <= 12*time.Second; second += time.Second {
+		l.Announce(second, announced("e", 5000, uint64(second/time.Second)+3, second))
+		claimant := announced("f", 6000, uint64(second/time.Second), second)
+		claimant.IsDraining = true
+		l.Announce(second, claimant)
+		g.Expect(l.Admission(second).IsDraining).To(Equal(second < 12*time.Second), "at %s", second)
+	}
+}
+
+// Announcements after a claim may be late, so flows accepted since then are not those of the
+// endpoint that has ended.
+func TestEndpointEndsWhenItWasHeardBeforeTheClaim(t *testing.T) {
+	const ms = time.Millisecond
+	g := NewWithT(t)
+	l := NewLifecycle(silence)
+	l.Announce(0, announced("e", 5000, 1, 0))
+	l.Announce(1000*ms, announced("e", 5000, 2, 1000*ms))
+	l.Announce(1200*ms, announced("f", 6000, 1, 1200*ms))
+	l.Announce(1700*ms, announced("e", 5000, 3, 1700*ms))
+	for sequence := uint64(2); sequence < 4; sequence++ {
+		at := time.Duration(sequence) * 1000 * ms
+		l.Announce(at, announced("f", 6000, sequence, at))
+	}
+	g.Expect(l.RecordLostFlow(3100*ms, 1500*ms)).To(BeNil(), "a flow that may be of the next endpoint")
+	change, ended := l.Announce(4000*ms, announced("f", 6000, 4, 4000*ms))
+	g.Expect(change).To(Equal(ChangeStarted))
+	g.Expect(ended.ID).To(Equal("e"))
+	g.Expect(ended.LastSeen).To(Equal(1000 * ms))
+}
--- a/internal/machine/opaque/pathtest/announce_test.go
+++ b/internal/machine/opaque/pathtest/announce_test.go
@@ -228,3 +228,77 @@
 		tc.g.Expect(isRegistered).To(BeTrue())
 	})
 }
+
+// crashWithLateAnnouncements replaces the endpoint of a site by one of a service that starts at
+// once, and returns the last two announcements of the one before, which have not arrived.
+func (s *site) crashWithLateAnnouncements(service string) (late []agent.Announcement) {
+	e := s.endpoint
+	for range 2 {
+		e.sequence++
+		late = append(late, e.lastAnnouncement())
+	}
+	s.startSilentEndpoint(service)
+	s.endpoint.id = e.id + "-next"
+	s.endpoint.startedAt++
+	s.endpoint.isSilent = false
+	s.endpoint.announce()
+	return late
+}
+
+// Late announcements of an endpoint that has crashed must not give it the flows of the next one.
+func TestFlowsSurviveLateAnnouncementsOfACrashedEndpoint(t *testing.T) {
+	for _, delays := range [][2]time.Duration{{600 * time.Millisecond, 2200 * time.Millisecond}, {400 * time.Millisecond, 3 * time.Second}, {2 * time.Second, 2500 * time.Millisecond}} {
+		t.Run(fmt.Sprint(delays), func(t *testing.T) {
+			runInCluster(t, false, 2, 1, func(tc *testCluster) {
+				s := tc.sites[0]
+				tc.sleep(heartbeat / 3)
+				late := s.crashWithLateAnnouncements("orders")
+				start, flows := time.Now(), tc.openFlows(10)
+				for i, announcement := range late {
+					tc.sleep(delays[i] - time.Since(start))
+					s.agent.Announce(announcement)
+					flows = append(flows, tc.openFlows(5)...)
+				}
+				tc.sleep(8 * heartbeat)
+				for _, f := range flows {
+					tc.g.Expect(f.isReset).To(BeFalse(), "flow %s", f.key)
+				}
+				tc.expectServed(flows)
+			})
+		})
+	}
+}
+
+// Late announcements of an endpoint that has crashed must not undo that the next one drains, or
+// bring it flows of another service.
+func TestLateAnnouncementsOfACrashedEndpointBringNoFlows(t *testing.T) {
+	for _, service := range []string{"orders", "drawings"} {
+		for _, silence := range []time.Duration{0, 2200 * time.Millisecond} {
+			t.Run(fmt.Sprintf("next of %s, after silence of %s", service, silence), func(t *testing.T) {
+				runInCluster(t, false, 2, 2, func(tc *testCluster) {
+					s := tc.sites[0]
+					s.endpoint.isSilent = true
+					tc.sleep(silence + heartbeat/3)
+					late := s.crashWithLateAnnouncements(service)
+					if service == "orders" {
+						tc.sleep(400 * time.Millisecond)
+						s.endpoint.isDraining = true
+						s.endpoint.announce()
+					}
+					opened := len(s.endpoint.opened)
+					for _, announcement := range late {
+						tc.sleep(600 * time.Millisecond)
+						s.agent.Announce(announcement)
+						for range 4 {
+							tc.sleep(250 * time.Millisecond)
+							tc.openFlows(10)
+						}
+					}
+					tc.sleep(4 * heartbeat)
+					tc.openFlows(10)
+					tc.g.Expect(s.endpoint.opened).To(HaveLen(opened))
+				})
+			})
+		}
+	}
+}
