Soak: another program's heartbeats, and desired states without a part

A program beside each agent announces a service that no desired state names, from the start on and first after each restart; before each desired state the operator sends the same one without its routes, services or limits, which must not be accepted.

--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -79,6 +79,7 @@
 	context.AfterFunc(ctx, func() { conn.Close() })
 	go e.serve()
 	go e.sendHeartbeats(ctx)
+	go e.sendUnnamedHeartbeats(ctx)
 	return nil
 }
 
@@ -121,27 +122,47 @@
 func (e *endpoint) sendHeartbeat(client *http.Client) {
 	e.mu.Lock()
 	e.sequence++
-	id, isDraining := e.id, e.isDraining
+	id, isDraining, sequence, startedAt := e.id, e.isDraining, e.sequence, e.startedAt
+	e.mu.Unlock()
+	status := e.postHeartbeat(client, id, serviceOf(e.index), isDraining, sequence, startedAt)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if isDraining && status == http.StatusOK && e.drainedAt.IsZero() && e.id == id {
+		e.drainedAt = time.Now()
+	}
+}
+
+// sendUnnamedHeartbeats announces a service that no desired state names, as another program may.
+// Where nobody listens it tries again soon, so that a restarted agent hears it first.
+func (e *endpoint) sendUnnamedHeartbeats(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second}
+	startedAt := time.Now().UnixMilli()
+	for sequence := 1; ctx.Err() == nil; sequence++ {
+		pause := heartbeatInterval
+		if e.postHeartbeat(client, "another-program", "unnamed", false, sequence, startedAt) == 0 {
+			pause = 20 * time.Millisecond
+		}
+		time.Sleep(pause)
+	}
+}
+
+// postHeartbeat posts a heartbeat to the agent and returns the HTTP status, 0 if there is no answer.
+func (e *endpoint) postHeartbeat(client *http.Client, id, service string, isDraining bool, sequence int, startedAt int64) int {
 	state := map[bool]string{false: "ready", true: "draining"}[isDraining]
 	body, err := json.Marshal(map[string]any{
-		"service": serviceOf(e.index), "addr": fmt.Sprintf("%s:%d", e.agent.host, endpointPort), "zone": zoneOf(e.index), "version": "1",
-		"slots": 5, "state": state, "cold-left-ms": 0, "seq": e.sequence, "born": e.startedAt,
+		"service": service, "addr": fmt.Sprintf("%s:%d", e.agent.host, endpointPort), "zone": zoneOf(e.index), "version": "1",
+		"slots": 5, "state": state, "cold-left-ms": 0, "seq": sequence, "born": startedAt,
 	})
-	e.mu.Unlock()
 	if err != nil {
 		e.cluster.recordViolation("encoding a heartbeat: %v", err)
-		return
+		return 0
 	}
 	response, err := client.Post(fmt.Sprintf("http://%s:%d/Instances.Heartbeat/%s", e.agent.host, operatorPort, id), "application/json", bytes.NewReader(body))
 	if err != nil {
-		return
+		return 0
 	}
 	response.Body.Close()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if isDraining && response.StatusCode == http.StatusOK && e.drainedAt.IsZero() && e.id == id {
-		e.drainedAt = time.Now()
-	}
+	return response.StatusCode
 }
 
 func (e *endpoint) serve() {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -43,6 +43,7 @@
 	if o.random.IntN(alternateOneIn) == 0 {
 		o.phase++
 	}
+	o.sendIncomplete(ctx)
 	o.cluster.rules.recordSent(o.phase)
 	body, err := json.Marshal(o.desiredState())
 	if err != nil {
@@ -65,6 +66,22 @@
 	}
 }
 
+// sendIncomplete sends a state of the next version without one of its parts, which must not be
+// accepted.
+func (o *operator) sendIncomplete(ctx context.Context) {
+	state := o.desiredState()
+	part := []string{"routes", "services", "limits"}[o.version%3]
+	delete(state, part)
+	body, err := json.Marshal(state)
+	if err != nil {
+		o.cluster.recordViolation("encoding the desired state: %v", err)
+		return
+	}
+	if status := o.post(ctx, "/Config.Replace", body); status >= 200 && status < 300 {
+		o.cluster.recordViolation("version %d of the desired state without %s was accepted", o.version, part)
+	}
+}
+
 func (o *operator) desiredState() map[string]any {
 	routes, serviceEntries := []any{}, []any{}
 	// Objectives and different priorities put the decisions under load in force.
