--- a/internal/flow/lifecycle_test.go
+++ b/internal/flow/lifecycle_test.go
@@ -349,8 +349,7 @@
 	g.Expect(l.Endpoint().IsLeaving).To(BeFalse())
 }
 
-// A packet of a flow that the current start had before the claim, or announcements for longer than
-// any are late, show that it runs. A flow accepted since may be of the other start.
+// Packets on flows from before the claim show that the current start runs; late announcements do not.
 func TestAdmissionIsNotStrictOnceTheCurrentStartHasShownThatItRuns(t *testing.T) {
 	const ms = time.Millisecond
 	begin := func() *Lifecycle {
@@ -380,8 +379,7 @@
 	}
 }
 
-// Announcements after a claim may be late, so flows accepted since then are not those of the
-// endpoint that has ended.
+// Flows that were accepted after a claim are not certainly those of the endpoint that has ended.
 func TestEndpointEndsWhenItWasHeardBeforeTheClaim(t *testing.T) {
 	const ms = time.Millisecond
 	g := NewWithT(t)
--- a/internal/flow/services_test.go
+++ b/internal/flow/services_test.go
@@ -21,27 +21,24 @@
 // decisions are all that a lifecycle decides at a moment.
 type decisions struct {
 	change                             Change
-	ended                              string
-	endpoint, admission                Endpoint
+	ended, endpoint, admission         Endpoint
 	isDown, isUnannounced, isConfirmed bool
 	checkDue                           time.Duration
 	isCheckDue                         bool
 }
 
 func decisionsOf(l *Lifecycle, now time.Duration, change Change, ended *Endpoint) decisions {
-	d := decisions{change: change, isDown: l.IsDown(), isUnannounced: l.IsUnannounced(), isConfirmed: l.IsConfirmed()}
-	d.checkDue, d.isCheckDue = l.CheckDue()
-	for from, to := range map[*Endpoint]*Endpoint{l.Endpoint(): &d.endpoint, l.Admission(now): &d.admission} {
-		if from != nil {
-			*to = *from
+	valueOf := func(e *Endpoint) Endpoint {
+		if e == nil {
+			return Endpoint{}
 		}
+		return *e
 	}
-	if l.Endpoint() != nil {
-		d.endpoint = *l.Endpoint()
-	}
-	if ended != nil {
-		d.ended = ended.ID
+	d := decisions{
+		change: change, ended: valueOf(ended), endpoint: valueOf(l.Endpoint()), admission: valueOf(l.Admission(now)),
+		isDown: l.IsDown(), isUnannounced: l.IsUnannounced(), isConfirmed: l.IsConfirmed(),
 	}
+	d.checkDue, d.isCheckDue = l.CheckDue()
 	return d
 }
 
--- a/internal/machine/opaque/pathtest/announce_test.go
+++ b/internal/machine/opaque/pathtest/announce_test.go
@@ -116,6 +116,12 @@
 		tc.expectServed(flows)
 		tc.sleep(heartbeat)
 	}
+	tc.expectTakesNewFlows(s)
+}
+
+// expectTakesNewFlows asserts that the endpoint of a site gets some of the new flows.
+func (tc *testCluster) expectTakesNewFlows(s *site) {
+	tc.t.Helper()
 	opened := len(s.endpoint.opened)
 	tc.openFlows(20)
 	tc.g.Expect(len(s.endpoint.opened)).To(BeNumerically(">", opened))
@@ -269,8 +275,7 @@
 	}
 }
 
-// Late announcements of an endpoint that has crashed must not undo that the next one drains, or
-// bring it flows of another service.
+// Late announcements of an endpoint that has crashed must not bring flows to the next one.
 func TestLateAnnouncementsOfACrashedEndpointBringNoFlows(t *testing.T) {
 	for _, service := range []string{"orders", "drawings"} {
 		for _, silence := range []time.Duration{0, 2200 * time.Millisecond} {
--- a/internal/machine/opaque/pathtest/handover_test.go
+++ b/internal/machine/opaque/pathtest/handover_test.go
@@ -52,8 +52,7 @@
 	})
 }
 
-// Late copies of the SYNs arrive before a restarted agent has got the flows, and the endpoint does
-// not answer them.
+// Late copies of SYNs, which the endpoint does not answer, arrive before the flows are taken over.
 func TestFlowsSurviveLateCopiesOfTheirSYNsDuringATakeover(t *testing.T) {
 	runInCluster(t, false, 1, 3, func(tc *testCluster) {
 		s, flows := tc.openAtBusiest(30)
--- a/internal/machine/opaque/pathtest/unnamed_test.go
+++ b/internal/machine/opaque/pathtest/unnamed_test.go
@@ -54,14 +54,6 @@
 	}()
 }
 
-// expectTakesNewFlows asserts that the endpoint of a site gets some of the new flows.
-func (tc *testCluster) expectTakesNewFlows(s *site) {
-	tc.t.Helper()
-	before := len(s.endpoint.opened)
-	tc.openFlows(20)
-	tc.g.Expect(len(s.endpoint.opened)).To(BeNumerically(">", before))
-}
-
 // Another writer of a service that is not named is heard before the endpoint, and goes on.
 func TestEndpointIsUsedBesideAnotherWriterOfAnUnnamedService(t *testing.T) {
 	for _, form := range unnamedForms {
@@ -115,8 +107,7 @@
 	}
 }
 
-// Endpoints announce a service that a later routing table names, drops and names again, beside
-// another writer and with restarts. Open flows go on all the while.
+// Beside another writer, a routing table names an endpoint's service later, drops it and names it again.
 func TestEndpointOfAServiceThatIsNamedLaterAndDropped(t *testing.T) {
 	for _, c := range []struct {
 		isRestarted bool
@@ -159,8 +150,7 @@
 	}
 }
 
-// Another writer is heard first under a routing table that names its service, and goes on after
-// that was dropped.
+// Another writer is heard first while its service is named, and goes on after that was dropped.
 func TestEndpointReturnsOnceTheServiceOfAnotherWriterIsDropped(t *testing.T) {
 	for _, form := range unnamedForms {
 		t.Run(form.name, func(t *testing.T) {
