Known red: writers with an ID for each heartbeat keep an idle endpoint out

The postmortem said that another writer of a named service keeps an endpoint without open flows out for up to 10 s. That is so with one ID. With another ID in each heartbeat every one is a new claim, for which the 10 s begin anew.

--- a/internal/machine/opaque/pathtest/announce_test.go
+++ b/internal/machine/opaque/pathtest/announce_test.go
@@ -307,3 +307,30 @@
 		}
 	}
 }
+
+// expectReturnsBeside asserts that an idle endpoint gets new flows beside another writer of a named
+// service that drains, within the time that the users' platform allows for a recovery.
+func expectReturnsBeside(t *testing.T, idOf func(sequence uint64) string) {
+	const recoveryTime = 12 * time.Second
+	for _, service := range []string{"orders", "drawings"} {
+		t.Run("a writer of "+service, func(t *testing.T) {
+			runInCluster(t, false, 2, 3, func(tc *testCluster) {
+				s, _ := tc.openAtBusiest(30)
+				startedAt := s.endpoint.startedAt + 1
+				s.startAnotherWriter(service, 770*time.Millisecond, oddForm{change: func(a *agent.Announcement) {
+					a.ID, a.StartedAt, a.IsDraining = idOf(a.Sequence), startedAt, true
+				}})
+				tc.sleep(recoveryTime)
+				tc.expectTakesNewFlows(s)
+			})
+		})
+	}
+}
+
+func TestIdleEndpointReturnsBesideAnotherWriterOfANamedService(t *testing.T) {
+	expectReturnsBeside(t, func(uint64) string { return "another" })
+}
+
+func TestIdleEndpointReturnsBesideAnotherWriterWithAnIDForEachHeartbeat(t *testing.T) {
+	expectReturnsBeside(t, func(sequence uint64) string { return fmt.Sprint("another-", sequence) })
+}
